feat: a thin version of the whole path

Cause: the project had no code. The first need is one path from a caller to a replica group and back, so that every later change can be measured.

Change: entry nodes that follow the platform's log (configuration, leases, bookings), watch fabric domains split among the live nodes, form replica groups under fencing numbers, route drafts by predicted time to the first token, resume them elsewhere, run non-idempotent calls once under a key claimed on the log, and exchange what they know over yamux. Stand-ins of the log, the instance list, the weight store, the engines and a plain service; demo, command line, checked settings.

Not measured: any cost; no tests yet.

--- /dev/null
+++ b/internal/fleet/replica/former.go
@@ -0,0 +1,347 @@
+package replica
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/common/lifecycle"
+	"hazelslip/internal/fleet/fabric"
+	"hazelslip/internal/peer/engine"
+	"hazelslip/internal/policy/repair"
+)
+
+const (
+	// PlanEvery is how often the domains that are this node's duty are planned.
+	PlanEvery    = time.Second
+	orderTimeout = 2 * time.Second
+	// settleFor is how long a domain is left alone after orders, so that the
+	// next plan sees their effect in fresh reports.
+	settleFor    = 1500 * time.Millisecond
+	backoffLeast = time.Second
+	backoffMost  = 4 * time.Second
+	// formingFor is how long some members of a new group may not report it.
+	formingFor = 4 * time.Second
+	forgetSeen = time.Minute
+	// DefaultGrace is how long a silent member is waited for.
+	DefaultGrace = 6 * time.Second
+)
+
+// Event is one thing that was done to a group, for explanation.
+type Event struct {
+	Number       uint64
+	FabricDomain string
+	Model        string
+	Members      []string
+	Kind         string
+	Cause        string
+}
+
+// FormerState is what a Former shows in the state dump.
+type FormerState struct {
+	Domains  []string
+	Formed   uint64
+	Retired  uint64
+	Refused  uint64
+	Failed   uint64
+	NoRight  uint64
+	LastPlan map[string][]repair.Action
+}
+
+// Former plans the domains that are this node's duty and gives the orders.
+type Former struct {
+	*lifecycle.Part
+	// Incarnation is this node's.
+	Incarnation uint64
+	// Snapshot returns the groups as this node sees them.
+	Snapshot func() *Snapshot
+	// Facts returns the servers as this node sees them.
+	Facts func() *fabric.Snapshot
+	// Mine reports whether a duty is this node's.
+	Mine func(duty string) bool
+	// Models returns the models to serve in a domain.
+	Models func() []repair.Model
+	// Order gives one order.
+	Order func(ctx context.Context, address string, order engine.Order) (engine.OrderReply, error)
+	// Right returns nil when this node may give orders in a domain, for as
+	// long as the returned function says so.
+	Right func(ctx context.Context, domain string) (func() bool, error)
+	// Record notes what was done.
+	Record func(event Event)
+	Now    clock.Now
+	// Random draws a number below n.
+	Random func(n int) int
+	Logger *slog.Logger
+	Grace  time.Duration
+
+	mu    sync.Mutex
+	rest  map[string]time.Duration
+	plans map[string][]repair.Action
+	seen  map[uint64]*sighting
+
+	formed, retired, refused, failed, noRight atomic.Uint64
+}
+
+// Start begins to plan.
+func (former *Former) Start() {
+	former.Part = lifecycle.New()
+	former.rest = map[string]time.Duration{}
+	former.plans = map[string][]repair.Action{}
+	former.seen = map[uint64]*sighting{}
+	former.Every(PlanEvery, former.Tick)
+}
+
+// Tick plans each domain once.
+func (former *Former) Tick() {
+	facts := former.Facts()
+	snapshot := former.Snapshot()
+	domains := pool.New()
+	for _, domain := range facts.DomainNames() {
+		if former.Mine(fabric.Duty(domain)) && !former.resting(domain) {
+			domains.Go(func() { former.tend(domain, snapshot, facts.Domains[domain]) })
+		}
+	}
+	domains.Wait()
+	former.forgetUnseen()
+}
+
+func (former *Former) resting(domain string) bool {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	return former.Now() < former.rest[domain]
+}
+
+func (former *Former) restFor(domain string, duration time.Duration) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	former.rest[domain] = former.Now() + duration
+}
+
+func (former *Former) tend(domain string, snapshot *Snapshot, servers []fabric.Fact) {
+	plan := repair.Plan(former.situation(domain, snapshot))
+	former.mu.Lock()
+	former.plans[domain] = plan
+	former.mu.Unlock()
+	due := slices.DeleteFunc(slices.Clone(plan), func(action repair.Action) bool { return action.Kind == repair.Wait })
+	if len(due) == 0 {
+		return
+	}
+	ctx, cancel := former.Context(orderTimeout * time.Duration(2+len(due)))
+	defer cancel()
+	may, err := former.Right(ctx, domain)
+	if err != nil {
+		former.noRight.Add(1)
+		former.backOff(domain)
+		return
+	}
+	orders := &round{former: former, domain: domain, may: may, highest: highest(servers)}
+	for _, action := range due {
+		if !orders.run(ctx, action, snapshot) {
+			former.backOff(domain)
+			return
+		}
+	}
+	former.restFor(domain, settleFor)
+}
+
+// backOff keeps rivals that both think a domain theirs from taking each
+// other's half-formed groups apart in step.
+func (former *Former) backOff(domain string) {
+	spread := time.Duration(former.Random(int(backoffMost - backoffLeast)))
+	former.restFor(domain, backoffLeast+spread)
+}
+
+func highest(servers []fabric.Fact) uint64 {
+	number := uint64(0)
+	for index := range servers {
+		number = max(number, servers[index].Report.Highest, servers[index].Report.Group)
+	}
+	return number
+}
+
+func (former *Former) situation(domain string, snapshot *Snapshot) repair.Situation {
+	situation := repair.Situation{Models: former.Models(), Grace: former.Grace}
+	for _, fact := range snapshot.Free[domain] {
+		situation.Free = append(situation.Free, fact.Address)
+	}
+	for _, group := range snapshot.Groups {
+		if group.FabricDomain == domain {
+			situation.Groups = append(situation.Groups, former.forPlan(group))
+		}
+	}
+	return situation
+}
+
+func (former *Former) forPlan(group *Group) repair.Group {
+	planned := repair.Group{
+		Number: group.Number, Model: group.Model, Members: group.Members, Serving: group.Serving,
+		Draining: group.Draining, Running: group.Running, Dark: group.Dark,
+	}
+	for _, missing := range group.Missing {
+		planned.Silent = max(planned.Silent, missing.Silent)
+		planned.Broken = planned.Broken || missing.Elsewhere
+	}
+	planned.Broken = former.surelyBroken(group, planned.Broken)
+	return planned
+}
+
+// surelyBroken tells a broken group from one that is being formed, by this
+// node or a rival: there, some members report the group before others do, and
+// taking it apart at once would let two rivals undo each other for ever. A
+// group that has stood complete before is broken as soon as a member is
+// elsewhere.
+func (former *Former) surelyBroken(group *Group, broken bool) bool {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	seen, ok := former.seen[group.Number]
+	if !ok {
+		seen = &sighting{first: former.Now()}
+		former.seen[group.Number] = seen
+	}
+	seen.last = former.Now()
+	seen.complete = seen.complete || len(group.Missing) == 0
+	return broken && (seen.complete || former.Now()-seen.first > formingFor)
+}
+
+// forgetUnseen drops what is remembered of groups that are gone.
+func (former *Former) forgetUnseen() {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	for number, seen := range former.seen {
+		if former.Now()-seen.last > forgetSeen {
+			delete(former.seen, number)
+		}
+	}
+}
+
+// sighting is what this node remembers of a group.
+type sighting struct {
+	first    time.Duration
+	last     time.Duration
+	complete bool
+}
+
+// round is the orders of one plan of one domain.
+type round struct {
+	former  *Former
+	domain  string
+	may     func() bool
+	highest uint64
+}
+
+// number returns the next fencing number of the round.
+func (round *round) number() uint64 {
+	round.highest = NextNumber(round.highest, round.former.Incarnation)
+	return round.highest
+}
+
+func (round *round) run(ctx context.Context, action repair.Action, snapshot *Snapshot) bool {
+	if action.Kind == repair.Retire {
+		return round.retire(ctx, action, snapshot)
+	}
+	return round.form(ctx, action)
+}
+
+// form orders every member into a new group. Orders are not atomic: where one
+// member did not take its order, the others are released again, and nothing
+// ever served, since a group serves only when all its members report it.
+func (round *round) form(ctx context.Context, action repair.Action) bool {
+	number := round.number()
+	order := engine.Order{Number: number, Model: action.Model, Members: action.Servers}
+	if failed := round.give(ctx, action.Servers, order); failed != nil {
+		round.former.refused.Add(1)
+		round.former.Logger.Info("replica: a group could not be formed.", "FabricDomain", round.domain, "Group", number, "Cause", failed.Error())
+		if left := round.give(ctx, action.Servers, engine.Order{Number: number, Release: number}); left != nil {
+			// Whoever finds the half-formed group later takes it apart.
+			round.former.failed.Add(1)
+		}
+		return false
+	}
+	round.former.formed.Add(1)
+	round.former.Record(Event{
+		Number: number, FabricDomain: round.domain, Model: action.Model, Members: action.Servers,
+		Kind: "Formed", Cause: action.Cause,
+	})
+	return true
+}
+
+func (round *round) retire(ctx context.Context, action repair.Action, snapshot *Snapshot) bool {
+	group, ok := snapshot.Find(action.Number)
+	if !ok {
+		return true
+	}
+	number := round.number()
+	reachable := slices.DeleteFunc(slices.Clone(group.Members), func(address string) bool {
+		return slices.ContainsFunc(group.Missing, func(missing Missing) bool { return missing.Address == address && missing.Silent > 0 })
+	})
+	if failed := round.give(ctx, reachable, engine.Order{Number: number, Release: group.Number}); failed != nil {
+		round.former.failed.Add(1)
+		return false
+	}
+	round.former.retired.Add(1)
+	round.former.Record(Event{
+		Number: group.Number, FabricDomain: round.domain, Model: group.Model, Members: group.Members,
+		Kind: "Retired", Cause: action.Cause,
+	})
+	return true
+}
+
+// give sends one order to every server and returns the first failure.
+func (round *round) give(ctx context.Context, servers []string, order engine.Order) error {
+	orders := pool.New().WithErrors().WithFirstError()
+	for _, address := range servers {
+		orders.Go(func() error { return round.giveOne(ctx, address, order) })
+	}
+	return orders.Wait()
+}
+
+func (round *round) giveOne(ctx context.Context, address string, order engine.Order) error {
+	if !round.may() {
+		return errors.New("the right to give orders has ended")
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	reply, err := round.former.Order(ctx, address, order)
+	if err != nil {
+		return err
+	}
+	if !reply.Accepted {
+		return errors.Newf("%s refused: %s", address, reply.Cause)
+	}
+	return nil
+}
+
+// State returns the former's part of the state dump.
+func (former *Former) State() FormerState {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	state := FormerState{
+		Formed: former.formed.Load(), Retired: former.retired.Load(), Refused: former.refused.Load(),
+		Failed: former.failed.Load(), NoRight: former.noRight.Load(), LastPlan: map[string][]repair.Action{},
+	}
+	for domain, plan := range former.plans {
+		state.Domains = append(state.Domains, domain)
+		state.LastPlan[domain] = plan
+	}
+	slices.Sort(state.Domains)
+	return state
+}
+
+// Waiting returns why the last plan left a group as it is, if it did.
+func (former *Former) Waiting(domain string, number uint64) string {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	for _, action := range former.plans[domain] {
+		if action.Kind == repair.Wait && action.Number == number {
+			return action.Cause
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/peer/caller/chat.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"hazelslip/internal/serve/draft"
+)
+
+// The types below follow the published chat-completions protocol and keep its
+// names.
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+}
+
+type chatChoice struct {
+	Index        int          `json:"index"`
+	Message      *chatMessage `json:"message,omitempty"`
+	Delta        *chatDelta   `json:"delta,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatDelta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+type chatUsage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+type chatResponse struct {
+	ID      string       `json:"id"`
+	Object  string       `json:"object"`
+	Created int64        `json:"created"`
+	Model   string       `json:"model"`
+	Choices []chatChoice `json:"choices"`
+	Usage   *chatUsage   `json:"usage,omitempty"`
+}
+
+type chatError struct {
+	Error chatErrorDetail `json:"error"`
+}
+
+type chatErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Outcome string `json:"hazelslip_outcome,omitempty"`
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// decodeChat reads and checks a request.
+func decodeChat(request *http.Request) (*chatRequest, *Problem) {
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		return nil, bodyProblem(err)
+	}
+	return ParseChat(body)
+}
+
+// ParseChat checks the body of a chat-completions request.
+func ParseChat(body []byte) (*chatRequest, *Problem) {
+	chat := &chatRequest{}
+	if err := json.Unmarshal(body, chat); err != nil {
+		return nil, badRequest("the body is not a chat-completions request: %v", err)
+	}
+	if len(chat.Messages) == 0 {
+		return nil, badRequest("messages must hold at least one message")
+	}
+	if asked := max(chat.MaxTokens, chat.MaxCompletionTokens); asked > mostMaxTokens || chat.MaxTokens < 0 || chat.MaxCompletionTokens < 0 {
+		return nil, badRequest("max_tokens must be 1 to %d", mostMaxTokens)
+	}
+	return chat, nil
+}
+
+func (chat *chatRequest) prompt() string {
+	var prompt strings.Builder
+	for _, message := range chat.Messages {
+		prompt.WriteString(message.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(message.Content)
+		prompt.WriteString("\n")
+	}
+	return prompt.String()
+}
+
+func (chat *chatRequest) tokens() int {
+	if asked := max(chat.MaxTokens, chat.MaxCompletionTokens); asked > 0 {
+		return asked
+	}
+	return defaultMaxTokens
+}
+
+func errorBody(status int, problem Problem) chatError {
+	kind := "server_error"
+	if status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return chatError{Error: chatErrorDetail{Message: problem.Message, Type: kind, Outcome: string(problem.Outcome)}}
+}
+
+func wholeAnswer(work draft.Request, text string, result draft.Result) chatResponse {
+	return chatResponse{
+		ID: work.ID, Object: "chat.completion", Created: time.Now().Unix(), Model: work.Class.Model,
+		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &result.Reason}},
+		Usage:   &chatUsage{CompletionTokens: result.Tokens, TotalTokens: result.Tokens},
+	}
+}
+
+// eventWriter writes a draft as server-sent events.
+type eventWriter struct {
+	writer     http.ResponseWriter
+	controller *http.ResponseController
+	id         string
+	model      string
+	created    int64
+	begun      bool
+	buffer     []byte
+}
+
+// writeTimeout bounds one write to a caller that does not read.
+const writeTimeout = 20 * time.Second
+
+func (events *eventWriter) token(token string) error {
+	delta := &chatDelta{Content: token}
+	if !events.begun {
+		events.begun = true
+		delta.Role = "assistant"
+		events.writer.Header().Set("Content-Type", "text/event-stream")
+		events.writer.Header().Set("Cache-Control", "no-store")
+	}
+	return events.chunk(chatChoice{Delta: delta})
+}
+
+func (events *eventWriter) chunk(choice chatChoice) error {
+	return events.event(chatResponse{
+		ID: events.id, Object: "chat.completion.chunk", Created: events.created, Model: events.model,
+		Choices: []chatChoice{choice},
+	})
+}
+
+func (events *eventWriter) event(value any) error {
+	body, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return events.line(body)
+}
+
+func (events *eventWriter) line(body []byte) error {
+	events.buffer = append(events.buffer[:0], "data: "...)
+	events.buffer = append(events.buffer, body...)
+	events.buffer = append(events.buffer, "\n\n"...)
+	_ = events.controller.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := events.writer.Write(events.buffer); err != nil {
+		return err
+	}
+	return events.controller.Flush()
+}
+
+func (events *eventWriter) end(result draft.Result) {
+	if !events.begun {
+		events.writer.Header().Set("Content-Type", "text/event-stream")
+	}
+	if err := events.chunk(chatChoice{Delta: &chatDelta{}, FinishReason: &result.Reason}); err != nil {
+		return
+	}
+	_ = events.line([]byte("[DONE]"))
+}
+
+func (events *eventWriter) fail(problem Problem) {
+	_ = events.event(errorBody(problem.Status, problem))
+}
--- /dev/null
+++ b/internal/peer/instancelist/instancelist.go
@@ -0,0 +1,113 @@
+// Package instancelist reads the platform's list of live and leaving
+// instances. The list lags: an instance can be gone, or leaving, for a while
+// before the list says so, and the list itself can be out of reach. Readers
+// treat it as a hint about whom to ask, never as proof that somebody lives.
+//
+// # Usage
+//
+//	client := instancelist.New("http://127.0.0.1:7001")
+//	instances, err := client.List(ctx, instancelist.Query{DataCentre: "lakes-a"})
+package instancelist
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The roles that an instance can have in the list.
+const (
+	RoleEntry   = "Entry"
+	RoleEngine  = "Engine"
+	RoleService = "Service"
+)
+
+const (
+	requestTimeout = 5 * time.Second
+	maxListBytes   = 8 << 20
+)
+
+// Instance is one line of the list. Address is the address for requests of
+// its role: the peer address of an entry node, the HTTP address of an engine
+// or a service.
+type Instance struct {
+	ID           string
+	Address      string
+	Role         string
+	Region       string
+	DataCentre   string
+	FabricDomain string
+	Service      string
+	Leaving      bool
+}
+
+// Client reads the list. Its zero value is not usable; call New.
+type Client struct {
+	base       string
+	httpClient *http.Client
+}
+
+// Option changes how a Client is built.
+type Option func(*Client)
+
+// Transport makes the client use the given transport.
+func Transport(transport http.RoundTripper) Option {
+	return func(client *Client) { client.httpClient.Transport = transport }
+}
+
+// New returns a client of the instance list at the base URL.
+func New(base string, options ...Option) *Client {
+	client := &Client{base: base, httpClient: &http.Client{}}
+	for _, option := range options {
+		option(client)
+	}
+	return client
+}
+
+// Query selects instances; an empty field selects all.
+type Query struct {
+	Region     string
+	DataCentre string
+	Role       string
+}
+
+// Values returns the query of a request to the list.
+func (query Query) Values() url.Values {
+	return url.Values{"Region": {query.Region}, "DataCentre": {query.DataCentre}, "Role": {query.Role}}
+}
+
+// Matches reports whether the query selects an instance.
+func (query Query) Matches(instance Instance) bool {
+	return (query.Region == "" || query.Region == instance.Region) &&
+		(query.DataCentre == "" || query.DataCentre == instance.DataCentre) &&
+		(query.Role == "" || query.Role == instance.Role)
+}
+
+// List returns the instances that the query selects.
+func (client *Client) List(ctx context.Context, query Query) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	address := client.base + "/instances?" + query.Values().Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "build list request")
+	}
+	response, err := client.httpClient.Do(request)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the instance list")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Newf("read the instance list: it answered %s", response.Status)
+	}
+	var instances []Instance
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&instances); err != nil {
+		return nil, errors.Wrap(err, "decode the instance list")
+	}
+	return instances, nil
+}
--- /dev/null
+++ b/internal/policy/route/route.go
@@ -0,0 +1,351 @@
+// Package route chooses the replica group for a draft by the predicted time to
+// its first token.
+//
+// The prediction adds the work that waits at a group, the part of the prompt
+// that is not in its prefix cache, and the distance. What waits is known late:
+// the group's own report is corrected by what this node sent since and by what
+// its peers said they have there. Since every node sees the same late reports,
+// all of them would rush to the same best group; each therefore chooses at
+// random among those near the best.
+//
+// One choice reads an immutable table and a few atomics, takes no lock, and
+// costs the same however many nodes there are.
+//
+// # Usage
+//
+//	router := route.New(route.Random(draw))
+//	router.Update(targets, nodes, now)
+//	choice, ok := router.Pick(route.Request{Model: "draft", PromptTokens: 300}, now)
+//	defer choice.Done(...)
+package route
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// nearBest is how much worse than the best prediction a group may be and
+	// still be chosen: a fifth, or a few milliseconds.
+	nearBestShare = 0.2
+	nearBestLeast = 5 * time.Millisecond
+	// suspectFor is how long a group that just failed gets no new work, unless
+	// a newer report of it arrives.
+	suspectFor = 2 * time.Second
+	// rampFor is how long a group that failed gets only a part of its share.
+	rampFor        = 5 * time.Second
+	prefixSlots    = 256
+	prefixLifetime = 2 * time.Minute
+	// cachedShare is how much of a prompt's time a known prefix is trusted to
+	// save. The engine's cache is small and forgets, so it is not all of it.
+	cachedShare    = 0.5
+	defaultPrefill = 10_000
+	defaultRate    = 500
+	// remoteMargin is what a group of another data centre must be better by.
+	remoteMargin = 30 * time.Millisecond
+)
+
+// Target is one serving group, as the router's table holds it.
+type Target struct {
+	Number           uint64
+	Model            string
+	Leader           string
+	DataCentre       string
+	Remote           bool
+	Running          uint32
+	QueuedTokens     uint32
+	TokensPerSecond  uint32
+	PrefillPerSecond uint32
+	Concurrency      uint32
+	ReadAt           time.Duration
+	// PeerTokens and PeerRunning are what other nodes said they have there.
+	PeerTokens  uint32
+	PeerRunning uint32
+}
+
+// Request is what a choice depends on. PromptTokens is an estimate.
+type Request struct {
+	Model        string
+	PromptTokens int
+	AnswerTokens int
+	Prefix       uint64
+	Exclude      []uint64
+}
+
+// Choice is a chosen group. The holder calls Done once.
+type Choice struct {
+	Target    Target
+	Predicted time.Duration
+	Near      int
+	Known     int
+
+	state  *groupState
+	tokens int64
+}
+
+// groupState is what this node itself knows of a group. It outlives the
+// tables, and is the same object in each of them.
+type groupState struct {
+	outstanding atomic.Int64
+	running     atomic.Int64
+	suspectAt   atomic.Int64
+	prefixes    [prefixSlots]atomic.Uint64
+}
+
+type candidate struct {
+	target Target
+	state  *groupState
+	// share is how many drafts this node may have at the group at once.
+	share int64
+}
+
+type table struct {
+	byModel map[string][]candidate
+}
+
+// GroupState is one group in the state dump.
+type GroupState struct {
+	Target      Target
+	Outstanding int64
+	Running     int64
+	Share       int64
+}
+
+// Router chooses groups.
+type Router struct {
+	table  atomic.Pointer[table]
+	random func(n int) int
+
+	mu     sync.Mutex
+	states map[uint64]*groupState
+}
+
+// Option changes how a Router is built.
+type Option func(*Router)
+
+// Random sets how a number below n is drawn. It is called from many
+// goroutines.
+func Random(draw func(n int) int) Option {
+	return func(router *Router) { router.random = draw }
+}
+
+// New returns a router that knows no groups.
+func New(options ...Option) *Router {
+	router := &Router{random: rand.IntN, states: map[uint64]*groupState{}}
+	router.table.Store(&table{byModel: map[string][]candidate{}})
+	for _, option := range options {
+		option(router)
+	}
+	return router
+}
+
+// Update replaces the table. Nodes is how many nodes of the data centre share
+// the groups. Each node gets an even part of a group's concurrency, and may go
+// beyond it while the group as a whole is not full.
+func (router *Router) Update(targets []Target, nodes int) {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	states := map[uint64]*groupState{}
+	next := &table{byModel: map[string][]candidate{}}
+	for _, target := range targets {
+		state, ok := router.states[target.Number]
+		if !ok {
+			state = &groupState{}
+		}
+		states[target.Number] = state
+		share := int64(max(1, int(target.Concurrency)/max(1, nodes)))
+		next.byModel[target.Model] = append(next.byModel[target.Model], candidate{target: target, state: state, share: share})
+	}
+	for number, state := range router.states {
+		if state.running.Load() > 0 && states[number] == nil {
+			states[number] = state
+		}
+	}
+	router.states = states
+	router.table.Store(next)
+}
+
+// Pick chooses a group for the request, and false when there is none that may
+// take it.
+func (router *Router) Pick(request Request, now time.Duration) (Choice, bool) {
+	candidates := router.table.Load().byModel[request.Model]
+	var buffer [32]time.Duration
+	predictions := buffer[:0]
+	best := time.Duration(-1)
+	for index := range candidates {
+		predicted := time.Duration(-1)
+		if candidates[index].open(request, now) {
+			predicted = candidates[index].predict(request, now)
+		}
+		predictions = append(predictions, predicted)
+		if predicted >= 0 && (best < 0 || predicted < best) {
+			best = predicted
+		}
+	}
+	if best < 0 {
+		return Choice{Known: len(candidates)}, false
+	}
+	limit := best + max(nearBestLeast, time.Duration(float64(best)*nearBestShare))
+	chosen, near := router.drawNear(predictions, limit)
+	choice := Choice{
+		Target: candidates[chosen].target, Predicted: predictions[chosen], Near: near, Known: len(candidates),
+		state: candidates[chosen].state, tokens: int64(request.AnswerTokens),
+	}
+	choice.begin(request.Prefix, now)
+	return choice, true
+}
+
+// drawNear draws one of the predictions within the limit.
+func (router *Router) drawNear(predictions []time.Duration, limit time.Duration) (chosen, near int) {
+	for _, predicted := range predictions {
+		if predicted >= 0 && predicted <= limit {
+			near++
+		}
+	}
+	drawn := router.random(near)
+	for index, predicted := range predictions {
+		if predicted < 0 || predicted > limit {
+			continue
+		}
+		if drawn == 0 {
+			return index, near
+		}
+		drawn--
+	}
+	return 0, near
+}
+
+// open reports whether the group may take one more draft of this node.
+func (candidate *candidate) open(request Request, now time.Duration) bool {
+	if slices.Contains(request.Exclude, candidate.target.Number) {
+		return false
+	}
+	running := candidate.state.running.Load()
+	suspected := time.Duration(candidate.state.suspectAt.Load())
+	if suspected != 0 && candidate.target.ReadAt < suspected && now-suspected < suspectFor {
+		return false
+	}
+	if suspected != 0 && now-suspected < suspectFor+rampFor {
+		return running < max(1, candidate.share/4)
+	}
+	return running < candidate.share || running+int64(candidate.target.PeerRunning) < int64(candidate.target.Concurrency)
+}
+
+// predict estimates the time to the first token.
+func (candidate *candidate) predict(request Request, now time.Duration) time.Duration {
+	target := &candidate.target
+	rate := float64(orDefault(target.TokensPerSecond, defaultRate))
+	prefill := float64(orDefault(target.PrefillPerSecond, defaultPrefill))
+	outstanding := float64(candidate.state.outstanding.Load()) + float64(target.PeerTokens)
+	drained := (now - target.ReadAt).Seconds() * rate
+	queued := max(outstanding, float64(target.QueuedTokens)-drained)
+	running := max(float64(candidate.state.running.Load())+float64(target.PeerRunning), float64(target.Running))
+	waiting := 0.0
+	if running >= float64(target.Concurrency) && running > 0 {
+		// Every place in the batch is taken: the draft waits for the share of
+		// the queue that is ahead of it.
+		waiting = queued * (running - float64(target.Concurrency) + 1) / running / rate
+	}
+	prompt := float64(request.PromptTokens) / prefill
+	if candidate.state.cached(request.Prefix, now) {
+		prompt *= 1 - cachedShare
+	}
+	// A fuller batch makes each step longer, which a draft pays at every token.
+	step := running / rate
+	seconds := waiting + prompt + step
+	predicted := time.Duration(seconds * float64(time.Second))
+	if target.Remote {
+		predicted += remoteMargin
+	}
+	return predicted
+}
+
+func orDefault(value, otherwise uint32) uint32 {
+	if value == 0 {
+		return otherwise
+	}
+	return value
+}
+
+// The low bits of a slot hold when the prefix was sent, in seconds, the rest a
+// part of its hash.
+const prefixTimeBits = 24
+
+func (state *groupState) cached(prefix uint64, now time.Duration) bool {
+	slot := state.prefixes[prefix%prefixSlots].Load()
+	sent := time.Duration(slot&(1<<prefixTimeBits-1)) * time.Second
+	return slot != 0 && slot>>prefixTimeBits == prefix>>prefixTimeBits && now.Truncate(time.Second)-sent < prefixLifetime
+}
+
+func (state *groupState) remember(prefix uint64, now time.Duration) {
+	seconds := uint64(now/time.Second) & (1<<prefixTimeBits - 1)
+	state.prefixes[prefix%prefixSlots].Store(prefix>>prefixTimeBits<<prefixTimeBits | seconds)
+}
+
+func (choice *Choice) begin(prefix uint64, now time.Duration) {
+	choice.state.outstanding.Add(choice.tokens)
+	choice.state.running.Add(1)
+	choice.state.remember(prefix, now)
+}
+
+// Token tells that one token of the answer has come.
+func (choice *Choice) Token() {
+	if choice.tokens > 0 {
+		choice.tokens--
+		choice.state.outstanding.Add(-1)
+	}
+}
+
+// Done ends the choice. A failed group gets no new work until a newer report
+// of it arrives, and then less for a while.
+func (choice *Choice) Done(failed bool, now time.Duration) {
+	choice.state.outstanding.Add(-choice.tokens)
+	choice.state.running.Add(-1)
+	choice.tokens = 0
+	if failed {
+		choice.state.suspectAt.Store(int64(now))
+	}
+}
+
+// Capacity is how many drafts of a model can run at once at the groups of this
+// data centre, and how many of them peers said are taken.
+func (router *Router) Capacity(model string) (capacity, taken int64) {
+	for _, candidate := range router.table.Load().byModel[model] {
+		if !candidate.target.Remote {
+			capacity += int64(candidate.target.Concurrency)
+			taken += int64(candidate.target.PeerRunning)
+		}
+	}
+	return capacity, taken
+}
+
+// Sent returns what this node has at each group, for its peers.
+func (router *Router) Sent() []GroupState {
+	router.mu.Lock()
+	defer router.mu.Unlock()
+	sent := []GroupState{}
+	for number, state := range router.states {
+		if running := state.running.Load(); running > 0 {
+			sent = append(sent, GroupState{Target: Target{Number: number}, Outstanding: state.outstanding.Load(), Running: running})
+		}
+	}
+	return sent
+}
+
+// State returns the router's part of the state dump.
+func (router *Router) State() []GroupState {
+	states := []GroupState{}
+	for _, candidates := range router.table.Load().byModel {
+		for _, candidate := range candidates {
+			states = append(states, GroupState{
+				Target: candidate.target, Outstanding: candidate.state.outstanding.Load(),
+				Running: candidate.state.running.Load(), Share: candidate.share,
+			})
+		}
+	}
+	slices.SortFunc(states, func(a, b GroupState) int { return int(int64(a.Target.Number) - int64(b.Target.Number)) })
+	return states
+}
--- /dev/null
+++ b/internal/run/demo/demo.go
@@ -0,0 +1,226 @@
+// Package demo runs a small deployment on loopback: stand-ins of the platform,
+// of the engines and of a plain service, and entry nodes that know each other
+// only through settings and the instance list.
+//
+// A World is everything but the nodes; `hazelslip standin` runs one for nodes
+// in processes of their own, `hazelslip demo` runs one with its nodes.
+//
+// # Usage
+//
+//	world, err := demo.NewWorld(demo.BasePort(7000))
+//	if err != nil { ... }
+//	defer world.Stop()
+//	for _, settings := range world.Settings() { node.New(settings) }
+package demo
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/peer/instancelist"
+	"hazelslip/internal/run/settings"
+	"hazelslip/internal/standin/engine"
+	"hazelslip/internal/standin/platform"
+	"hazelslip/internal/standin/service"
+)
+
+// The names of the demo's places.
+const (
+	Region      = "great-lakes"
+	ServiceName = "scheduling"
+)
+
+// DataCentres are the demo's data centres, in the order of their ports.
+var dataCentres = []string{"lakes-a", "lakes-b"}
+
+// The layout of ports, as offsets from the base port.
+const (
+	logPort      = 0
+	listPort     = 1
+	weightsPort  = 2
+	firstNode    = 10
+	nodePorts    = 3
+	firstService = 80
+	firstEngine  = 100
+
+	nodesEach     = 2
+	domainsEach   = 2
+	enginesEach   = 8
+	listLag       = time.Second
+	weightSlots   = 16
+	weightTime    = 500 * time.Millisecond
+	headerTimeout = 5 * time.Second
+)
+
+// World is a running set of stand-ins.
+type World struct {
+	Log     *platform.Log
+	List    *platform.List
+	Weights *platform.Weights
+	Book    *service.Book
+	Domains map[string]*engine.Domain
+	Engines []*engine.Engine
+
+	basePort  int
+	unchecked string
+	servers   []*http.Server
+	listeners []net.Listener
+	serving   conc.WaitGroup
+}
+
+// Option changes how a World is built.
+type Option func(*World)
+
+// BasePort sets the first port; everything listens at fixed offsets from it.
+func BasePort(port int) Option {
+	return func(world *World) { world.basePort = port }
+}
+
+// NewWorld starts the stand-ins. The error says which port is taken.
+func NewWorld(options ...Option) (*World, error) {
+	world := &World{
+		Log: platform.NewLog(), List: platform.NewList(listLag), Weights: platform.NewWeights(weightSlots, weightTime),
+		Book: service.NewBook(), Domains: map[string]*engine.Domain{}, basePort: 7000,
+		// One domain's engines ignore fencing numbers, as some deployments' do.
+		unchecked: domainName(len(dataCentres)-1, domainsEach-1),
+	}
+	for _, option := range options {
+		option(world)
+	}
+	if err := world.start(); err != nil {
+		world.Stop()
+		return nil, err
+	}
+	return world, nil
+}
+
+func domainName(dataCentre, domain int) string {
+	return fmt.Sprintf("%s-fabric-%d", dataCentres[dataCentre], domain+1)
+}
+
+func (world *World) address(offset int) string {
+	return fmt.Sprintf("127.0.0.1:%d", world.basePort+offset)
+}
+
+func (world *World) start() error {
+	world.serve(logPort, world.Log.Handler())
+	world.serve(listPort, world.List.Handler())
+	world.serve(weightsPort, world.Weights.Handler())
+	for index, dataCentre := range dataCentres {
+		world.startEngines(index, dataCentre)
+		world.startService(index, dataCentre)
+		for each := range nodesEach {
+			world.listNode(index*nodesEach+each, dataCentre)
+		}
+	}
+	if len(world.listeners) != len(world.servers) {
+		return errors.Newf("a port from %d on is taken; name another with --base-port", world.basePort)
+	}
+	for index, server := range world.servers {
+		world.serving.Go(func() { _ = server.Serve(world.listeners[index]) })
+	}
+	return nil
+}
+
+// serve opens a listener; start checks that all could be opened.
+func (world *World) serve(offset int, handler http.Handler) {
+	world.servers = append(world.servers, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
+	listener, err := net.Listen("tcp", world.address(offset))
+	if err != nil {
+		return
+	}
+	world.listeners = append(world.listeners, listener)
+}
+
+func (world *World) startEngines(index int, dataCentre string) {
+	for domain := range domainsEach {
+		name := domainName(index, domain)
+		world.Domains[name] = engine.NewDomain(world.Weights)
+		for each := range enginesEach {
+			offset := firstEngine + (index*domainsEach+domain)*enginesEach + each
+			id := fmt.Sprintf("%s-engine-%d", name, each+1)
+			created := engine.New(id, world.address(offset), world.Domains[name], engine.ChecksFencing(name != world.unchecked))
+			world.Engines = append(world.Engines, created)
+			world.serve(offset, created.Handler())
+			world.List.Put(instancelist.Instance{
+				ID: id, Address: world.address(offset), Role: instancelist.RoleEngine, Region: Region,
+				DataCentre: dataCentre, FabricDomain: name,
+			})
+		}
+	}
+}
+
+func (world *World) startService(index int, dataCentre string) {
+	id := fmt.Sprintf("%s-%s", dataCentre, ServiceName)
+	world.serve(firstService+index, service.New(id, world.Book).Handler())
+	world.List.Put(instancelist.Instance{
+		ID: id, Address: world.address(firstService + index), Role: instancelist.RoleService, Region: Region,
+		DataCentre: dataCentre, Service: ServiceName,
+	})
+}
+
+func (world *World) listNode(index int, dataCentre string) {
+	world.List.Put(instancelist.Instance{
+		ID: nodeName(index, dataCentre), Address: world.nodeAddress(index, peerPort), Role: instancelist.RoleEntry,
+		Region: Region, DataCentre: dataCentre,
+	})
+}
+
+func nodeName(index int, dataCentre string) string {
+	return fmt.Sprintf("%s-entry-%d", dataCentre, index%nodesEach+1)
+}
+
+// The ports of one node, in order.
+const (
+	callerPort = iota
+	operatorPort
+	peerPort
+)
+
+func (world *World) nodeAddress(index, port int) string {
+	return world.address(firstNode + index*nodePorts + port)
+}
+
+// Settings returns the settings of the nodes, by name.
+func (world *World) Settings() []settings.Node {
+	all := []settings.Node{}
+	for index := range len(dataCentres) * nodesEach {
+		dataCentre := dataCentres[index/nodesEach]
+		node := settings.Default()
+		node.Name, node.Region, node.DataCentre = nodeName(index, dataCentre), Region, dataCentre
+		node.Listen = settings.Listen{
+			Caller: world.nodeAddress(index, callerPort), Operator: world.nodeAddress(index, operatorPort),
+			Peer: world.nodeAddress(index, peerPort),
+		}
+		node.Platform = settings.Platform{
+			LogService: "http://" + world.address(logPort), InstanceList: "http://" + world.address(listPort),
+			WeightStore: "http://" + world.address(weightsPort),
+		}
+		node.Peers.Seeds = []string{world.nodeAddress(0, peerPort)}
+		node.Engines.UncheckedDomains = []string{world.unchecked}
+		node.Models = []settings.Model{{Name: "drafting", GroupSize: 4}, {Name: "summary", GroupSize: 2}}
+		node.Services = []settings.Service{{Name: ServiceName, Repeatable: []string{http.MethodGet}}}
+		node.Stopping = settings.Stopping{NoticeSeconds: 1, DrainSeconds: 60}
+		all = append(all, node)
+	}
+	return all
+}
+
+// Stop ends the stand-ins.
+func (world *World) Stop() {
+	for _, server := range world.servers {
+		server.Close()
+	}
+	for _, listener := range world.listeners {
+		listener.Close()
+	}
+	world.serving.Wait()
+	for _, domain := range world.Domains {
+		domain.Close()
+	}
+}
--- /dev/null
+++ b/internal/run/node/state.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"hazelslip/internal/fleet/fabric"
+	"hazelslip/internal/fleet/member"
+	"hazelslip/internal/fleet/replica"
+	"hazelslip/internal/peer/operator"
+	"hazelslip/internal/policy/admission"
+	"hazelslip/internal/policy/route"
+	"hazelslip/internal/serve/draft"
+	"hazelslip/internal/state/booking"
+	"hazelslip/internal/state/class"
+	"hazelslip/internal/state/lease"
+	"hazelslip/internal/state/stream"
+)
+
+// State is the dump of a node's state.
+type State struct {
+	Name        string
+	Region      string
+	DataCentre  string
+	Incarnation uint64
+	Ready       string
+	Members     member.State
+	Streams     []stream.State
+	Classes     class.State
+	Leases      lease.State
+	Bookings    booking.State
+	Watcher     fabric.WatcherState
+	Former      replica.FormerState
+	Tally       replica.TallyState
+	Groups      []operator.GroupLine
+	Routes      []route.GroupState
+	Admission   []admission.ClassState
+	Drafts      draft.State
+	Traffic     TrafficState
+	ListFailed  uint64
+}
+
+// TrafficState counts control messages, in requests and bytes.
+type TrafficState struct {
+	PeerRequests   uint64
+	PeerFailures   uint64
+	PeerSent       uint64
+	PeerReceived   uint64
+	PeerBadFrames  uint64
+	EngineRequests uint64
+	EngineFailures uint64
+	EngineBytes    uint64
+}
+
+// State returns the dump of the node's state.
+func (node *Node) State() State {
+	state := State{
+		Name: node.settings.Name, Region: node.settings.Region, DataCentre: node.settings.DataCentre,
+		Incarnation: node.Incarnation, Ready: "ready", Members: node.members.State(),
+		Classes: node.classes.State(), Leases: node.leases.State(), Bookings: node.bookings.State(),
+		Watcher: node.watcher.State(), Former: node.former.State(), Tally: node.tally.State(),
+		Groups: node.groupList(), Routes: node.router.State(), Admission: node.gate.State(),
+		Drafts: node.drafts.State(), Traffic: node.traffic(), ListFailed: node.lists.failures.Load(),
+	}
+	if err := node.Ready(); err != nil {
+		state.Ready = err.Error()
+	}
+	for _, follower := range node.streams {
+		state.Streams = append(state.Streams, follower.State())
+	}
+	return state
+}
+
+func (node *Node) traffic() TrafficState {
+	return TrafficState{
+		PeerRequests: node.peers.Traffic.Requests.Load(), PeerFailures: node.peers.Traffic.Failures.Load(),
+		PeerSent:       node.peers.Traffic.BytesSent.Load() + node.server.Traffic.BytesSent.Load(),
+		PeerReceived:   node.peers.Traffic.BytesReceived.Load() + node.server.Traffic.BytesReceived.Load(),
+		PeerBadFrames:  node.server.Traffic.BadFrames.Load(),
+		EngineRequests: node.engines.Traffic.Requests.Load(), EngineFailures: node.engines.Traffic.Failures.Load(),
+		EngineBytes: node.engines.Traffic.Bytes.Load(),
+	}
+}
+
+// metrics returns the node's variables for /debug/vars.
+func (node *Node) metrics() map[string]any {
+	state := node.State()
+	return map[string]any{
+		"Node": state.Name, "Ready": state.Ready == "ready", "Streams": state.Streams, "Classes": state.Classes,
+		"Bookings": state.Bookings, "Watcher": state.Watcher, "Tally": state.Tally,
+		"Admission": state.Admission, "Drafts": state.Drafts, "Traffic": state.Traffic,
+		"LivePeers": len(state.Members.Live), "Groups": len(state.Groups),
+		"GroupsFormed": state.Former.Formed, "GroupsRetired": state.Former.Retired,
+	}
+}
+
+func (node *Node) groupList() []operator.GroupLine {
+	lines := []operator.GroupLine{}
+	for _, group := range node.groups.Load().Groups {
+		line := operator.GroupLine{
+			Number: group.Number, FabricDomain: group.FabricDomain, Model: group.Model, Members: group.Members,
+			Serving: group.Serving, Draining: group.Draining, Running: group.Running, Cause: group.Cause,
+		}
+		line.WaitsFor = node.former.Waiting(group.FabricDomain, group.Number)
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+// explain tells the story of a request that this node took, or of a group.
+func (node *Node) explain(subject string) (operator.Explanation, bool) {
+	if entry, ok := node.journal.Find(subject); ok {
+		return operator.Explain(entry), true
+	}
+	number, err := strconv.ParseUint(subject, 10, 64)
+	if err != nil {
+		return operator.Explanation{}, false
+	}
+	return node.explainGroup(number)
+}
+
+func (node *Node) explainGroup(number uint64) (operator.Explanation, bool) {
+	explanation := operator.Explanation{Subject: fmt.Sprintf("group %d", number)}
+	for _, event := range node.leases.Events() {
+		if event.Number == number {
+			explanation.Lines = append(explanation.Lines, fmt.Sprintf("%s %s of %s in %s with %v by node %d: %s",
+				time.UnixMilli(event.UnixMs).UTC().Format(time.RFC3339), event.Event, event.Model, event.FabricDomain,
+				event.Members, event.Node, event.Cause))
+		}
+	}
+	if group, ok := node.groups.Load().Find(number); ok {
+		now := "serving now"
+		if !group.Serving {
+			now = "not serving: " + group.Cause
+		}
+		explanation.Lines = append(explanation.Lines, now)
+		if waits := node.former.Waiting(group.FabricDomain, number); waits != "" {
+			explanation.Lines = append(explanation.Lines, "waiting: "+waits)
+		}
+	}
+	return explanation, len(explanation.Lines) > 0
+}
+
+func (node *Node) showBooking(service, key string) (operator.BookingLine, bool) {
+	entry, ok := node.keys.Lookup(service + "/" + key)
+	if !ok {
+		return operator.BookingLine{}, false
+	}
+	line := operator.BookingLine{
+		Key: key, Holder: entry.Intent.Incarnation, Attempt: entry.Intent.Attempt,
+		ClaimedAt: time.UnixMilli(entry.Intent.UnixMs).UTC(), Outcome: "Unknown so far",
+	}
+	if entry.Outcome != nil {
+		answer := booking.Replay(entry.Outcome)
+		line.Outcome, line.Status = string(answer.Outcome), entry.Outcome.Status
+		line.ContentType, line.Body = entry.Outcome.ContentType, string(entry.Outcome.Body)
+	}
+	return line, true
+}
--- /dev/null
+++ b/internal/run/node/wire.go
@@ -0,0 +1,49 @@
+package node
+
+import (
+	"time"
+
+	"hazelslip/internal/fleet/fabric"
+	"hazelslip/internal/peer/engine"
+	"hazelslip/internal/wire/exchange"
+)
+
+func milliseconds(duration time.Duration) uint32 {
+	return uint32(min(max(duration.Milliseconds(), 0), 1<<31))
+}
+
+func toWire(report engine.Report, age time.Duration) *exchange.Report {
+	return &exchange.Report{
+		Instance: report.Instance, Address: report.Address, Incarnation: report.Incarnation, State: report.State,
+		Group: report.Group, Highest: report.Highest, Model: report.Model, Members: report.Members,
+		Running: report.Running, QueuedTokens: report.QueuedTokens, TokensPerSecond: report.TokensPerSecond,
+		Concurrency: report.Concurrency, Leaving: report.Leaving, PrefillPerSecond: report.PrefillPerSecond,
+		AgeMs: milliseconds(age),
+	}
+}
+
+func fromWire(wire *exchange.Report) engine.Report {
+	return engine.Report{
+		Instance: wire.Instance, Address: wire.Address, Incarnation: wire.Incarnation, State: wire.State,
+		Group: wire.Group, Highest: wire.Highest, Model: wire.Model, Members: wire.Members,
+		Running: wire.Running, QueuedTokens: wire.QueuedTokens, TokensPerSecond: wire.TokensPerSecond,
+		Concurrency: wire.Concurrency, Leaving: wire.Leaving, PrefillPerSecond: wire.PrefillPerSecond,
+	}
+}
+
+// domainReport is what a peer needs to know of a reading, given what it holds.
+func domainReport(reading *fabric.Reading, held *exchange.DomainVersion, watcher uint64, now time.Duration) *exchange.DomainReport {
+	report := &exchange.DomainReport{
+		FabricDomain: reading.FabricDomain, Watcher: watcher, Sequence: reading.Version, Missed: reading.Missed,
+	}
+	report.Same = held != nil && held.Watcher == watcher && held.Sequence == reading.Version
+	for index := range reading.Facts {
+		fact := &reading.Facts[index]
+		if report.Same {
+			report.Ages = append(report.Ages, milliseconds(now-fact.At))
+			continue
+		}
+		report.Reports = append(report.Reports, toWire(fact.Report, now-fact.At))
+	}
+	return report
+}
