fix(replica): give no fencing number twice

Cause: a paused server held up each reading of its domain for two seconds, so the next plan was made on reports from before the last orders. The same group was formed twice under one number; with other members the second time, one number would have named two groups. Ruled out: a rival node (the other one had no duty there).

Change: a server that does not answer is tried by another node beside the tick, not within it; a former remembers the highest number it gave and plans only on reports read since its last orders. Tests run whole nodes in virtual time on a network in memory.

--- a/internal/fleet/fabric/watcher.go
+++ b/internal/fleet/fabric/watcher.go
@@ -60,6 +60,7 @@
 
 	mu       sync.Mutex
 	readings map[string]*Reading
+	probing  map[string]bool
 	sequence uint64
 }
 
@@ -72,7 +73,7 @@
 ) *Watcher {
 	return &Watcher{
 		Part: lifecycle.New(), facts: facts, now: facts.now, mine: mine, read: read, probe: probe,
-		readings: map[string]*Reading{},
+		readings: map[string]*Reading{}, probing: map[string]bool{},
 	}
 }
 
@@ -132,43 +133,62 @@
 	watcher.reads.Add(1)
 	report, err := watcher.read(ctx, fact.Address)
 	if err != nil {
-		watcher.missed(fact, at)
+		watcher.misses.Add(1)
+		watcher.ask(fact.Address, fact.FabricDomain, at)
 		return
 	}
 	fact.Report, fact.At, fact.FirstMissed = report, at, 0
 }
 
-// missed asks another node before a server counts as missed: a cut between one
-// node and one server must not cost a healthy group. Only the first misses are
-// probed each time, later ones now and then.
-func (watcher *Watcher) missed(fact *Fact, at time.Duration) {
-	watcher.misses.Add(1)
-	watcher.probes.Add(1)
-	ctx, cancel := watcher.Context(2 * readTimeout)
-	defer cancel()
-	report, age, ok := watcher.probe(ctx, fact.Address)
-	if ok {
-		watcher.saves.Add(1)
-		fact.Report, fact.At, fact.FirstMissed = report, watcher.now()-age, 0
+// ask lets another node try a server before it counts as missed: a cut between
+// one node and one server must not cost a healthy group. It does not hold up
+// the tick, or one paused server would make the reports of all others stale.
+func (watcher *Watcher) ask(address, domain string, at time.Duration) {
+	if !watcher.beginProbe(address) {
 		return
 	}
-	watcher.facts.Missed(fact.Address, at)
-	if fact.FirstMissed == 0 {
-		fact.FirstMissed = at
+	watcher.Go(func() {
+		defer watcher.endProbe(address)
+		ctx, cancel := watcher.Context(2 * readTimeout)
+		defer cancel()
+		report, age, ok := watcher.probe(ctx, address)
+		if !ok {
+			watcher.facts.Missed(address, at)
+			return
+		}
+		watcher.saves.Add(1)
+		watcher.facts.Put(domain, []Fact{{FabricDomain: domain, Address: address, Report: report, At: watcher.now() - age}})
+	})
+}
+
+func (watcher *Watcher) beginProbe(address string) bool {
+	watcher.mu.Lock()
+	defer watcher.mu.Unlock()
+	if watcher.probing[address] {
+		return false
 	}
+	watcher.probing[address] = true
+	watcher.probes.Add(1)
+	return true
+}
+
+func (watcher *Watcher) endProbe(address string) {
+	watcher.mu.Lock()
+	defer watcher.mu.Unlock()
+	delete(watcher.probing, address)
 }
 
 // finish publishes a reading to this node and, through Readings, to its peers.
 func (watcher *Watcher) finish(domain string, facts []Fact) {
+	watcher.facts.Put(domain, facts)
 	fresh, missed := []Fact{}, []string{}
-	for _, fact := range facts {
-		if fact.FirstMissed == 0 && fact.At != 0 {
-			fresh = append(fresh, fact)
-		} else {
+	for _, fact := range watcher.facts.Snapshot().Domains[domain] {
+		if fact.FirstMissed != 0 {
 			missed = append(missed, fact.Address)
+		} else if fact.At != 0 {
+			fresh = append(fresh, fact)
 		}
 	}
-	watcher.facts.Put(domain, fresh)
 	watcher.mu.Lock()
 	defer watcher.mu.Unlock()
 	watcher.sequence++
--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -22,9 +22,8 @@
 	// PlanEvery is how often the domains that are this node's duty are planned.
 	PlanEvery    = time.Second
 	orderTimeout = 2 * time.Second
-	// settleFor is how long a domain is left alone after orders, so that the
-	// next plan sees their effect in fresh reports.
-	settleFor    = 1500 * time.Millisecond
+	// settleLeast is how long a domain is left alone after orders.
+	settleLeast  = 500 * time.Millisecond
 	backoffLeast = time.Second
 	backoffMost  = 4 * time.Second
 	// formingFor is how long some members of a new group may not report it.
@@ -85,6 +84,7 @@
 	rest  map[string]time.Duration
 	plans map[string][]repair.Action
 	seen  map[uint64]*sighting
+	last  map[string]lastOrders
 
 	formed, retired, refused, failed, noRight atomic.Uint64
 }
@@ -95,6 +95,7 @@
 	former.rest = map[string]time.Duration{}
 	former.plans = map[string][]repair.Action{}
 	former.seen = map[uint64]*sighting{}
+	former.last = map[string]lastOrders{}
 	former.Every(PlanEvery, former.Tick)
 }
 
@@ -130,7 +131,7 @@
 	former.plans[domain] = plan
 	former.mu.Unlock()
 	due := slices.DeleteFunc(slices.Clone(plan), func(action repair.Action) bool { return action.Kind == repair.Wait })
-	if len(due) == 0 {
+	if len(due) == 0 || !former.settled(domain, servers) {
 		return
 	}
 	ctx, cancel := former.Context(orderTimeout * time.Duration(2+len(due)))
@@ -141,14 +142,15 @@
 		former.backOff(domain)
 		return
 	}
-	orders := &round{former: former, domain: domain, may: may, highest: highest(servers)}
+	orders := &round{former: former, domain: domain, may: may, highest: former.highest(domain, servers)}
+	defer func() { former.ordered(domain, orders.highest) }()
 	for _, action := range due {
 		if !orders.run(ctx, action, snapshot) {
 			former.backOff(domain)
 			return
 		}
 	}
-	former.restFor(domain, settleFor)
+	former.restFor(domain, settleLeast)
 }
 
 // backOff keeps rivals that both think a domain theirs from taking each
@@ -158,14 +160,46 @@
 	former.restFor(domain, backoffLeast+spread)
 }
 
-func highest(servers []fabric.Fact) uint64 {
-	number := uint64(0)
+// highest is the highest fencing number that was seen in a domain or given by
+// this node. Reports lag behind orders; a number taken from them alone could be
+// given twice, to two different groups.
+func (former *Former) highest(domain string, servers []fabric.Fact) uint64 {
+	former.mu.Lock()
+	number := former.last[domain].number
+	former.mu.Unlock()
 	for index := range servers {
 		number = max(number, servers[index].Report.Highest, servers[index].Report.Group)
 	}
 	return number
 }
 
+func (former *Former) ordered(domain string, number uint64) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	former.last[domain] = lastOrders{number: number, at: former.Now()}
+}
+
+// settled reports whether every healthy server of a domain was read since this
+// node's last orders there. A plan on older reports would give the same orders
+// again, or take apart what was just formed.
+func (former *Former) settled(domain string, servers []fabric.Fact) bool {
+	former.mu.Lock()
+	at := former.last[domain].at
+	former.mu.Unlock()
+	if at == 0 {
+		return true
+	}
+	return !slices.ContainsFunc(servers, func(fact fabric.Fact) bool {
+		return healthy(&fact, former.Now()) && fact.At <= at
+	})
+}
+
+// lastOrders are the last ones that this node gave in a domain.
+type lastOrders struct {
+	number uint64
+	at     time.Duration
+}
+
 func (former *Former) situation(domain string, snapshot *Snapshot) repair.Situation {
 	situation := repair.Situation{Models: former.Models(), Grace: former.Grace}
 	for _, fact := range snapshot.Free[domain] {
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -72,7 +72,8 @@
 	PromptTokens int
 	AnswerTokens int
 	Prefix       uint64
-	Exclude      []uint64
+	// Exclude is a group not to choose, 0 for none.
+	Exclude uint64
 }
 
 // Choice is a chosen group. The holder calls Done once.
@@ -220,7 +221,7 @@
 
 // open reports whether the group may take one more draft of this node.
 func (candidate *candidate) open(request Request, now time.Duration) bool {
-	if slices.Contains(request.Exclude, candidate.target.Number) {
+	if candidate.target.Number == request.Exclude {
 		return false
 	}
 	running := candidate.state.running.Load()
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -17,6 +17,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,8 +36,27 @@
 	ServiceName = "scheduling"
 )
 
-// DataCentres are the demo's data centres, in the order of their ports.
-var dataCentres = []string{"lakes-a", "lakes-b"}
+// Shape is how large a World is.
+type Shape struct {
+	// DataCentres are named in the order of their ports.
+	DataCentres []string
+	Nodes       int
+	Domains     int
+	Engines     int
+	// Unchecked is how many domains, from the last one on, have engines that
+	// ignore fencing numbers.
+	Unchecked int
+	Models    []settings.Model
+}
+
+// DefaultShape is the demo's own: two data centres with two nodes and two
+// domains of eight engines each.
+func DefaultShape() Shape {
+	return Shape{
+		DataCentres: []string{"lakes-a", "lakes-b"}, Nodes: 2, Domains: 2, Engines: 8, Unchecked: 1,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}, {Name: "summary", GroupSize: 2}},
+	}
+}
 
 // The layout of ports, as offsets from the base port.
 const (
@@ -48,9 +68,6 @@
 	firstService = 80
 	firstEngine  = 100
 
-	nodesEach     = 2
-	domainsEach   = 2
-	enginesEach   = 8
 	listLag       = time.Second
 	weightSlots   = 16
 	weightTime    = 500 * time.Millisecond
@@ -66,8 +83,11 @@
 	Domains map[string]*engine.Domain
 	Engines []*engine.Engine
 
+	Services []*service.Service
+
+	shape     Shape
 	basePort  int
-	unchecked string
+	listen    func(address string) (net.Listener, error)
 	servers   []*http.Server
 	listeners []net.Listener
 	serving   conc.WaitGroup
@@ -81,13 +101,22 @@
 	return func(world *World) { world.basePort = port }
 }
 
+// Size sets how large the world is.
+func Size(shape Shape) Option {
+	return func(world *World) { world.shape = shape }
+}
+
+// Listen sets how listeners are opened.
+func Listen(listen func(address string) (net.Listener, error)) Option {
+	return func(world *World) { world.listen = listen }
+}
+
 // NewWorld starts the stand-ins. The error says which port is taken.
 func NewWorld(options ...Option) (*World, error) {
 	world := &World{
 		Log: platform.NewLog(), List: platform.NewList(listLag), Weights: platform.NewWeights(weightSlots, weightTime),
-		Book: service.NewBook(), Domains: map[string]*engine.Domain{}, basePort: 7000,
-		// One domain's engines ignore fencing numbers, as some deployments' do.
-		unchecked: domainName(len(dataCentres)-1, domainsEach-1),
+		Book: service.NewBook(), Domains: map[string]*engine.Domain{}, basePort: 7000, shape: DefaultShape(),
+		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 	}
 	for _, option := range options {
 		option(world)
@@ -99,8 +128,19 @@
 	return world, nil
 }
 
-func domainName(dataCentre, domain int) string {
-	return fmt.Sprintf("%s-fabric-%d", dataCentres[dataCentre], domain+1)
+// unchecked lists the domains whose engines ignore fencing numbers.
+func (world *World) unchecked() []string {
+	names := []string{}
+	for index := range world.shape.DataCentres {
+		for domain := range world.shape.Domains {
+			names = append(names, world.domainName(index, domain))
+		}
+	}
+	return names[len(names)-world.shape.Unchecked:]
+}
+
+func (world *World) domainName(dataCentre, domain int) string {
+	return fmt.Sprintf("%s-fabric-%d", world.shape.DataCentres[dataCentre], domain+1)
 }
 
 func (world *World) address(offset int) string {
@@ -111,11 +151,11 @@
 	world.serve(logPort, world.Log.Handler())
 	world.serve(listPort, world.List.Handler())
 	world.serve(weightsPort, world.Weights.Handler())
-	for index, dataCentre := range dataCentres {
+	for index, dataCentre := range world.shape.DataCentres {
 		world.startEngines(index, dataCentre)
 		world.startService(index, dataCentre)
-		for each := range nodesEach {
-			world.listNode(index*nodesEach+each, dataCentre)
+		for each := range world.shape.Nodes {
+			world.listNode(index*world.shape.Nodes+each, dataCentre)
 		}
 	}
 	if len(world.listeners) != len(world.servers) {
@@ -130,7 +170,7 @@
 // serve opens a listener; start checks that all could be opened.
 func (world *World) serve(offset int, handler http.Handler) {
 	world.servers = append(world.servers, &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout})
-	listener, err := net.Listen("tcp", world.address(offset))
+	listener, err := world.listen(world.address(offset))
 	if err != nil {
 		return
 	}
@@ -138,13 +178,13 @@
 }
 
 func (world *World) startEngines(index int, dataCentre string) {
-	for domain := range domainsEach {
-		name := domainName(index, domain)
+	for domain := range world.shape.Domains {
+		name := world.domainName(index, domain)
 		world.Domains[name] = engine.NewDomain(world.Weights)
-		for each := range enginesEach {
-			offset := firstEngine + (index*domainsEach+domain)*enginesEach + each
+		for each := range world.shape.Engines {
+			offset := firstEngine + (index*world.shape.Domains+domain)*world.shape.Engines + each
 			id := fmt.Sprintf("%s-engine-%d", name, each+1)
-			created := engine.New(id, world.address(offset), world.Domains[name], engine.ChecksFencing(name != world.unchecked))
+			created := engine.New(id, world.address(offset), world.Domains[name], engine.ChecksFencing(!slices.Contains(world.unchecked(), name)))
 			world.Engines = append(world.Engines, created)
 			world.serve(offset, created.Handler())
 			world.List.Put(instancelist.Instance{
@@ -157,7 +197,9 @@
 
 func (world *World) startService(index int, dataCentre string) {
 	id := fmt.Sprintf("%s-%s", dataCentre, ServiceName)
-	world.serve(firstService+index, service.New(id, world.Book).Handler())
+	created := service.New(id, world.Book)
+	world.Services = append(world.Services, created)
+	world.serve(firstService+index, created.Handler())
 	world.List.Put(instancelist.Instance{
 		ID: id, Address: world.address(firstService + index), Role: instancelist.RoleService, Region: Region,
 		DataCentre: dataCentre, Service: ServiceName,
@@ -166,13 +208,13 @@
 
 func (world *World) listNode(index int, dataCentre string) {
 	world.List.Put(instancelist.Instance{
-		ID: nodeName(index, dataCentre), Address: world.nodeAddress(index, peerPort), Role: instancelist.RoleEntry,
+		ID: world.nodeName(index, dataCentre), Address: world.nodeAddress(index, peerPort), Role: instancelist.RoleEntry,
 		Region: Region, DataCentre: dataCentre,
 	})
 }
 
-func nodeName(index int, dataCentre string) string {
-	return fmt.Sprintf("%s-entry-%d", dataCentre, index%nodesEach+1)
+func (world *World) nodeName(index int, dataCentre string) string {
+	return fmt.Sprintf("%s-entry-%d", dataCentre, index%world.shape.Nodes+1)
 }
 
 // The ports of one node, in order.
@@ -189,10 +231,10 @@
 // Settings returns the settings of the nodes, by name.
 func (world *World) Settings() []settings.Node {
 	all := []settings.Node{}
-	for index := range len(dataCentres) * nodesEach {
-		dataCentre := dataCentres[index/nodesEach]
+	for index := range len(world.shape.DataCentres) * world.shape.Nodes {
+		dataCentre := world.shape.DataCentres[index/world.shape.Nodes]
 		node := settings.Default()
-		node.Name, node.Region, node.DataCentre = nodeName(index, dataCentre), Region, dataCentre
+		node.Name, node.Region, node.DataCentre = world.nodeName(index, dataCentre), Region, dataCentre
 		node.Listen = settings.Listen{
 			Caller: world.nodeAddress(index, callerPort), Operator: world.nodeAddress(index, operatorPort),
 			Peer: world.nodeAddress(index, peerPort),
@@ -202,8 +244,8 @@
 			WeightStore: "http://" + world.address(weightsPort),
 		}
 		node.Peers.Seeds = []string{world.nodeAddress(0, peerPort)}
-		node.Engines.UncheckedDomains = []string{world.unchecked}
-		node.Models = []settings.Model{{Name: "drafting", GroupSize: 4}, {Name: "summary", GroupSize: 2}}
+		node.Engines.UncheckedDomains = world.unchecked()
+		node.Models = world.shape.Models
 		node.Services = []settings.Service{{Name: ServiceName, Repeatable: []string{http.MethodGet}}}
 		node.Stopping = settings.Stopping{NoticeSeconds: 1, DrainSeconds: 60}
 		all = append(all, node)
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -95,6 +95,7 @@
 	exchange  *exchanger
 	lists     *listReader
 
+	transport      *http.Transport
 	callerServer   *http.Server
 	operatorServer *http.Server
 	listeners      []net.Listener
@@ -210,9 +211,9 @@
 }
 
 func (node *Node) buildPeers() {
-	transport := &http.Transport{DialContext: node.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
-	node.log = logservice.New(node.settings.Platform.LogService, logservice.Transport(transport))
-	node.list = instancelist.New(node.settings.Platform.InstanceList, instancelist.Transport(transport))
+	node.transport = &http.Transport{DialContext: node.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	node.log = logservice.New(node.settings.Platform.LogService, logservice.Transport(node.transport))
+	node.list = instancelist.New(node.settings.Platform.InstanceList, instancelist.Transport(node.transport))
 	node.engines, node.services, node.peers = engine.New(), service.New(), nodeClient(node.dial)
 	if node.dial != nil {
 		node.engines, node.services = engine.New(engine.Dial(node.dial)), service.New(service.Dial(node.dial))
--- /dev/null
+++ b/internal/run/node/node_test.go
@@ -0,0 +1,140 @@
+package node_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/common/outcome"
+	"hazelslip/internal/peer/caller"
+	"hazelslip/internal/run/demo"
+	"hazelslip/internal/run/settings"
+	"hazelslip/internal/standin/engine"
+	"hazelslip/internal/testlib/fleet"
+)
+
+// small is one data centre of two nodes before one domain of eight engines.
+func small(unchecked int) demo.Shape {
+	return demo.Shape{
+		DataCentres: []string{"lakes-a"}, Nodes: 2, Domains: 1, Engines: 8, Unchecked: unchecked,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
+	}
+}
+
+// inBubble runs a test on a fleet in virtual time, and checks the promises
+// that every node asserts of itself when it ends.
+func inBubble(t *testing.T, shape demo.Shape, test func(t *testing.T, running *fleet.Fleet, g *gomega.WithT)) {
+	t.Helper()
+	fleet.Bubble(t, func(t *testing.T) {
+		running := fleet.New(t, shape)
+		defer running.Stop()
+		running.Start()
+		running.Classes(fleet.Target("report", "drafting", 0.5))
+		running.Eventually(20*time.Second, "every group serving", func() bool {
+			return running.Serving(0, "drafting") == 2 && running.Serving(1, "drafting") == 2
+		})
+		test(t, running, gomega.NewWithT(t))
+		assertPromises(t, running)
+	})
+}
+
+func assertPromises(t *testing.T, running *fleet.Fleet) {
+	t.Helper()
+	g := gomega.NewWithT(t)
+	for _, node := range running.Nodes {
+		if node == nil {
+			continue
+		}
+		state := node.State()
+		g.Expect(state.Tally.Violations).To(gomega.BeZero(), "groups")
+		g.Expect(state.Bookings.Violations).To(gomega.BeZero(), "bookings")
+		g.Expect(state.Classes.Reverts).To(gomega.BeZero(), "configuration")
+		g.Expect(state.Drafts.Violations).To(gomega.BeZero(), "drafts")
+	}
+	for _, server := range running.World.Engines {
+		g.Expect(server.Violations()).To(gomega.BeEmpty())
+	}
+	g.Expect(running.World.Book.Doubled()).To(gomega.BeZero())
+}
+
+func TestWholePath(t *testing.T) {
+	inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		answer := running.Draft(0, "report", "the cellar is dry", 12)
+		g.Expect(answer.Whole).To(gomega.BeTrue(), answer.Error)
+		g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt("the cellar is dry"), 12)))
+
+		booked := running.Book(0, "visit-1", "Tuesday")
+		g.Expect(booked.Outcome).To(gomega.Equal(outcome.Run), booked.Text)
+		replayed := running.Book(1, "visit-1", "Tuesday")
+		g.Expect(replayed.Header.Get(caller.HeaderReplayed)).To(gomega.Equal("true"))
+		g.Expect(replayed.Text).To(gomega.Equal(booked.Text))
+		g.Expect(running.World.Book.Executions("visit-1")).To(gomega.Equal(1))
+	})
+}
+
+// A caller reads a draft when the group that writes it fails in some way. The
+// caller must get the whole right answer once, whatever the pieces did on
+// their way: lost, late, twice, out of order, or from an attempt that was given
+// up.
+func TestDraftSurvivesEngineFaults(t *testing.T) {
+	cases := map[string]engine.Faults{
+		"refuses":                    {RefuseDrafts: 1},
+		"dies before first token":    {BreakDrafts: 1, BreakAtToken: 0},
+		"dies in mid-answer":         {BreakDrafts: 1, BreakAtToken: 7},
+		"answers late":               {LateMs: 9000},
+		"sends pieces twice":         {DuplicateToken: true},
+		"sends pieces out of order":  {ReorderTokens: true},
+		"answers for an old attempt": {StaleAttempts: true},
+	}
+	for name, faults := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+				for _, server := range running.World.Engines {
+					server.SetFaults(faults)
+				}
+				time.AfterFunc(5*time.Second, func() {
+					for _, server := range running.World.Engines {
+						server.SetFaults(engine.Faults{})
+					}
+				})
+				answer := running.Draft(0, "report", name, 20)
+				g.Expect(answer.Whole).To(gomega.BeTrue(), answer.Error)
+				g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt(name), 20)))
+				time.Sleep(6 * time.Second)
+			})
+		})
+	}
+}
+
+// An auditor's draft runs while the node that serves it is restarted for an
+// upgrade, one node after the other. Nothing may be cut off: the node says at
+// once that it is not ready, takes requests until the balancer has noticed, and
+// finishes what it has.
+func TestGracefulShutdownCutsOffNothing(t *testing.T) {
+	inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		for index := range running.Nodes {
+			answers := make([]fleet.Answer, 8)
+			callers := conc.NewWaitGroup()
+			for each := range answers {
+				callers.Go(func() { answers[each] = running.Draft(index, "report", "long visit", 400) })
+			}
+			time.Sleep(100 * time.Millisecond)
+			stopped := running.Nodes[index]
+			callers.Go(stopped.Stop)
+			time.Sleep(time.Millisecond)
+			g.Expect(running.Call(index, http.MethodGet, "/readyz", nil, "").Status).To(gomega.Equal(http.StatusServiceUnavailable))
+			callers.Wait()
+			for _, answer := range answers {
+				g.Expect(answer.Whole).To(gomega.BeTrue(), answer.Error)
+				g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt("long visit"), 400)))
+			}
+			running.StartNode(index)
+			running.Eventually(20*time.Second, "the new incarnation is ready", func() bool {
+				return running.Nodes[index].Ready() == nil && running.Serving(index, "drafting") == 2
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/run/node/repair_test.go
@@ -0,0 +1,239 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/run/demo"
+	"hazelslip/internal/run/settings"
+	"hazelslip/internal/standin/engine"
+	"hazelslip/internal/standin/platform"
+	"hazelslip/internal/testlib/fleet"
+)
+
+// spare is one domain of nine engines for groups of four: two groups and one
+// spare.
+func spare(unchecked int) demo.Shape {
+	shape := small(unchecked)
+	shape.Engines = 9
+	return shape
+}
+
+// memberOf returns the engine that is the last member of a serving group, and
+// the group's number.
+func memberOf(running *fleet.Fleet, index int) (*engine.Engine, uint64) {
+	for _, group := range running.Nodes[index].State().Groups {
+		if !group.Serving {
+			continue
+		}
+		for _, server := range running.World.Engines {
+			if server.Report().Address == group.Members[len(group.Members)-1] {
+				return server, group.Number
+			}
+		}
+	}
+	return nil, 0
+}
+
+func servesBoth(running *fleet.Fleet, wanted int) func() bool {
+	return func() bool {
+		for index := range running.Nodes {
+			if running.Nodes[index] != nil && running.Serving(index, "drafting") != wanted {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// A member dies for good. Every node must stop sending to its group within
+// seconds, the draft under way must end whole elsewhere, and the group must
+// come back with the spare.
+func TestLostMemberIsReplacedBySpare(t *testing.T) {
+	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		member.SetFaults(engine.Faults{Dead: true})
+		answer := running.Draft(0, "report", "through a loss", 300)
+		g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt("through a loss"), 300)), answer.Error)
+		running.Eventually(5*time.Second, "the group has stopped serving", func() bool {
+			for index := range running.Nodes {
+				for _, group := range running.Nodes[index].State().Groups {
+					if group.Number == number && group.Serving {
+						return false
+					}
+				}
+			}
+			return true
+		})
+		running.Eventually(20*time.Second, "two groups serve again", servesBoth(running, 2))
+	})
+}
+
+// The platform's log is dark for minutes and the node that formed the groups
+// is gone. Where engines check fencing numbers, the other node must repair the
+// groups all the same: the engines are the arbiters, not the log.
+func TestRepairGoesOnInLogOutageWhereEnginesCheckNumbers(t *testing.T) {
+	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
+		running.World.Log.SetFaults(platform.LogFaults{Dark: true})
+		running.Kill(0)
+		member, _ := memberOf(running, 1)
+		member.SetFaults(engine.Faults{Dead: true})
+		running.Eventually(30*time.Second, "two groups serve again", servesBoth(running, 2))
+	})
+}
+
+// Engines that ignore fencing numbers take orders only from the holder of a
+// lease on the log. With the log dark nobody can take one: the groups that
+// stand go on serving, the broken one is not rebuilt until the log is back.
+func TestRepairWaitsForTheLogWhereEnginesIgnoreNumbers(t *testing.T) {
+	inBubble(t, spare(1), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		running.World.Log.SetFaults(platform.LogFaults{Dark: true})
+		time.Sleep(15 * time.Second)
+		member, _ := memberOf(running, 0)
+		member.SetFaults(engine.Faults{Dead: true})
+		time.Sleep(40 * time.Second)
+		g.Expect(running.Serving(0, "drafting")).To(gomega.Equal(1))
+		answer := running.Draft(0, "report", "still serving", 10)
+		g.Expect(answer.Whole).To(gomega.BeTrue(), answer.Error)
+		running.World.Log.SetFaults(platform.LogFaults{})
+		running.Eventually(40*time.Second, "two groups serve again", servesBoth(running, 2))
+	})
+}
+
+// One node cannot reach one engine, for instance for a broken route. The
+// engine's group is healthy for everybody else and must not be taken apart: the
+// watcher asks another node before it calls a member missing.
+func TestMemberThatOneNodeCannotReachCostsNoGroup(t *testing.T) {
+	inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		for index := range running.Nodes {
+			running.Network.Cut(running.Trees[index].Name, member.Report().Address)
+			time.Sleep(20 * time.Second)
+			for other := range running.Nodes {
+				g.Expect(running.Serving(other, "drafting")).To(gomega.Equal(2))
+			}
+			running.Network.Heal(running.Trees[index].Name, member.Report().Address)
+			time.Sleep(5 * time.Second)
+		}
+		g.Expect(member.Report().Group).To(gomega.Equal(number))
+	})
+}
+
+// The two nodes of a data centre cannot reach each other, so each believes
+// that every domain is its own. Both give orders. They may undo each other for
+// a while, but no engine may end in two groups, and the groups must settle.
+func TestNodesCutOffFromEachOtherSettle(t *testing.T) {
+	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
+		running.Network.Cut(running.Trees[0].Name, running.Trees[1].Listen.Peer)
+		running.Network.Cut(running.Trees[1].Name, running.Trees[0].Listen.Peer)
+		time.Sleep(10 * time.Second)
+		member, _ := memberOf(running, 0)
+		member.SetFaults(engine.Faults{Dead: true})
+		running.Eventually(60*time.Second, "two groups serve again", servesBoth(running, 2))
+		time.Sleep(30 * time.Second)
+		running.Eventually(time.Second, "two groups still serve", servesBoth(running, 2))
+	})
+}
+
+// A member pauses, its group moves on without it, and it comes back still
+// believing in the old group. Nobody may serve with the old group, and the
+// member must be put to use again.
+func TestMemberThatReturnsAfterItsGroupMovedOn(t *testing.T) {
+	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		member.SetFaults(engine.Faults{Paused: true})
+		running.Eventually(40*time.Second, "the group was rebuilt with the spare", func() bool {
+			return servesBoth(running, 2)() && !serves(running, number)
+		})
+		member.SetFaults(engine.Faults{})
+		g.Consistently(func() bool { return serves(running, number) }).Should(gomega.BeFalse())
+		running.Eventually(20*time.Second, "the member is free again", func() bool { return member.Report().Group == 0 })
+	})
+}
+
+func serves(running *fleet.Fleet, number uint64) bool {
+	for index := range running.Nodes {
+		if running.Nodes[index] == nil {
+			continue
+		}
+		for _, group := range running.Nodes[index].State().Groups {
+			if group.Number == number && group.Serving {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// A whole fabric domain goes dark and comes back restarted, as after a power
+// cut of a rack. Its groups stop at once, the other domain's go on, and its
+// own are formed again when it is back.
+func TestDarkDomainComesBack(t *testing.T) {
+	shape := demo.Shape{
+		DataCentres: []string{"lakes-a"}, Nodes: 2, Domains: 2, Engines: 4,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
+	}
+	inBubble(t, shape, func(t *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
+		for _, server := range running.World.Engines[:4] {
+			server.SetFaults(engine.Faults{Dead: true})
+		}
+		running.Eventually(6*time.Second, "one group serves", servesBoth(running, 1))
+		time.Sleep(30 * time.Second)
+		for _, server := range running.World.Engines[:4] {
+			server.Restart()
+		}
+		running.Eventually(20*time.Second, "two groups serve again", servesBoth(running, 2))
+	})
+}
+
+// A server is about to leave. It gets no new work within seconds, its group
+// finishes what it has and is then formed anew without it.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		member.SetFaults(engine.Faults{Leaving: true})
+		time.Sleep(4 * time.Second)
+		for index := range running.Nodes {
+			for _, group := range running.Nodes[index].State().Routes {
+				g.Expect(group.Target.Number).NotTo(gomega.Equal(number))
+			}
+		}
+		running.Eventually(20*time.Second, "two groups serve without it", func() bool {
+			return servesBoth(running, 2)() && member.Report().Group == 0
+		})
+	})
+}
+
+// A paused server made each reading of its domain take two seconds, and the
+// next plan was made on reports from before the last orders: the same group was
+// formed twice under one number. With other members the second time, one
+// number would have named two groups, which engines that check numbers accept.
+func TestNoFencingNumberIsGivenTwice(t *testing.T) {
+	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		member.SetFaults(engine.Faults{Paused: true})
+		running.Eventually(40*time.Second, "the group was rebuilt", func() bool {
+			return servesBoth(running, 2)() && !serves(running, number)
+		})
+		member.SetFaults(engine.Faults{})
+		time.Sleep(20 * time.Second)
+		formed := map[uint64]int{}
+		for _, given := range formedNumbers(running) {
+			formed[given]++
+			g.Expect(formed[given]).To(gomega.Equal(1), "group %d", given)
+		}
+		g.Expect(len(formed)).To(gomega.Equal(3))
+	})
+}
+
+func formedNumbers(running *fleet.Fleet) []uint64 {
+	numbers := []uint64{}
+	for _, event := range running.Nodes[0].GroupEvents() {
+		if event.Event == "Formed" {
+			numbers = append(numbers, event.Number)
+		}
+	}
+	return numbers
+}
--- a/internal/run/node/state.go
+++ b/internal/run/node/state.go
@@ -16,6 +16,7 @@
 	"hazelslip/internal/state/class"
 	"hazelslip/internal/state/lease"
 	"hazelslip/internal/state/stream"
+	"hazelslip/internal/wire/record"
 )
 
 // State is the dump of a node's state.
@@ -158,3 +159,9 @@
 	}
 	return line, true
 }
+
+// GroupEvents returns what was done to the data centre's groups, as far as the
+// log has told, oldest first.
+func (node *Node) GroupEvents() []*record.GroupEvent {
+	return node.leases.Events()
+}
--- a/internal/run/node/stop.go
+++ b/internal/run/node/stop.go
@@ -125,6 +125,7 @@
 	node.peers.Close()
 	node.operatorServer.Close()
 	node.engines.Close()
+	node.transport.CloseIdleConnections()
 }
 
 // Kill ends the node without any of the courtesies of Stop, as a crash would
--- a/internal/serve/draft/draft.go
+++ b/internal/serve/draft/draft.go
@@ -43,7 +43,11 @@
 	// firstFactor does the same for the first token.
 	firstFactor = 2
 	firstLeast  = 3 * time.Second
-	retryAfter  = time.Second
+	// resumePatience is how long a draft that has begun waits for a group.
+	resumePatience = 10 * time.Second
+	pickAgain      = 50 * time.Millisecond
+	returnAfter    = 2 * time.Second
+	retryAfter     = time.Second
 	// guaranteedPriority puts a class that is within its share ahead of those
 	// that borrow.
 	guaranteedPriority = 10_000
@@ -177,7 +181,8 @@
 	began   time.Time
 
 	tokens   []string
-	exclude  []uint64
+	exclude  uint64
+	failedAt time.Time
 	attempts int
 	// sent is set once an attempt may have run.
 	sent      bool
@@ -188,7 +193,7 @@
 
 func (work *work) run() Result {
 	for {
-		choice, ok := work.pick()
+		choice, ok := work.await()
 		if !ok {
 			return work.fail("no group can take the draft")
 		}
@@ -201,7 +206,7 @@
 			return work.fail("the caller left")
 		}
 		work.request.Entry.Note("group %d failed after %d tokens: %v", choice.Target.Number, len(work.tokens), err)
-		work.exclude = append(work.exclude, choice.Target.Number)
+		work.exclude, work.failedAt = choice.Target.Number, time.Now()
 		if work.attempts >= attemptsMost {
 			return work.fail("the draft failed at every group that was tried")
 		}
@@ -212,7 +217,36 @@
 	}
 }
 
-// pick chooses a group, one that has not failed this draft if there is any.
+// await chooses a group, and waits a while when none can take the draft: a
+// group that is being rebuilt is worth waiting for. A draft of which nothing
+// was sent waits no longer than its target for the first token, then its
+// caller is told; one that has begun waits longer, since giving it up would
+// cost its caller all of it.
+func (work *work) await() (route.Choice, bool) {
+	deadline := work.began.Add(work.request.FirstToken)
+	if work.sent {
+		deadline = work.failedAt.Add(resumePatience)
+	}
+	for {
+		if choice, ok := work.pick(); ok {
+			return choice, true
+		}
+		if time.Now().After(deadline) {
+			return route.Choice{}, false
+		}
+		if time.Since(work.failedAt) > returnAfter {
+			// Nothing else came up: the group that failed is tried once more.
+			work.exclude = 0
+		}
+		select {
+		case <-work.ctx.Done():
+			return route.Choice{}, false
+		case <-time.After(pickAgain):
+		}
+	}
+}
+
+// pick chooses a group other than the one that just failed this draft.
 func (work *work) pick() (route.Choice, bool) {
 	request := route.Request{
 		Model: work.request.Class.Model, PromptTokens: len(work.request.Prompt)/bytesPerToken + len(work.tokens),
