fix(replica): number groups apart across domains

Cause: found when nodes ran as processes of their own: one node formed the first groups of two domains at the same moment and gave both the same number, since each was counted from what was seen in its own domain. A group is known everywhere by its number alone.

Change: one counter a node for all its domains, and 32 bits of the incarnation in each number (24 left a chance of a few in a thousand that two of 340 nodes share them).

Measured: TestGroupsOfTwoDomainsHaveNumbersOfTheirOwn fails before, passes after.

--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -84,7 +84,10 @@
 	rest  map[string]time.Duration
 	plans map[string][]repair.Action
 	seen  map[uint64]*sighting
-	last  map[string]lastOrders
+	// last is when this node last gave orders in a domain, given the highest
+	// number that it gave.
+	last  map[string]time.Duration
+	given uint64
 
 	formed, retired, refused, failed, noRight atomic.Uint64
 }
@@ -95,7 +98,7 @@
 	former.rest = map[string]time.Duration{}
 	former.plans = map[string][]repair.Action{}
 	former.seen = map[uint64]*sighting{}
-	former.last = map[string]lastOrders{}
+	former.last = map[string]time.Duration{}
 	former.Every(PlanEvery, former.Tick)
 }
 
@@ -142,8 +145,8 @@
 		former.backOff(domain)
 		return
 	}
-	orders := &round{former: former, domain: domain, may: may, highest: former.highest(domain, servers)}
-	defer func() { former.ordered(domain, orders.highest) }()
+	orders := &round{former: former, domain: domain, may: may, highest: highest(servers)}
+	defer former.ordered(domain)
 	for _, action := range due {
 		if !orders.run(ctx, action, snapshot) {
 			former.backOff(domain)
@@ -160,23 +163,29 @@
 	former.restFor(domain, backoffLeast+spread)
 }
 
-// highest is the highest fencing number that was seen in a domain or given by
-// this node. Reports lag behind orders; a number taken from them alone could be
-// given twice, to two different groups.
-func (former *Former) highest(domain string, servers []fabric.Fact) uint64 {
+// raise returns a fencing number above every one that was seen in a domain or
+// given by this node, in any domain. Reports lag behind orders, so a number
+// taken from them alone could be given twice; and a group is known everywhere
+// by its number alone, so two domains must not share one.
+func (former *Former) raise(seen uint64) uint64 {
 	former.mu.Lock()
-	number := former.last[domain].number
-	former.mu.Unlock()
+	defer former.mu.Unlock()
+	former.given = NextNumber(max(seen, former.given), former.Incarnation)
+	return former.given
+}
+
+func highest(servers []fabric.Fact) uint64 {
+	number := uint64(0)
 	for index := range servers {
 		number = max(number, servers[index].Report.Highest, servers[index].Report.Group)
 	}
 	return number
 }
 
-func (former *Former) ordered(domain string, number uint64) {
+func (former *Former) ordered(domain string) {
 	former.mu.Lock()
 	defer former.mu.Unlock()
-	former.last[domain] = lastOrders{number: number, at: former.Now()}
+	former.last[domain] = former.Now()
 }
 
 // settled reports whether every healthy server of a domain was read since this
@@ -184,7 +193,7 @@
 // again, or take apart what was just formed.
 func (former *Former) settled(domain string, servers []fabric.Fact) bool {
 	former.mu.Lock()
-	at := former.last[domain].at
+	at := former.last[domain]
 	former.mu.Unlock()
 	if at == 0 {
 		return true
@@ -194,12 +203,6 @@
 	})
 }
 
-// lastOrders are the last ones that this node gave in a domain.
-type lastOrders struct {
-	number uint64
-	at     time.Duration
-}
-
 func (former *Former) situation(domain string, snapshot *Snapshot) repair.Situation {
 	situation := repair.Situation{Models: former.Models(), Grace: former.Grace}
 	for _, fact := range snapshot.Free[domain] {
@@ -272,8 +275,7 @@
 
 // number returns the next fencing number of the round.
 func (round *round) number() uint64 {
-	round.highest = NextNumber(round.highest, round.former.Incarnation)
-	return round.highest
+	return round.former.raise(round.highest)
 }
 
 func (round *round) run(ctx context.Context, action repair.Action, snapshot *Snapshot) bool {
--- a/internal/fleet/replica/number.go
+++ b/internal/fleet/replica/number.go
@@ -3,7 +3,7 @@
 // incarnationBits is how many low bits of a fencing number name the node that
 // gave it. A server may accept a number equal to its highest, so two nodes must
 // never give the same one.
-const incarnationBits = 24
+const incarnationBits = 32
 
 // NextNumber returns a fencing number above the highest that was seen, unique
 // to the incarnation that gives it.
--- a/internal/run/node/node_test.go
+++ b/internal/run/node/node_test.go
@@ -33,9 +33,7 @@
 		defer running.Stop()
 		running.Start()
 		running.Classes(fleet.Target("report", "drafting", 0.5))
-		running.Eventually(20*time.Second, "every group serving", func() bool {
-			return running.Serving(0, "drafting") == 2 && running.Serving(1, "drafting") == 2
-		})
+		running.Eventually(20*time.Second, "every group serving", servesBoth(running, shape.Domains*shape.Engines/4))
 		test(t, running, gomega.NewWithT(t))
 		assertPromises(t, running)
 	})
@@ -49,6 +47,11 @@
 			continue
 		}
 		state := node.State()
+		numbers := map[uint64]bool{}
+		for _, group := range state.Groups {
+			g.Expect(numbers[group.Number]).To(gomega.BeFalse(), "two groups have the number %d", group.Number)
+			numbers[group.Number] = true
+		}
 		g.Expect(state.Tally.Violations).To(gomega.BeZero(), "groups")
 		g.Expect(state.Bookings.Violations).To(gomega.BeZero(), "bookings")
 		g.Expect(state.Classes.Reverts).To(gomega.BeZero(), "configuration")
@@ -61,7 +64,7 @@
 }
 
 func TestWholePath(t *testing.T) {
-	inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, small(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		answer := running.Draft(0, "report", "the cellar is dry", 12)
 		g.Expect(answer.Whole).To(gomega.BeTrue(), answer.Error)
 		g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt("the cellar is dry"), 12)))
@@ -91,7 +94,7 @@
 	}
 	for name, faults := range cases {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+			inBubble(t, small(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 				for _, server := range running.World.Engines {
 					server.SetFaults(faults)
 				}
@@ -114,7 +117,7 @@
 // once that it is not ready, takes requests until the balancer has noticed, and
 // finishes what it has.
 func TestGracefulShutdownCutsOffNothing(t *testing.T) {
-	inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, small(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		for index := range running.Nodes {
 			answers := make([]fleet.Answer, 8)
 			callers := conc.NewWaitGroup()
--- a/internal/run/node/repair_test.go
+++ b/internal/run/node/repair_test.go
@@ -52,7 +52,7 @@
 // seconds, the draft under way must end whole elsewhere, and the group must
 // come back with the spare.
 func TestLostMemberIsReplacedBySpare(t *testing.T) {
-	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		member, number := memberOf(running, 0)
 		member.SetFaults(engine.Faults{Dead: true})
 		answer := running.Draft(0, "report", "through a loss", 300)
@@ -75,7 +75,7 @@
 // is gone. Where engines check fencing numbers, the other node must repair the
 // groups all the same: the engines are the arbiters, not the log.
 func TestRepairGoesOnInLogOutageWhereEnginesCheckNumbers(t *testing.T) {
-	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
 		running.World.Log.SetFaults(platform.LogFaults{Dark: true})
 		running.Kill(0)
 		member, _ := memberOf(running, 1)
@@ -88,7 +88,7 @@
 // lease on the log. With the log dark nobody can take one: the groups that
 // stand go on serving, the broken one is not rebuilt until the log is back.
 func TestRepairWaitsForTheLogWhereEnginesIgnoreNumbers(t *testing.T) {
-	inBubble(t, spare(1), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, spare(1), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		running.World.Log.SetFaults(platform.LogFaults{Dark: true})
 		time.Sleep(15 * time.Second)
 		member, _ := memberOf(running, 0)
@@ -106,7 +106,7 @@
 // engine's group is healthy for everybody else and must not be taken apart: the
 // watcher asks another node before it calls a member missing.
 func TestMemberThatOneNodeCannotReachCostsNoGroup(t *testing.T) {
-	inBubble(t, small(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, small(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		member, number := memberOf(running, 0)
 		for index := range running.Nodes {
 			running.Network.Cut(running.Trees[index].Name, member.Report().Address)
@@ -125,7 +125,7 @@
 // that every domain is its own. Both give orders. They may undo each other for
 // a while, but no engine may end in two groups, and the groups must settle.
 func TestNodesCutOffFromEachOtherSettle(t *testing.T) {
-	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
 		running.Network.Cut(running.Trees[0].Name, running.Trees[1].Listen.Peer)
 		running.Network.Cut(running.Trees[1].Name, running.Trees[0].Listen.Peer)
 		time.Sleep(10 * time.Second)
@@ -141,7 +141,7 @@
 // believing in the old group. Nobody may serve with the old group, and the
 // member must be put to use again.
 func TestMemberThatReturnsAfterItsGroupMovedOn(t *testing.T) {
-	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		member, number := memberOf(running, 0)
 		member.SetFaults(engine.Faults{Paused: true})
 		running.Eventually(40*time.Second, "the group was rebuilt with the spare", func() bool {
@@ -175,7 +175,7 @@
 		DataCentres: []string{"lakes-a"}, Nodes: 2, Domains: 2, Engines: 4,
 		Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
 	}
-	inBubble(t, shape, func(t *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
+	inBubble(t, shape, func(_ *testing.T, running *fleet.Fleet, _ *gomega.WithT) {
 		for _, server := range running.World.Engines[:4] {
 			server.SetFaults(engine.Faults{Dead: true})
 		}
@@ -191,7 +191,7 @@
 // A server is about to leave. It gets no new work within seconds, its group
 // finishes what it has and is then formed anew without it.
 func TestLeavingServerGetsNoNewWork(t *testing.T) {
-	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		member, number := memberOf(running, 0)
 		member.SetFaults(engine.Faults{Leaving: true})
 		time.Sleep(4 * time.Second)
@@ -211,7 +211,7 @@
 // formed twice under one number. With other members the second time, one
 // number would have named two groups, which engines that check numbers accept.
 func TestNoFencingNumberIsGivenTwice(t *testing.T) {
-	inBubble(t, spare(0), func(t *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
 		member, number := memberOf(running, 0)
 		member.SetFaults(engine.Faults{Paused: true})
 		running.Eventually(40*time.Second, "the group was rebuilt", func() bool {
@@ -237,3 +237,21 @@
 	}
 	return numbers
 }
+
+// One node had two domains to tend and formed the first group of each at the
+// same moment. It numbered them by what it saw in each domain, so both got the
+// same number, and the router, which knows a group by its number, sent work for
+// one to the other.
+func TestGroupsOfTwoDomainsHaveNumbersOfTheirOwn(t *testing.T) {
+	shape := demo.Shape{
+		DataCentres: []string{"lakes-a"}, Nodes: 1, Domains: 2, Engines: 4,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
+	}
+	inBubble(t, shape, func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		numbers := map[uint64]string{}
+		for _, group := range running.Nodes[0].State().Groups {
+			numbers[group.Number] = group.FabricDomain
+		}
+		g.Expect(numbers).To(gomega.HaveLen(2))
+	})
+}
