fix(stream): let a peer supply what expired from the log

Cause: a node that started after records had expired read the rest, stood at the same offset as its peers, and therefore never asked them: it would have stayed not ready for good.

Measured: TestNodeWithoutHistoryIsNotReady fails before (not ready after the offer), passes after.

--- a/internal/run/node/answer.go
+++ b/internal/run/node/answer.go
@@ -14,6 +14,7 @@
 	peer "hazelslip/internal/peer/node"
 	"hazelslip/internal/peer/service"
 	"hazelslip/internal/state/booking"
+	"hazelslip/internal/state/stream"
 	"hazelslip/internal/wire/exchange"
 	"hazelslip/internal/wire/record"
 )
@@ -109,7 +110,7 @@
 	if !ok {
 		return &exchange.Reply{Failure: "this node does not follow the stream " + fetch.Stream}
 	}
-	relayed, err := follower.Fetch(fetch.From, int(min(fetch.Max, fetchRecords)))
+	relayed, err := follower.Fetch(stream.Want{From: fetch.From, Snapshot: fetch.WantSnapshot}, int(min(fetch.Max, fetchRecords)))
 	if err != nil {
 		return &exchange.Reply{Failure: err.Error()}
 	}
--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -259,8 +259,11 @@
 	}
 	ctx, cancel := exchanger.Context(remoteTimeout)
 	defer cancel()
+	want := follower.Want()
 	reply, err := exchanger.node.peers.Ask(ctx, known.Address, exchanger.node.request(&exchange.Request{
-		Kind: &exchange.Request_Fetch{Fetch: &exchange.FetchRequest{Stream: position.Stream, From: follower.Next(), Max: fetchRecords}},
+		Kind: &exchange.Request_Fetch{Fetch: &exchange.FetchRequest{
+			Stream: position.Stream, From: want.From, Max: fetchRecords, WantSnapshot: want.Snapshot,
+		}},
 	}))
 	if err != nil {
 		return
@@ -274,7 +277,8 @@
 }
 
 func (exchanger *exchanger) needed(follower *stream.Follower, position *exchange.StreamPosition) bool {
-	if position.Next <= follower.Next() {
+	want := follower.Want()
+	if position.Next <= want.From && !want.Snapshot {
 		if position.Next == 0 && !follower.Ready() && follower.Dark() {
 			follower.AcceptEmpty()
 		}
--- a/internal/state/stream/relay.go
+++ b/internal/state/stream/relay.go
@@ -13,23 +13,38 @@
 	SnapshotNext uint64
 }
 
-// Fetch returns up to maxRecords records from the offset on, for a peer.
-// Records of the log do not change, so handing them on is safe at any age.
-func (follower *Follower) Fetch(from uint64, maxRecords int) (Relayed, error) {
+// Want is what a follower would ask a peer for.
+type Want struct {
+	From uint64
+	// Snapshot asks for a checkpoint instead of records: what came before From
+	// has expired from the log.
+	Snapshot bool
+}
+
+// Want returns what this follower would ask a peer for.
+func (follower *Follower) Want() Want {
+	follower.mu.Lock()
+	defer follower.mu.Unlock()
+	return Want{From: follower.next, Snapshot: !follower.complete && follower.next > 0}
+}
+
+// Fetch returns up to maxRecords records for a peer, or a snapshot. Records of
+// the log do not change, so handing them on is safe at any age.
+func (follower *Follower) Fetch(want Want, maxRecords int) (Relayed, error) {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	if !follower.complete {
 		return Relayed{}, ErrNotReady
 	}
-	if from >= follower.next {
+	if want.From >= follower.next && !want.Snapshot {
 		return Relayed{}, nil
 	}
 	first := follower.next - uint64(len(follower.recent))
-	if from < first || len(follower.recent) == 0 {
+	if want.Snapshot || want.From < first || len(follower.recent) == 0 {
 		snapshot, err := follower.fold.Snapshot(follower.next)
 		return Relayed{Snapshot: snapshot, SnapshotNext: follower.next}, err
 	}
-	records := follower.recent[from-first:]
+	records := follower.recent[want.From-first:]
 	if len(records) > maxRecords {
 		records = records[:maxRecords]
 	}
@@ -42,8 +57,8 @@
 func (follower *Follower) Offer(relayed Relayed) {
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
-	before := follower.next
-	if relayed.Snapshot != nil && relayed.SnapshotNext > follower.next {
+	before, complete := follower.next, follower.complete
+	if relayed.Snapshot != nil && follower.needsLocked(relayed.SnapshotNext) {
 		follower.restoreLocked(relayed)
 	}
 	for _, record := range relayed.Records {
@@ -52,7 +67,7 @@
 		}
 		follower.applyLocked(record)
 	}
-	if follower.next == before {
+	if follower.next == before && follower.complete == complete {
 		return
 	}
 	follower.statistics.Relayed += follower.next - before
@@ -62,6 +77,15 @@
 	follower.announceLocked()
 }
 
+// needsLocked reports whether a snapshot helps: it is ahead, or it stands for
+// what expired before this follower began to gather.
+func (follower *Follower) needsLocked(snapshotNext uint64) bool {
+	if follower.complete {
+		return snapshotNext > follower.next
+	}
+	return snapshotNext >= follower.gatheredFrom
+}
+
 func (follower *Follower) restoreLocked(relayed Relayed) {
 	decoded, err := follower.fold.Decode(relayed.Snapshot)
 	if err != nil || !decoded.Checkpoint {
@@ -70,9 +94,17 @@
 		return
 	}
 	decoded.Apply(relayed.SnapshotNext - 1)
-	follower.next, follower.complete = relayed.SnapshotNext, true
+	follower.complete = true
+	for _, later := range follower.gathered {
+		if later.offset >= relayed.SnapshotNext {
+			follower.foldLocked(later.offset, later.decoded)
+		}
+	}
 	follower.gathered = nil
-	follower.recent, follower.held = nil, 0
+	if relayed.SnapshotNext > follower.next {
+		follower.next = relayed.SnapshotNext
+		follower.recent, follower.held = nil, 0
+	}
 }
 
 // AcceptEmpty marks a stream as known to be empty: a peer that follows it has
