--- a/internal/standin/engine/draft.go
+++ b/internal/standin/engine/draft.go
@@ -243,6 +243,9 @@
 func (answer *answer) token(position int) {
 	piece := peer.Piece{Attempt: answer.generate.Attempt, Offset: position, Token: Token(answer.generate.Prompt, position)}
 	faults := answer.engine.currentFaults()
+	if faults.LoseToken > 0 && position == faults.LoseToken {
+		return
+	}
 	if faults.StaleAttempts {
 		answer.write(peer.Piece{Attempt: piece.Attempt - 1, Offset: position, Token: "stale "})
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -55,7 +55,9 @@
 	ReorderTokens  bool
 	StaleAttempts  bool
 	LateMs         int
-	StallReports   bool
+	// LoseToken is a position whose piece is lost on the way, 0 for none.
+	LoseToken    int
+	StallReports bool
 }
 
 // Domain is the fabric domain that its engines share.
--- a/internal/state/stream/stream.go
+++ b/internal/state/stream/stream.go
@@ -176,11 +176,16 @@
 
 func (follower *Follower) readOnce() error {
 	follower.mu.Lock()
-	from := follower.next
+	from, wait := follower.next, readWait
+	if follower.lastRead == 0 {
+		// The first read tells whether the stream is empty; a node that starts
+		// should not wait for a record to find that out.
+		wait = 0
+	}
 	follower.mu.Unlock()
-	ctx, cancel := follower.Context(readWait + 5*time.Second)
+	ctx, cancel := follower.Context(wait + 5*time.Second)
 	defer cancel()
-	page, err := follower.read(ctx, follower.name, from, pageRecords, readWait)
+	page, err := follower.read(ctx, follower.name, from, pageRecords, wait)
 	if err != nil {
 		select {
 		case <-follower.Stopping:
