fix(stream): checkpoints that bring nothing back and fit the log

Cause: two faults found while measuring the key table. A claim released between a checkpoint's state and its record came back on nodes that had folded the release and not on those that started from the checkpoint, so the two disagreed about a key for hours. And with some 16,000 keys (254 bytes a key measured) a checkpoint outgrew the 4 MiB record: it could never be written.

Change: a follower that has folded everything passes a checkpoint over, except one written to a log that lost its records. Large checkpoints go onto the log in parts of 1 MiB, with other records allowed between. Parts carry their name as a profiler label, connections are metered by kind of peer, drafts apart from control.

--- a/internal/common/lifecycle/lifecycle.go
+++ b/internal/common/lifecycle/lifecycle.go
@@ -2,11 +2,13 @@
 //
 // A Part owns every goroutine that it started. Its owner calls Stop, which
 // asks them all to end, waits for them, and closes Done. A panic in a
-// goroutine is carried by conc to the caller of Stop instead of being lost.
+// goroutine is carried by conc to the caller of Stop instead of being lost. Each
+// goroutine carries the part's name as a profiler label, which goroutines that
+// it starts inherit, so a processor profile tells what each part costs.
 //
 // # Usage
 //
-//	part := lifecycle.New()
+//	part := lifecycle.New("watcher")
 //	part.Every(time.Second, func() { ... })
 //	part.Go(func() { <-part.Stopping })
 //	part.Stop()
@@ -15,6 +17,7 @@
 
 import (
 	"context"
+	"runtime/pprof"
 	"sync"
 	"time"
 
@@ -31,26 +34,43 @@
 	// only ends with the part and carries nothing.
 	requests context.Context
 	cancel   context.CancelFunc
+	name     string
 	asked    sync.Once
 	ended    sync.Once
 	workers  conc.WaitGroup
 }
 
+// Label is the profiler label that holds a part's name.
+const Label = "part"
+
 // New returns a Part with no goroutines.
-func New() *Part {
+func New(name string) *Part {
 	requests, cancel := context.WithCancel(context.Background())
-	return &Part{Stopping: make(chan struct{}), Done: make(chan struct{}), requests: requests, cancel: cancel}
+	return &Part{name: name, Stopping: make(chan struct{}), Done: make(chan struct{}), requests: requests, cancel: cancel}
 }
 
 // Go starts a goroutine that belongs to the part.
 func (part *Part) Go(work func()) {
-	part.workers.Go(work)
+	part.GoAs(part.name, work)
+}
+
+// GoAs starts a goroutine that belongs to the part and is profiled under
+// another name.
+func (part *Part) GoAs(name string, work func()) {
+	part.workers.Go(func() {
+		pprof.Do(context.Background(), pprof.Labels(Label, name), func(context.Context) { work() })
+	})
 }
 
 // Every starts a goroutine that calls work after each interval until the part
 // is asked to stop.
 func (part *Part) Every(interval time.Duration, work func()) {
-	part.Go(func() {
+	part.EveryAs(part.name, interval, work)
+}
+
+// EveryAs does the same under another name.
+func (part *Part) EveryAs(name string, interval time.Duration, work func()) {
+	part.GoAs(name, func() {
 		ticker := time.NewTicker(interval)
 		defer ticker.Stop()
 		for {
--- a/internal/fleet/fabric/watcher.go
+++ b/internal/fleet/fabric/watcher.go
@@ -72,7 +72,7 @@
 	probe func(ctx context.Context, address string) (engine.Report, time.Duration, bool),
 ) *Watcher {
 	return &Watcher{
-		Part: lifecycle.New(), facts: facts, now: facts.now, mine: mine, read: read, probe: probe,
+		Part: lifecycle.New("watcher"), facts: facts, now: facts.now, mine: mine, read: read, probe: probe,
 		readings: map[string]*Reading{}, probing: map[string]bool{},
 	}
 }
--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -94,7 +94,7 @@
 
 // Start begins to plan.
 func (former *Former) Start() {
-	former.Part = lifecycle.New()
+	former.Part = lifecycle.New("former")
 	former.rest = map[string]time.Duration{}
 	former.plans = map[string][]repair.Action{}
 	former.seen = map[uint64]*sighting{}
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -118,7 +118,7 @@
 // New.
 type Client struct {
 	httpClient *http.Client
-	// Traffic counts the control requests and bytes of reports and orders.
+	// Traffic counts the control requests.
 	Traffic Traffic
 }
 
@@ -188,9 +188,10 @@
 }
 
 func (client *Client) exchange(request *http.Request, reply any) error {
+	client.Traffic.Requests.Add(1)
 	response, err := client.httpClient.Do(request)
 	if err != nil {
-		client.Traffic.failed(request)
+		client.Traffic.Failures.Add(1)
 		return err
 	}
 	defer response.Body.Close()
@@ -198,7 +199,6 @@
 	if err != nil {
 		return errors.Wrap(err, "read reply")
 	}
-	client.Traffic.exchanged(request, len(body))
 	if response.StatusCode != http.StatusOK {
 		return errors.Newf("answered %s", response.Status)
 	}
--- a/internal/peer/node/node.go
+++ b/internal/peer/node/node.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	server := node.NewServer(listener, func(ctx context.Context, request *exchange.Request) *exchange.Reply { ... })
+//	server := node.NewServer(listener, meter.Wrap, func(ctx context.Context, request *exchange.Request) *exchange.Reply { ... })
 //	server.Start()
 //	client := node.NewClient()
 //	reply, err := client.Ask(ctx, "127.0.0.1:7300", request)
@@ -49,13 +49,11 @@
 	ErrNoReply = errors.New("the peer did not reply")
 )
 
-// Traffic counts what crossed the connections. All fields only grow.
+// Traffic counts requests. All fields only grow.
 type Traffic struct {
-	Requests      atomic.Uint64
-	Failures      atomic.Uint64
-	BytesSent     atomic.Uint64
-	BytesReceived atomic.Uint64
-	BadFrames     atomic.Uint64
+	Requests  atomic.Uint64
+	Failures  atomic.Uint64
+	BadFrames atomic.Uint64
 }
 
 func muxConfig() *yamux.Config {
@@ -65,24 +63,6 @@
 	return config
 }
 
-// counted counts the bytes of a connection.
-type counted struct {
-	net.Conn
-	traffic *Traffic
-}
-
-func (counted counted) Read(buffer []byte) (int, error) {
-	n, err := counted.Conn.Read(buffer)
-	counted.traffic.BytesReceived.Add(uint64(n))
-	return n, err
-}
-
-func (counted counted) Write(buffer []byte) (int, error) {
-	n, err := counted.Conn.Write(buffer)
-	counted.traffic.BytesSent.Add(uint64(n))
-	return n, err
-}
-
 // Answerer answers one request of a peer.
 type Answerer func(ctx context.Context, request *exchange.Request) *exchange.Reply
 
@@ -90,6 +70,7 @@
 type Server struct {
 	*lifecycle.Part
 	listener net.Listener
+	wrap     func(net.Conn) net.Conn
 	answer   Answerer
 	Traffic  Traffic
 
@@ -98,9 +79,9 @@
 }
 
 // NewServer returns a server that answers through the function, which is
-// called from many goroutines.
-func NewServer(listener net.Listener, answer Answerer) *Server {
-	return &Server{Part: lifecycle.New(), listener: listener, answer: answer, sessions: map[*yamux.Session]struct{}{}}
+// called from many goroutines. Each accepted connection goes through wrap.
+func NewServer(listener net.Listener, wrap func(net.Conn) net.Conn, answer Answerer) *Server {
+	return &Server{Part: lifecycle.New("peers"), listener: listener, wrap: wrap, answer: answer, sessions: map[*yamux.Session]struct{}{}}
 }
 
 // Start begins to accept connections.
@@ -114,7 +95,7 @@
 		if err != nil {
 			return
 		}
-		session, err := yamux.Server(counted{Conn: conn, traffic: &server.Traffic}, muxConfig())
+		session, err := yamux.Server(server.wrap(conn), muxConfig())
 		if err != nil {
 			conn.Close()
 			continue
@@ -289,7 +270,7 @@
 	if err != nil {
 		return nil, err
 	}
-	session, err := yamux.Client(counted{Conn: conn, traffic: &client.Traffic}, muxConfig())
+	session, err := yamux.Client(conn, muxConfig())
 	if err != nil {
 		conn.Close()
 		return nil, err
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -14,15 +14,18 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/pprof"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"hazelslip/internal/common/lifecycle"
 	"hazelslip/internal/peer/instancelist"
 	"hazelslip/internal/run/settings"
 	"hazelslip/internal/standin/engine"
@@ -58,13 +61,17 @@
 	}
 }
 
+// StandinLabel is the profiler label of the stand-ins' goroutines.
+const StandinLabel = "standin"
+
 // The layout of ports, as offsets from the base port.
 const (
-	logPort      = 0
-	listPort     = 1
-	weightsPort  = 2
-	firstNode    = 10
-	nodePorts    = 3
+	logPort     = 0
+	listPort    = 1
+	weightsPort = 2
+	firstNode   = 10
+	nodePorts   = 3
+	// Services and engines begin here, or after the nodes where they are many.
 	firstService = 80
 	firstEngine  = 100
 
@@ -143,6 +150,12 @@
 	return fmt.Sprintf("%s-fabric-%d", world.shape.DataCentres[dataCentre], domain+1)
 }
 
+// afterNodes moves an offset beyond the nodes' ports.
+func (world *World) afterNodes(offset int) int {
+	nodes := firstNode + len(world.shape.DataCentres)*world.shape.Nodes*nodePorts
+	return offset + max(0, nodes-firstService)
+}
+
 func (world *World) address(offset int) string {
 	return fmt.Sprintf("127.0.0.1:%d", world.basePort+offset)
 }
@@ -162,7 +175,12 @@
 		return errors.Newf("a port from %d on is taken; name another with --base-port", world.basePort)
 	}
 	for index, server := range world.servers {
-		world.serving.Go(func() { _ = server.Serve(world.listeners[index]) })
+		world.serving.Go(func() {
+			// The label keeps the stand-ins apart from the nodes in a profile.
+			pprof.Do(context.Background(), pprof.Labels(lifecycle.Label, StandinLabel), func(context.Context) {
+				_ = server.Serve(world.listeners[index])
+			})
+		})
 	}
 	return nil
 }
@@ -182,7 +200,7 @@
 		name := world.domainName(index, domain)
 		world.Domains[name] = engine.NewDomain(world.Weights)
 		for each := range world.shape.Engines {
-			offset := firstEngine + (index*world.shape.Domains+domain)*world.shape.Engines + each
+			offset := world.afterNodes(firstEngine) + (index*world.shape.Domains+domain)*world.shape.Engines + each
 			id := fmt.Sprintf("%s-engine-%d", name, each+1)
 			created := engine.New(id, world.address(offset), world.Domains[name], engine.ChecksFencing(!slices.Contains(world.unchecked(), name)))
 			world.Engines = append(world.Engines, created)
@@ -199,9 +217,9 @@
 	id := fmt.Sprintf("%s-%s", dataCentre, ServiceName)
 	created := service.New(id, world.Book)
 	world.Services = append(world.Services, created)
-	world.serve(firstService+index, created.Handler())
+	world.serve(world.afterNodes(firstService)+index, created.Handler())
 	world.List.Put(instancelist.Instance{
-		ID: id, Address: world.address(firstService + index), Role: instancelist.RoleService, Region: Region,
+		ID: id, Address: world.address(world.afterNodes(firstService) + index), Role: instancelist.RoleService, Region: Region,
 		DataCentre: dataCentre, Service: ServiceName,
 	})
 }
--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"hazelslip/internal/fleet/member"
 	"hazelslip/internal/peer/engine"
 	"hazelslip/internal/peer/logservice"
-	peer "hazelslip/internal/peer/node"
 	"hazelslip/internal/policy/route"
 	"hazelslip/internal/state/stream"
 	"hazelslip/internal/wire/exchange"
@@ -36,17 +34,6 @@
 	behindPulls = 2
 )
 
-func nodeClient(dial Dialer) *peer.Client {
-	if dial == nil {
-		return peer.NewClient()
-	}
-	return peer.NewClient(peer.Dial(dial))
-}
-
-func nodeServer(listener net.Listener, answer peer.Answerer) *peer.Server {
-	return peer.NewServer(listener, answer)
-}
-
 // exchanger pulls from the other nodes what they know and this one does not.
 // Everything it learns is counted as old as it can be: from before the
 // question was sent.
@@ -83,7 +70,7 @@
 
 func newExchanger(node *Node) *exchanger {
 	return &exchanger{
-		Part: lifecycle.New(), node: node, pulled: map[string]pulledReading{}, sent: map[uint64]peerSent{},
+		Part: lifecycle.New("exchange"), node: node, pulled: map[string]pulledReading{}, sent: map[uint64]peerSent{},
 		remote: map[uint64]route.Target{}, behind: map[string]int{},
 	}
 }
--- a/internal/run/node/lists.go
+++ b/internal/run/node/lists.go
@@ -38,15 +38,15 @@
 		seeds = append(seeds, member.Peer{Address: seed})
 	}
 	reader.node.members.Learn(seeds)
-	reader.node.Go(func() {
+	reader.node.GoAs("lists", func() {
 		reader.readOwn()
 		reader.readEntries()
 	})
-	reader.node.Every(listEvery, func() {
+	reader.node.EveryAs("lists", listEvery, func() {
 		reader.node.members.Learn(seeds)
 		reader.readOwn()
 	})
-	reader.node.Every(entriesEvery, reader.readEntries)
+	reader.node.EveryAs("lists", entriesEvery, reader.readEntries)
 }
 
 func (reader *listReader) read(query instancelist.Query) ([]instancelist.Instance, bool) {
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -15,7 +15,6 @@
 package node
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 	"log/slog"
@@ -31,6 +30,7 @@
 
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/common/lifecycle"
+	"hazelslip/internal/common/metering"
 	"hazelslip/internal/fleet/fabric"
 	"hazelslip/internal/fleet/member"
 	"hazelslip/internal/fleet/replica"
@@ -38,7 +38,7 @@
 	"hazelslip/internal/peer/engine"
 	"hazelslip/internal/peer/instancelist"
 	"hazelslip/internal/peer/logservice"
-	"hazelslip/internal/peer/node"
+	peer "hazelslip/internal/peer/node"
 	"hazelslip/internal/peer/operator"
 	"hazelslip/internal/peer/service"
 	"hazelslip/internal/policy/admission"
@@ -53,8 +53,13 @@
 	"hazelslip/internal/state/stream"
 )
 
-// Dialer opens connections; nil is the network.
-type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+// meters count what crosses the connections to each kind of peer.
+type meters struct {
+	platform metering.Traffic
+	engines  metering.Traffic
+	drafts   metering.Traffic
+	peers    metering.Traffic
+}
 
 // Node is one entry node.
 type Node struct {
@@ -64,16 +69,19 @@
 	settings settings.Node
 	logger   *slog.Logger
 	now      clock.Now
-	dial     Dialer
+	dial     metering.Dialer
 	listen   func(address string) (net.Listener, error)
 	random   *lockedRandom
 
-	log       *logservice.Client
-	list      *instancelist.Client
-	engines   *engine.Client
+	log     *logservice.Client
+	list    *instancelist.Client
+	engines *engine.Client
+	// drafting holds the connections of drafts apart from those of control.
+	drafting  *engine.Client
+	metered   meters
 	services  *service.Client
-	peers     *node.Client
-	server    *node.Server
+	peers     *peer.Client
+	server    *peer.Server
 	members   *member.Table
 	facts     *fabric.Facts
 	watcher   *fabric.Watcher
@@ -119,7 +127,7 @@
 }
 
 // Network replaces how the node connects and listens.
-func Network(dial Dialer, listen func(address string) (net.Listener, error)) Option {
+func Network(dial metering.Dialer, listen func(address string) (net.Listener, error)) Option {
 	return func(node *Node) { node.dial, node.listen = dial, listen }
 }
 
@@ -135,7 +143,7 @@
 // could not listen at.
 func New(settings settings.Node, options ...Option) (*Node, error) {
 	created := &Node{
-		Part: lifecycle.New(), settings: settings, logger: slog.Default(), now: clock.Boot,
+		Part: lifecycle.New("node"), settings: settings, logger: slog.Default(), now: clock.Boot,
 		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 	}
 	created.Incarnation = newIncarnation()
@@ -211,14 +219,14 @@
 }
 
 func (node *Node) buildPeers() {
-	node.transport = &http.Transport{DialContext: node.dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
+	node.transport = &http.Transport{DialContext: node.metered.platform.Dial(node.dialer()), MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	node.log = logservice.New(node.settings.Platform.LogService, logservice.Transport(node.transport))
 	node.list = instancelist.New(node.settings.Platform.InstanceList, instancelist.Transport(node.transport))
-	node.engines, node.services, node.peers = engine.New(), service.New(), nodeClient(node.dial)
-	if node.dial != nil {
-		node.engines, node.services = engine.New(engine.Dial(node.dial)), service.New(service.Dial(node.dial))
-	}
-	node.server = nodeServer(node.listeners[peerListener], node.answer)
+	node.engines = engine.New(engine.Dial(node.metered.engines.Dial(node.dialer())))
+	node.drafting = engine.New(engine.Dial(node.metered.drafts.Dial(node.dialer())))
+	node.services = service.New(service.Dial(node.dialer()))
+	node.peers = peer.NewClient(peer.Dial(node.metered.peers.Dial(node.dialer())))
+	node.server = peer.NewServer(node.listeners[peerListener], node.metered.peers.Wrap, node.answer)
 	_, _, address := node.Addresses()
 	node.members = member.New(member.Self{
 		Incarnation: node.Incarnation, Name: node.settings.Name, Region: node.settings.Region,
@@ -226,6 +234,17 @@
 	}, node.now)
 }
 
+// dialer is how the node connects; where no other was given, over the network,
+// giving up early enough to try something else.
+func (node *Node) dialer() metering.Dialer {
+	if node.dial != nil {
+		return node.dial
+	}
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext
+}
+
+const dialTimeout = 500 * time.Millisecond
+
 func (node *Node) buildState() {
 	node.classes = class.New()
 	node.leases = lease.New(node.now)
@@ -267,7 +286,7 @@
 	node.router = route.New(route.Random(node.random.intN))
 	node.gate = admission.New()
 	node.journal = journal.New(node.settings.Limits.JournalRequests)
-	node.drafts = draft.New(node.router, node.gate, node.engines.Generate, func() int { return len(node.members.Live()) }, node.now)
+	node.drafts = draft.New(node.router, node.gate, node.drafting.Generate, func() int { return len(node.members.Live()) }, node.now)
 	handler := &caller.Handler{
 		Classes: node.classes.Snapshot, Drafts: node.drafts, Journal: node.journal, Ready: node.Ready,
 		Begin: node.requests.begin, MaxBodyBytes: node.settings.Limits.MaxBodyBytes,
@@ -327,9 +346,9 @@
 	node.watcher.Start()
 	node.startView()
 	node.former.Start()
-	node.Every(checkpointInterval, node.checkpoint)
-	node.Go(func() { node.serveHTTP(node.operatorServer, node.listeners[operatorListener]) })
-	node.Go(func() { node.serveHTTP(node.callerServer, node.listeners[callerListener]) })
+	node.EveryAs("checkpoint", checkpointInterval, node.checkpoint)
+	node.GoAs("operator", func() { node.serveHTTP(node.operatorServer, node.listeners[operatorListener]) })
+	node.GoAs("caller", func() { node.serveHTTP(node.callerServer, node.listeners[callerListener]) })
 	node.logger.Info("node: started.", "Name", node.settings.Name, "Incarnation", node.Incarnation)
 }
 
--- a/internal/run/node/state.go
+++ b/internal/run/node/state.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"hazelslip/internal/common/metering"
 	"hazelslip/internal/fleet/fabric"
 	"hazelslip/internal/fleet/member"
 	"hazelslip/internal/fleet/replica"
@@ -42,16 +43,19 @@
 	ListFailed  uint64
 }
 
-// TrafficState counts control messages, in requests and bytes.
+// TrafficState counts control messages and, on the real connections, bytes.
+// Drafts counts the data path.
 type TrafficState struct {
-	PeerRequests   uint64
+	PeerAsked      uint64
+	PeerAnswered   uint64
 	PeerFailures   uint64
-	PeerSent       uint64
-	PeerReceived   uint64
 	PeerBadFrames  uint64
 	EngineRequests uint64
 	EngineFailures uint64
-	EngineBytes    uint64
+	Peers          metering.State
+	Engines        metering.State
+	Platform       metering.State
+	Drafts         metering.State
 }
 
 // State returns the dump of the node's state.
@@ -75,12 +79,11 @@
 
 func (node *Node) traffic() TrafficState {
 	return TrafficState{
-		PeerRequests: node.peers.Traffic.Requests.Load(), PeerFailures: node.peers.Traffic.Failures.Load(),
-		PeerSent:       node.peers.Traffic.BytesSent.Load() + node.server.Traffic.BytesSent.Load(),
-		PeerReceived:   node.peers.Traffic.BytesReceived.Load() + node.server.Traffic.BytesReceived.Load(),
-		PeerBadFrames:  node.server.Traffic.BadFrames.Load(),
+		PeerAsked: node.peers.Traffic.Requests.Load(), PeerFailures: node.peers.Traffic.Failures.Load(),
+		PeerAnswered: node.server.Traffic.Requests.Load(), PeerBadFrames: node.server.Traffic.BadFrames.Load(),
 		EngineRequests: node.engines.Traffic.Requests.Load(), EngineFailures: node.engines.Traffic.Failures.Load(),
-		EngineBytes: node.engines.Traffic.Bytes.Load(),
+		Peers: node.metered.peers.State(), Engines: node.metered.engines.State(),
+		Platform: node.metered.platform.State(), Drafts: node.metered.drafts.State(),
 	}
 }
 
--- a/internal/run/node/stop.go
+++ b/internal/run/node/stop.go
@@ -125,6 +125,7 @@
 	node.peers.Close()
 	node.operatorServer.Close()
 	node.engines.Close()
+	node.drafting.Close()
 	node.transport.CloseIdleConnections()
 }
 
--- a/internal/run/node/view.go
+++ b/internal/run/node/view.go
@@ -22,7 +22,7 @@
 
 // startView keeps the groups and the router's table up to date.
 func (node *Node) startView() {
-	node.Go(func() {
+	node.GoAs("view", func() {
 		ticker := time.NewTicker(viewEvery)
 		defer ticker.Stop()
 		for {
--- a/internal/state/booking/batch.go
+++ b/internal/state/booking/batch.go
@@ -50,7 +50,7 @@
 
 // NewBatcher returns a batcher that writes through the function.
 func NewBatcher(write func(ctx context.Context, batch *record.BookingBatch) error) *Batcher {
-	return &Batcher{Part: lifecycle.New(), write: write, interval: batchFirst, wake: make(chan struct{}, 1)}
+	return &Batcher{Part: lifecycle.New("booking"), write: write, interval: batchFirst, wake: make(chan struct{}, 1)}
 }
 
 // Start begins to write.
--- a/internal/state/booking/booking_test.go
+++ b/internal/state/booking/booking_test.go
@@ -278,3 +278,71 @@
 		g.Expect(ledger.book.Executions("visit")).To(gomega.Equal(1))
 	})
 }
+
+// A claim is released between the state of a checkpoint and the checkpoint's
+// record. Nodes that had folded the release took the claim back from the
+// checkpoint, nodes that started from it did not: the first said Unknown of
+// the key for hours while the others could run it.
+func TestCheckpointBringsNoReleasedClaimBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ledger := newLedger(1)
+		defer ledger.stop()
+		time.Sleep(time.Second)
+		appendBatch(t, ledger, &record.BookingBatch{Intents: []*record.Intent{{Key: "visit", Incarnation: 99, Attempt: 1, UnixMs: 1}}})
+		time.Sleep(time.Second)
+		checkpoint, err := ledger.nodes[0].table.Fold().Snapshot(ledger.nodes[0].follower.Next())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		appendBatch(t, ledger, &record.BookingBatch{Outcomes: []*record.Outcome{{
+			Key: "visit", Incarnation: 99, Attempt: 1, Kind: record.OutcomeKind_OutcomeReleased,
+		}}})
+		ledger.log.Append(streamName, checkpoint)
+		ledger.log.DropBefore(streamName, 1)
+		ledger.nodes = append(ledger.nodes, ledger.start())
+		time.Sleep(time.Second)
+		for _, running := range ledger.nodes {
+			g.Expect(running.follower.Ready()).To(gomega.BeTrue())
+			_, known := running.table.Lookup("visit")
+			g.Expect(known).To(gomega.BeFalse())
+		}
+	})
+}
+
+func appendBatch(t *testing.T, ledger *ledger, batch *record.BookingBatch) {
+	t.Helper()
+	body, err := proto.Marshal(&record.BookingRecord{Kind: &record.BookingRecord_Batch{Batch: batch}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ledger.log.Append(streamName, body)
+}
+
+// With some 16,000 keys a checkpoint outgrew what the log takes in one record.
+// It could never be written, and once older records expired a node that started
+// had no history. It goes onto the log in parts, with other records between.
+func TestLargeCheckpointGoesInParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ledger := newLedger(1)
+		defer ledger.stop()
+		time.Sleep(time.Second)
+		const keys, batchKeys = 30_000, 1000
+		for first := 0; first < keys; first += batchKeys {
+			batch := &record.BookingBatch{}
+			for index := range batchKeys {
+				batch.Intents = append(batch.Intents, &record.Intent{
+					Key: fmt.Sprintf("visit-%d", first+index), Digest: make([]byte, 150), Incarnation: 99, UnixMs: 1,
+				})
+			}
+			appendBatch(t, ledger, batch)
+		}
+		time.Sleep(2 * time.Hour)
+		g.Expect(ledger.nodes[0].follower.MaybeCheckpoint()).To(gomega.Succeed())
+		ledger.log.DropBefore(streamName, keys/batchKeys)
+		ledger.nodes = append(ledger.nodes, ledger.start())
+		time.Sleep(10 * time.Second)
+		g.Expect(ledger.nodes[1].follower.Ready()).To(gomega.BeTrue())
+		_, known := ledger.nodes[1].table.Lookup("visit-29999")
+		g.Expect(known).To(gomega.BeTrue())
+	})
+}
--- a/internal/state/stream/checkpoint.go
+++ b/internal/state/stream/checkpoint.go
@@ -17,7 +17,7 @@
 	}
 	ctx, cancel := follower.Context(checkpointBudget)
 	defer cancel()
-	if _, err := follower.append(ctx, follower.name, body); err != nil {
+	if err := follower.appendParts(ctx, body); err != nil {
 		return err
 	}
 	follower.mu.Lock()
--- a/internal/state/stream/relay.go
+++ b/internal/state/stream/relay.go
@@ -94,7 +94,7 @@
 		return
 	}
 	decoded.Apply(relayed.SnapshotNext - 1)
-	follower.complete = true
+	follower.complete, follower.folded = true, true
 	for _, later := range follower.gathered {
 		if later.offset >= relayed.SnapshotNext {
 			follower.foldLocked(later.offset, later.decoded)
--- a/internal/state/stream/stream.go
+++ b/internal/state/stream/stream.go
@@ -106,9 +106,12 @@
 	// tells what came before it.
 	gathered     []gatheredRecord
 	gatheredFrom uint64
-	sinceMark    int
-	lastMark     time.Duration
-	statistics   State
+	// folded is set once this follower's state holds every record before next.
+	folded     bool
+	parts      parts
+	sinceMark  int
+	lastMark   time.Duration
+	statistics State
 }
 
 // Option changes how a Follower is built.
@@ -137,7 +140,7 @@
 // New returns a follower that has read nothing.
 func New(name string, fold Fold, options ...Option) *Follower {
 	follower := &Follower{
-		Part: lifecycle.New(), name: name, fold: fold, now: clock.Boot,
+		Part: lifecycle.New("stream"), name: name, fold: fold, now: clock.Boot,
 		logger: slog.Default(), advanced: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -248,7 +251,11 @@
 	}
 	follower.next++
 	follower.keepLocked(record)
-	decoded, err := follower.fold.Decode(record.Body)
+	body, whole := follower.parts.join(record.Body)
+	if !whole {
+		return
+	}
+	decoded, err := follower.fold.Decode(body)
 	if err != nil {
 		follower.statistics.Undecodable++
 		follower.logger.Warn("stream: a record cannot be decoded and is skipped.",
@@ -262,11 +269,20 @@
 	follower.foldLocked(record.Offset, decoded)
 }
 
+// foldLocked folds one record. A follower that has folded everything before a
+// checkpoint learns nothing from it and passes it over: what ended between the
+// checkpoint's state and its record would come back with it, on this node and
+// not on those that start from it. Only a checkpoint that was written to a log
+// that lost its records (through 0) can bring news.
 func (follower *Follower) foldLocked(offset uint64, decoded Decoded) {
 	follower.sinceMark++
 	if decoded.Checkpoint {
 		follower.sinceMark, follower.lastMark = 0, follower.now()
 	}
+	if decoded.Checkpoint && decoded.Through > 0 && follower.folded {
+		return
+	}
+	follower.folded = true
 	decoded.Apply(offset)
 	follower.statistics.Applied++
 }
@@ -287,7 +303,7 @@
 	if decoded.Through < follower.gatheredFrom {
 		return
 	}
-	follower.complete = true
+	follower.complete, follower.folded = true, false
 	follower.foldLocked(offset, decoded)
 	for _, earlier := range follower.gathered {
 		if earlier.offset >= decoded.Through {
@@ -367,7 +383,7 @@
 		if err != nil {
 			return errors.Wrap(err, "snapshot for a log that lost its records")
 		}
-		if _, err := follower.append(ctx, follower.name, body); err != nil {
+		if err := follower.appendParts(ctx, body); err != nil {
 			return errors.Wrap(err, "checkpoint for a log that lost its records")
 		}
 	}
