feat(capacity): the page docs/CAPACITY.md from measured slopes

Change: `make capacity` runs ten deployments on loopback sockets, counts messages and bytes on the connections, attributes processor time to parts by profiler labels, fits lines and writes the page. Routing looks at a few groups drawn at random, not at all. Repair weighs the ways to go on by price, with learned return and load times.

Ruled out on the way: a single expected return per server (worse than waiting in calm traces), naive policies without a bound on what is wanted (they looked far worse than they need to), and a leak of the trace player that kept paused servers out of use.

--- a/Makefile
+++ b/Makefile
@@ -26,3 +26,6 @@
 
 ci: ## What CI runs.
 	bash .ci/run
+
+capacity: build ## Measure what control costs; write docs/CAPACITY.md.
+	$(BIN)/hazelslip capacity --write docs/CAPACITY.md
--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -78,7 +78,12 @@
 	// Random draws a number below n.
 	Random func(n int) int
 	Logger *slog.Logger
-	Grace  time.Duration
+	// Grace is how long a silent member is waited for at the least, Stranded
+	// the price of a second of one healthy idle server.
+	Grace    time.Duration
+	Stranded float64
+
+	experience *experience
 
 	mu    sync.Mutex
 	rest  map[string]time.Duration
@@ -95,6 +100,7 @@
 // Start begins to plan.
 func (former *Former) Start() {
 	former.Part = lifecycle.New("former")
+	former.experience = newExperience(former.Now)
 	former.rest = map[string]time.Duration{}
 	former.plans = map[string][]repair.Action{}
 	former.seen = map[uint64]*sighting{}
@@ -129,7 +135,8 @@
 }
 
 func (former *Former) tend(domain string, snapshot *Snapshot, servers []fabric.Fact) {
-	plan := repair.Plan(former.situation(domain, snapshot))
+	former.experience.see(servers)
+	plan := repair.Plan(former.situation(domain, snapshot, servers))
 	former.mu.Lock()
 	former.plans[domain] = plan
 	former.mu.Unlock()
@@ -203,19 +210,39 @@
 	})
 }
 
-func (former *Former) situation(domain string, snapshot *Snapshot) repair.Situation {
-	situation := repair.Situation{Models: former.Models(), Grace: former.Grace}
+func (former *Former) situation(domain string, snapshot *Snapshot, servers []fabric.Fact) repair.Situation {
+	situation := repair.Situation{Models: former.Models(), Grace: former.Grace, Stranded: former.Stranded}
+	situation.Returns, situation.Load = former.experience.expected()
 	for _, fact := range snapshot.Free[domain] {
 		situation.Free = append(situation.Free, fact.Address)
 	}
 	for _, group := range snapshot.Groups {
-		if group.FabricDomain == domain {
-			situation.Groups = append(situation.Groups, former.forPlan(group))
+		if group.FabricDomain != domain {
+			continue
+		}
+		if group.Serving {
+			former.experience.serves(group.Number)
 		}
+		situation.Groups = append(situation.Groups, former.forPlan(group))
 	}
+	situation.Away = away(situation.Groups, servers, former.Now())
 	return situation
 }
 
+// away lists how long each silent server outside the groups has been silent.
+func away(groups []repair.Group, servers []fabric.Fact, now time.Duration) []time.Duration {
+	silent := []time.Duration{}
+	for index := range servers {
+		member := slices.ContainsFunc(groups, func(group repair.Group) bool {
+			return slices.Contains(group.Members, servers[index].Address)
+		})
+		if servers[index].FirstMissed != 0 && !member {
+			silent = append(silent, now-servers[index].FirstMissed)
+		}
+	}
+	return silent
+}
+
 func (former *Former) forPlan(group *Group) repair.Group {
 	planned := repair.Group{
 		Number: group.Number, Model: group.Model, Members: group.Members, Serving: group.Serving,
@@ -223,6 +250,9 @@
 	}
 	for _, missing := range group.Missing {
 		planned.Silent = max(planned.Silent, missing.Silent)
+		if missing.Silent > 0 {
+			planned.SilentMembers++
+		}
 		planned.Broken = planned.Broken || missing.Elsewhere
 	}
 	planned.Broken = former.surelyBroken(group, planned.Broken)
@@ -301,6 +331,7 @@
 		return false
 	}
 	round.former.formed.Add(1)
+	round.former.experience.began(number)
 	round.former.Record(Event{
 		Number: number, FabricDomain: round.domain, Model: action.Model, Members: action.Servers,
 		Kind: "Formed", Cause: action.Cause,
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -273,6 +273,9 @@
 	if err := json.Unmarshal(line, &piece); err != nil {
 		return Piece{}, errors.Mark(errors.Wrap(err, "decode piece"), ErrBroken)
 	}
+	if piece.Offset < 0 {
+		return Piece{}, errors.Mark(errors.Newf("a piece at position %d", piece.Offset), ErrBroken)
+	}
 	return piece, nil
 }
 
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -104,7 +104,29 @@
 }
 
 type table struct {
-	byModel map[string][]candidate
+	byModel map[string]*groups
+}
+
+// groups are those of one model, of this data centre and of others.
+type groups struct {
+	// capacity and taken sum up the local groups.
+	capacity, taken int64
+
+	local  list
+	remote list
+}
+
+type list struct {
+	candidates []candidate
+	byNumber   map[uint64]int
+}
+
+func (list *list) add(candidate candidate) {
+	if list.byNumber == nil {
+		list.byNumber = map[uint64]int{}
+	}
+	list.byNumber[candidate.target.Number] = len(list.candidates)
+	list.candidates = append(list.candidates, candidate)
 }
 
 // GroupState is one group in the state dump.
@@ -119,6 +141,8 @@
 type Router struct {
 	table  atomic.Pointer[table]
 	random func(n int) int
+	// prefixes remembers the group that last had a prompt's prefix.
+	prefixes [prefixSlots]atomic.Uint64
 
 	mu     sync.Mutex
 	states map[uint64]*groupState
@@ -136,7 +160,7 @@
 // New returns a router that knows no groups.
 func New(options ...Option) *Router {
 	router := &Router{random: rand.IntN, states: map[uint64]*groupState{}}
-	router.table.Store(&table{byModel: map[string][]candidate{}})
+	router.table.Store(&table{byModel: map[string]*groups{}})
 	for _, option := range options {
 		option(router)
 	}
@@ -150,7 +174,7 @@
 	router.mu.Lock()
 	defer router.mu.Unlock()
 	states := map[uint64]*groupState{}
-	next := &table{byModel: map[string][]candidate{}}
+	next := &table{byModel: map[string]*groups{}}
 	for _, target := range targets {
 		state, ok := router.states[target.Number]
 		if !ok {
@@ -158,7 +182,7 @@
 		}
 		states[target.Number] = state
 		share := int64(max(1, int(target.Concurrency)/max(1, nodes)))
-		next.byModel[target.Model] = append(next.byModel[target.Model], candidate{target: target, state: state, share: share})
+		next.add(candidate{target: target, state: state, share: share})
 	}
 	for number, state := range router.states {
 		if state.running.Load() > 0 && states[number] == nil {
@@ -169,54 +193,117 @@
 	router.table.Store(next)
 }
 
+func (table *table) add(candidate candidate) {
+	ofModel, ok := table.byModel[candidate.target.Model]
+	if !ok {
+		ofModel = &groups{}
+		table.byModel[candidate.target.Model] = ofModel
+	}
+	if candidate.target.Remote {
+		ofModel.remote.add(candidate)
+		return
+	}
+	ofModel.capacity += int64(candidate.target.Concurrency)
+	ofModel.taken += int64(candidate.target.PeerRunning)
+	ofModel.local.add(candidate)
+}
+
 // Pick chooses a group for the request, and false when there is none that may
-// take it.
+// take it. It looks at a few groups drawn at random and at the one that last
+// had the prompt's prefix, so its cost does not grow with the groups; where
+// none of these may take the request it looks at all.
 func (router *Router) Pick(request Request, now time.Duration) (Choice, bool) {
-	candidates := router.table.Load().byModel[request.Model]
-	var buffer [32]time.Duration
-	predictions := buffer[:0]
-	best := time.Duration(-1)
-	for index := range candidates {
-		predicted := time.Duration(-1)
-		if candidates[index].open(request, now) {
-			predicted = candidates[index].predict(request, now)
-		}
-		predictions = append(predictions, predicted)
-		if predicted >= 0 && (best < 0 || predicted < best) {
-			best = predicted
-		}
+	groups, ok := router.table.Load().byModel[request.Model]
+	if !ok {
+		return Choice{}, false
+	}
+	search := search{request: request, now: now}
+	search.window(&groups.local, router.random)
+	search.window(&groups.remote, router.random)
+	if remembered, ok := groups.local.byNumber[router.prefixes[request.Prefix%prefixSlots].Load()]; ok {
+		search.consider(&groups.local.candidates[remembered])
 	}
-	if best < 0 {
-		return Choice{Known: len(candidates)}, false
+	if search.count == 0 {
+		search.all(&groups.local)
+		search.all(&groups.remote)
 	}
-	limit := best + max(nearBestLeast, time.Duration(float64(best)*nearBestShare))
-	chosen, near := router.drawNear(predictions, limit)
+	known := len(groups.local.candidates) + len(groups.remote.candidates)
+	if search.count == 0 {
+		return Choice{Known: known}, false
+	}
+	chosen, predicted, near := search.draw(router.random)
 	choice := Choice{
-		Target: candidates[chosen].target, Predicted: predictions[chosen], Near: near, Known: len(candidates),
-		state: candidates[chosen].state, tokens: int64(request.AnswerTokens),
+		Target: chosen.target, Predicted: predicted, Near: near, Known: known,
+		state: chosen.state, tokens: int64(request.AnswerTokens),
 	}
+	router.prefixes[request.Prefix%prefixSlots].Store(chosen.target.Number)
 	choice.begin(request.Prefix, now)
 	return choice, true
 }
 
-// drawNear draws one of the predictions within the limit.
-func (router *Router) drawNear(predictions []time.Duration, limit time.Duration) (chosen, near int) {
-	for _, predicted := range predictions {
-		if predicted >= 0 && predicted <= limit {
-			near++
-		}
+const (
+	// windowGroups is how many groups of one kind are looked at.
+	windowGroups = 12
+	// searchMost is all that one search holds: two windows and one more.
+	searchMost = 2*windowGroups + 1
+)
+
+// search is the groups that one choice has looked at. It lives on the stack.
+type search struct {
+	request     Request
+	now         time.Duration
+	found       [searchMost]*candidate
+	predictions [searchMost]time.Duration
+	count       int
+	best        time.Duration
+}
+
+// window looks at a run of groups that begins at random.
+func (search *search) window(list *list, random func(n int) int) {
+	total := len(list.candidates)
+	if total == 0 {
+		return
 	}
-	drawn := router.random(near)
-	for index, predicted := range predictions {
-		if predicted < 0 || predicted > limit {
-			continue
-		}
-		if drawn == 0 {
-			return index, near
+	first := 0
+	if total > windowGroups {
+		first = random(total)
+	}
+	for offset := range min(total, windowGroups) {
+		search.consider(&list.candidates[(first+offset)%total])
+	}
+}
+
+// all looks at every group until enough may take the request.
+func (search *search) all(list *list) {
+	for index := range list.candidates {
+		search.consider(&list.candidates[index])
+	}
+}
+
+func (search *search) consider(candidate *candidate) {
+	if search.count == searchMost || !candidate.open(search.request, search.now) {
+		return
+	}
+	predicted := candidate.predict(search.request, search.now)
+	if search.count == 0 || predicted < search.best {
+		search.best = predicted
+	}
+	search.found[search.count], search.predictions[search.count] = candidate, predicted
+	search.count++
+}
+
+// draw chooses at random among those near the best.
+func (search *search) draw(random func(n int) int) (chosen *candidate, predicted time.Duration, near int) {
+	limit := search.best + max(nearBestLeast, time.Duration(float64(search.best)*nearBestShare))
+	var within [searchMost]int
+	for index := range search.count {
+		if search.predictions[index] <= limit {
+			within[near] = index
+			near++
 		}
-		drawn--
 	}
-	return 0, near
+	drawn := within[random(near)]
+	return search.found[drawn], search.predictions[drawn], near
 }
 
 // open reports whether the group may take one more draft of this node.
@@ -226,7 +313,7 @@
 	}
 	running := candidate.state.running.Load()
 	suspected := time.Duration(candidate.state.suspectAt.Load())
-	if suspected != 0 && candidate.target.ReadAt < suspected && now-suspected < suspectFor {
+	if suspected != 0 && candidate.target.ReadAt <= suspected && now-suspected < suspectFor {
 		return false
 	}
 	if suspected != 0 && now-suspected < suspectFor+rampFor {
@@ -314,13 +401,11 @@
 // Capacity is how many drafts of a model can run at once at the groups of this
 // data centre, and how many of them peers said are taken.
 func (router *Router) Capacity(model string) (capacity, taken int64) {
-	for _, candidate := range router.table.Load().byModel[model] {
-		if !candidate.target.Remote {
-			capacity += int64(candidate.target.Concurrency)
-			taken += int64(candidate.target.PeerRunning)
-		}
+	ofModel, ok := router.table.Load().byModel[model]
+	if !ok {
+		return 0, 0
 	}
-	return capacity, taken
+	return ofModel.capacity, ofModel.taken
 }
 
 // Sent returns what this node has at each group, for its peers.
@@ -339,8 +424,8 @@
 // State returns the router's part of the state dump.
 func (router *Router) State() []GroupState {
 	states := []GroupState{}
-	for _, candidates := range router.table.Load().byModel {
-		for _, candidate := range candidates {
+	for _, ofModel := range router.table.Load().byModel {
+		for _, candidate := range slices.Concat(ofModel.local.candidates, ofModel.remote.candidates) {
 			states = append(states, GroupState{
 				Target: candidate.target, Outstanding: candidate.state.outstanding.Load(),
 				Running: candidate.state.running.Load(), Share: candidate.share,
--- a/internal/run/capacity/capacity.go
+++ b/internal/run/capacity/capacity.go
@@ -23,13 +23,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"google.golang.org/protobuf/proto"
 
 	"hazelslip/internal/run/demo"
 	"hazelslip/internal/run/node"
 	"hazelslip/internal/run/settings"
 	"hazelslip/internal/wire/record"
-
-	"google.golang.org/protobuf/proto"
 )
 
 // Point is one deployment to measure.
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -278,7 +278,8 @@
 		Incarnation: node.Incarnation, Snapshot: node.groups.Load, Facts: node.facts.Snapshot,
 		Mine: node.mayForm, Models: node.models, Order: node.engines.Order, Right: node.right,
 		Record: node.recordGroup, Now: node.now, Random: node.random.intN, Logger: node.logger,
-		Grace: time.Duration(node.settings.Engines.GraceSeconds) * time.Second,
+		Grace:    time.Duration(node.settings.Engines.GraceSeconds) * time.Second,
+		Stranded: node.settings.Prices.StrandedInstance,
 	}
 }
 
--- a/internal/run/node/node_test.go
+++ b/internal/run/node/node_test.go
@@ -13,9 +13,13 @@
 	"hazelslip/internal/run/demo"
 	"hazelslip/internal/run/settings"
 	"hazelslip/internal/standin/engine"
+	"hazelslip/internal/standin/platform"
 	"hazelslip/internal/testlib/fleet"
 )
 
+// darkLog is an outage of the log.
+var darkLog = platform.LogFaults{Dark: true}
+
 // small is one data centre of two nodes before one domain of eight engines.
 func small(unchecked int) demo.Shape {
 	return demo.Shape{
--- /dev/null
+++ b/internal/run/node/overhead_test.go
@@ -0,0 +1,175 @@
+package node_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/peer/caller"
+	"hazelslip/internal/peer/engine"
+	"hazelslip/internal/run/demo"
+	"hazelslip/internal/run/node"
+	"hazelslip/internal/run/settings"
+	"hazelslip/internal/testlib/fleet"
+)
+
+const benchPort = 23_000
+
+// onSockets runs one node before two groups of stand-in engines over loopback.
+func onSockets(b *testing.B) (*node.Node, *demo.World) {
+	b.Helper()
+	world, err := demo.NewWorld(demo.BasePort(benchPort), demo.Size(demo.Shape{
+		DataCentres: []string{"bench"}, Nodes: 1, Domains: 1, Engines: 8,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
+	}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	tree := world.Settings()[0]
+	tree.Stopping = settings.Stopping{DrainSeconds: 1}
+	running, err := node.New(tree, node.Logger(slog.New(slog.NewTextHandler(io.Discard, nil))))
+	if err != nil {
+		b.Fatal(err)
+	}
+	running.Start()
+	world.Log.Append("Config", fleet.ChangeBody(fleet.Target("report", "drafting", 1), 0, "bench"))
+	for range 200 {
+		if groups := running.State().Groups; len(groups) == 2 && groups[0].Serving && groups[1].Serving {
+			break
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	b.Cleanup(func() {
+		running.Stop()
+		world.Stop()
+	})
+	return running, world
+}
+
+// direct asks the group's first engine without a node.
+func direct(ctx context.Context, client *engine.Client, group uint64, address string, tokens int) (first time.Duration, err error) {
+	began := time.Now()
+	stream, err := client.Generate(ctx, address, engine.Generate{Group: group, Attempt: 1, Model: "drafting", Prompt: "bench", MaxTokens: tokens})
+	if err != nil {
+		return 0, err
+	}
+	defer stream.Close()
+	for {
+		piece, err := stream.Next()
+		if err != nil || piece.End {
+			return first, err
+		}
+		if first == 0 {
+			first = time.Since(began)
+		}
+	}
+}
+
+// through asks a node.
+func through(client *http.Client, address string, tokens int) (first time.Duration, count int, err error) {
+	body, err := json.Marshal(map[string]any{"messages": []map[string]string{{"role": "user", "content": "bench"}}, "stream": true, "max_tokens": tokens})
+	if err != nil {
+		return 0, 0, err
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return 0, 0, err
+	}
+	request.Header.Set(caller.HeaderClass, "report")
+	began := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if !strings.Contains(scanner.Text(), `"content"`) {
+			continue
+		}
+		if count++; count == 1 {
+			first = time.Since(began)
+		}
+	}
+	return first, count, scanner.Err()
+}
+
+// BenchmarkFirstToken sends drafts of one token in turn to the engine and
+// through the node, so that both see the same machine, and prints the ratio.
+func BenchmarkFirstToken(b *testing.B) {
+	running, _ := onSockets(b)
+	address, _, _ := running.Addresses()
+	group := running.State().Groups[0]
+	engines, client := engine.New(), &http.Client{}
+	defer engines.Close()
+	defer client.CloseIdleConnections()
+	directly, throughNode := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+	b.ResetTimer()
+	for range b.N {
+		first, err := direct(context.Background(), engines, group.Number, group.Members[0], 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		_ = directly.RecordValue(first.Microseconds())
+		if first, _, err = through(client, address, 1); err != nil {
+			b.Fatal(err)
+		}
+		_ = throughNode.RecordValue(first.Microseconds())
+	}
+	for name, quantile := range map[string]float64{"p50": 50, "p99": 99} {
+		engineTime, nodeTime := float64(directly.ValueAtQuantile(quantile)), float64(throughNode.ValueAtQuantile(quantile))
+		b.ReportMetric(nodeTime-engineTime, name+"-added-us")
+		b.ReportMetric(nodeTime/engineTime, name+"-ratio")
+	}
+}
+
+// BenchmarkStreams holds a thousand drafts of 200 tokens open at once through
+// one node and prints what a token and a stream cost. Allocations and memory
+// are those of the whole process, stand-ins and callers included.
+func BenchmarkStreams(b *testing.B) {
+	const streams, tokens = 1000, 200
+	running, _ := onSockets(b)
+	address, _, _ := running.Addresses()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: streams}}
+	defer client.CloseIdleConnections()
+	before, after := runtime.MemStats{}, runtime.MemStats{}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	total, whole, most := 0, 0, uint64(0)
+	b.ResetTimer()
+	began := time.Now()
+	for range b.N {
+		counts := make([]int, streams)
+		callers := conc.NewWaitGroup()
+		for index := range streams {
+			callers.Go(func() { _, counts[index], _ = through(client, address, tokens) })
+		}
+		time.Sleep(500 * time.Millisecond)
+		runtime.ReadMemStats(&after)
+		most = max(most, after.HeapAlloc+after.StackInuse)
+		callers.Wait()
+		for _, count := range counts {
+			total += count
+			if count == tokens {
+				whole++
+			}
+		}
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(total)/time.Since(began).Seconds(), "tokens/s")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(max(1, total)), "allocs/token")
+	b.ReportMetric(float64(most)/1e6, "MB-most")
+	b.ReportMetric(float64(whole)/float64(b.N), "whole/1000")
+}
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -228,24 +228,24 @@
 	return finder.mistake(wrong.Name(), wrong.Unwrap().Error())
 }
 
-// flatten returns the single errors of joined ones.
+// flatten returns the single errors of a tree of joined and wrapped ones.
 func flatten(err error) []error {
 	if err == nil {
 		return nil
 	}
-	var wrong *mapstructure.DecodeError
-	joined, ok := err.(interface{ Unwrap() []error })
-	if !ok {
-		if errors.As(err, &wrong) {
-			if _, nested := wrong.Unwrap().(interface{ Unwrap() []error }); nested {
-				return flatten(wrong.Unwrap())
-			}
-		}
+	causes := []error{}
+	switch wrapper := any(err).(type) {
+	case *mapstructure.DecodeError:
 		return []error{err}
+	case interface{ Unwrap() []error }:
+		for _, cause := range wrapper.Unwrap() {
+			causes = append(causes, flatten(cause)...)
+		}
+	case interface{ Unwrap() error }:
+		causes = flatten(wrapper.Unwrap())
 	}
-	causes := []error{}
-	for _, cause := range joined.Unwrap() {
-		causes = append(causes, flatten(cause)...)
+	if len(causes) == 0 {
+		return []error{err}
 	}
 	return causes
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -140,3 +140,10 @@
 	service.SetFaults(faults)
 	writer.WriteHeader(http.StatusNoContent)
 }
+
+// Total is how many calls were run, with and without a key.
+func (book *Book) Total() int {
+	book.mu.Lock()
+	defer book.mu.Unlock()
+	return book.total
+}
