--- /dev/null
+++ b/cmd/cmd_test.go
@@ -0,0 +1,144 @@
+package cmd_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"hazelslip/cmd"
+	"hazelslip/internal/peer/operator"
+	"hazelslip/internal/state/class"
+	"hazelslip/internal/testlib/fleet"
+	"hazelslip/internal/testlib/suite"
+	"hazelslip/internal/wire/record"
+)
+
+func TestCmd(t *testing.T) { suite.Run(t, "cmd") }
+
+// run runs a command line and returns its exit code and output.
+func run(arguments ...string) (code int, out, failures string) {
+	var written, failed bytes.Buffer
+	code = cmd.Execute(arguments, &written, &failed)
+	return code, written.String(), failed.String()
+}
+
+// operatorOf serves a table of classes with one class at revision 1.
+func operatorOf() *httptest.Server {
+	table := class.New()
+	offset := uint64(0)
+	take := func(body []byte) {
+		decoded, err := table.Fold().Decode(body)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		decoded.Apply(offset)
+		offset++
+	}
+	take(fleet.ChangeBody(fleet.Target("urgent", "drafting", 0.3), 0, "first"))
+	handler := &operator.Handler{
+		Classes: table,
+		Groups: func() []operator.GroupLine {
+			return []operator.GroupLine{{Number: 7, Model: "drafting", Cause: "member x does not answer"}}
+		},
+		State: func() any { return map[string]string{"Name": "entry-1"} },
+		Explain: func(subject string) (operator.Explanation, bool) {
+			return operator.Explanation{Subject: subject, Lines: []string{"because"}}, subject == "7"
+		},
+		Booking: func(_, key string) (operator.BookingLine, bool) {
+			return operator.BookingLine{Key: key, Outcome: "Run"}, key == "visit-1"
+		},
+		Submit: func(_ context.Context, change *record.ConfigChange) (class.Verdict, error) {
+			if err := class.Check(change); err != nil {
+				return class.Verdict{Reason: err.Error()}, nil
+			}
+			take(fleet.ChangeBody(change.Target, change.BaseRevision, change.ChangeID))
+			verdict, _ := table.Verdict(change.ChangeID)
+			return verdict, nil
+		},
+	}
+	return httptest.NewServer(handler.Handler())
+}
+
+var _ = ginkgo.Describe("the command line", func() {
+	var server *httptest.Server
+	ginkgo.BeforeEach(func() {
+		server = operatorOf()
+		ginkgo.DeferCleanup(server.Close)
+	})
+
+	ginkgo.It("prints its version", func() {
+		code, out, _ := run("--version")
+		gomega.Expect(code).To(gomega.Equal(cmd.ExitOK))
+		gomega.Expect(out).To(gomega.ContainSubstring("hazelslip"))
+	})
+
+	ginkgo.DescribeTable("has help with an example for every command",
+		func(words string) {
+			code, out, _ := run(append(strings.Fields(words), "--help")...)
+			gomega.Expect(code).To(gomega.Equal(cmd.ExitOK))
+			gomega.Expect(out).To(gomega.ContainSubstring("hazelslip " + words))
+			gomega.Expect(out).To(gomega.ContainSubstring("Example:"))
+		},
+		ginkgo.Entry(nil, "demo"), ginkgo.Entry(nil, "node"), ginkgo.Entry(nil, "standin"),
+		ginkgo.Entry(nil, "class list"), ginkgo.Entry(nil, "class show"), ginkgo.Entry(nil, "class set"),
+		ginkgo.Entry(nil, "class delete"), ginkgo.Entry(nil, "class history"), ginkgo.Entry(nil, "groups"),
+		ginkgo.Entry(nil, "explain"), ginkgo.Entry(nil, "booking show"), ginkgo.Entry(nil, "state"),
+		ginkgo.Entry(nil, "check-settings"), ginkgo.Entry(nil, "load"),
+	)
+
+	ginkgo.DescribeTable("has exit codes that scripts can use",
+		func(code int, says string, arguments ...string) {
+			got, out, failures := run(append(arguments, "--node", server.URL)...)
+			gomega.Expect(out + failures).To(gomega.ContainSubstring(says))
+			gomega.Expect(got).To(gomega.Equal(code))
+		},
+		ginkgo.Entry("a change", cmd.ExitOK, "accepted as revision 2", "class", "set", "urgent", "--priority", "3"),
+		ginkgo.Entry("a new class", cmd.ExitOK, "accepted as revision 1", "class", "set", "later", "--model", "drafting",
+			"--first-token-ms", "9", "--between-tokens-ms", "9", "--in-target-share", "0.9"),
+		ginkgo.Entry("a conflict", cmd.ExitConflict, "revision 1 is in force, by change first", "class", "set", "urgent", "--base-revision", "0"),
+		ginkgo.Entry("an invalid change", cmd.ExitUsage, "InTargetShare must be", "class", "set", "urgent", "--in-target-share", "2"),
+		ginkgo.Entry("an unknown class", cmd.ExitNotFound, "there is no class", "class", "show", "nobody"),
+		ginkgo.Entry("a known class", cmd.ExitOK, "urgent", "class", "show", "urgent"),
+		ginkgo.Entry("the list", cmd.ExitOK, "urgent", "class", "list"),
+		ginkgo.Entry("the history", cmd.ExitOK, "first", "class", "history", "urgent"),
+		ginkgo.Entry("the groups", cmd.ExitOK, "member x does not answer", "groups"),
+		ginkgo.Entry("an explanation", cmd.ExitOK, "because", "explain", "7"),
+		ginkgo.Entry("nothing to explain", cmd.ExitNotFound, "knows no request or group", "explain", "8"),
+		ginkgo.Entry("a booking", cmd.ExitOK, `"Outcome": "Run"`, "booking", "show", "scheduling", "visit-1"),
+		ginkgo.Entry("no booking", cmd.ExitNotFound, "nothing is known", "booking", "show", "scheduling", "visit-2"),
+		ginkgo.Entry("the state", cmd.ExitOK, "entry-1", "state"),
+		ginkgo.Entry("an unknown flag", cmd.ExitUsage, "unknown flag", "groups", "--nonsense"),
+	)
+
+	ginkgo.It("prints JSON where it prints a table", func() {
+		for _, words := range []string{"class list", "class show urgent", "class history urgent", "groups", "explain 7"} {
+			code, out, failures := run(append(strings.Fields(words), "--json", "--node", server.URL)...)
+			gomega.Expect(code).To(gomega.Equal(cmd.ExitOK), failures)
+			gomega.Expect(json.Valid([]byte(out))).To(gomega.BeTrue(), out)
+		}
+	})
+
+	ginkgo.It("says what to do when the node does not answer", func() {
+		code, _, failures := run("groups", "--node", "http://127.0.0.1:1")
+		gomega.Expect(code).To(gomega.Equal(cmd.ExitFailed))
+		gomega.Expect(failures).To(gomega.ContainSubstring("--node"))
+	})
+
+	ginkgo.It("checks settings", func() {
+		code, out, _ := run("check-settings", "../examples/node.toml")
+		gomega.Expect(code).To(gomega.Equal(cmd.ExitOK))
+		gomega.Expect(out).To(gomega.ContainSubstring("is valid"))
+		wrong := filepath.Join(ginkgo.GinkgoT().TempDir(), "wrong.toml")
+		gomega.Expect(os.WriteFile(wrong, []byte("Name = 3\nNonsense = 1\n"), 0o600)).To(gomega.Succeed())
+		code, _, failures := run("check-settings", wrong)
+		gomega.Expect(code).To(gomega.Equal(cmd.ExitUsage))
+		gomega.Expect(failures).To(gomega.ContainSubstring("wrong.toml:1: Name"))
+		gomega.Expect(failures).To(gomega.ContainSubstring("wrong.toml:2: Nonsense"))
+	})
+})
--- a/internal/policy/admission/admission.go
+++ b/internal/policy/admission/admission.go
@@ -108,11 +108,24 @@
 	classes map[string]*classCount
 	models  map[string]int64
 	freed   chan struct{}
+	open    bool
+}
+
+// Option changes how a Gate is built.
+type Option func(*Gate)
+
+// Open lets every request in; comparisons use it.
+func Open() Option {
+	return func(gate *Gate) { gate.open = true }
 }
 
 // New returns an empty gate.
-func New() *Gate {
-	return &Gate{classes: map[string]*classCount{}, models: map[string]int64{}, freed: make(chan struct{})}
+func New(options ...Option) *Gate {
+	gate := &Gate{classes: map[string]*classCount{}, models: map[string]int64{}, freed: make(chan struct{})}
+	for _, option := range options {
+		option(gate)
+	}
+	return gate
 }
 
 // Enter admits the request, waits for room within the class's patience, or
@@ -160,7 +173,7 @@
 		return nil, gate.refusalLocked(count, request, "no group serves the class's model"), nil
 	}
 	guaranteed := float64(count.running) < guarantee(request)
-	if guaranteed || gate.roomLocked(count, request) {
+	if guaranteed || gate.open || gate.roomLocked(count, request) {
 		return gate.admitLocked(count, request, guaranteed), nil, nil
 	}
 	if gate.expectedWaitLocked(count, request) > request.Class.Patience {
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -36,12 +36,24 @@
 	left    atomic.Int64
 	taken   atomic.Uint64
 	refused atomic.Uint64
+	endless bool
+}
+
+// Option changes how a Budget is built.
+type Option func(*Budget)
+
+// Endless lets every retry through; comparisons use it.
+func Endless() Option {
+	return func(budget *Budget) { budget.endless = true }
 }
 
 // New returns a budget with a few retries in it.
-func New() *Budget {
+func New(options ...Option) *Budget {
 	budget := &Budget{}
 	budget.left.Store(atStart)
+	for _, option := range options {
+		option(budget)
+	}
 	return budget
 }
 
@@ -58,6 +70,10 @@
 // Take spends one retry and reports false when there is none. What is left
 // never goes below zero.
 func (budget *Budget) Take() bool {
+	if budget.endless {
+		budget.taken.Add(1)
+		return true
+	}
 	for {
 		left := budget.left.Load()
 		if left < scale {
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -20,6 +20,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -44,6 +45,9 @@
 	cachedShare    = 0.5
 	defaultPrefill = 10_000
 	defaultRate    = 500
+	// reportTrust is the age at which a report's excess over what nodes say is
+	// believed to a third.
+	reportTrust = 500 * time.Millisecond
 	// remoteMargin is what a group of another data centre must be better by.
 	remoteMargin = 30 * time.Millisecond
 )
@@ -139,8 +143,9 @@
 
 // Router chooses groups.
 type Router struct {
-	table  atomic.Pointer[table]
-	random func(n int) int
+	table   atomic.Pointer[table]
+	random  func(n int) int
+	predict Predictor
 	// prefixes remembers the group that last had a prompt's prefix.
 	prefixes [prefixSlots]atomic.Uint64
 
@@ -157,9 +162,26 @@
 	return func(router *Router) { router.random = draw }
 }
 
+// Predictor estimates the time to the first token at a group at which this
+// node has so many drafts and tokens under way.
+type Predictor func(target *Target, own Own, request Request, now time.Duration) time.Duration
+
+// Own is what this node itself has at a group.
+type Own struct {
+	Running     int64
+	Outstanding int64
+	// Cached tells that the group is likely to know the prompt's prefix.
+	Cached bool
+}
+
+// Predict replaces the prediction; comparisons with simpler rules use it.
+func Predict(predict Predictor) Option {
+	return func(router *Router) { router.predict = predict }
+}
+
 // New returns a router that knows no groups.
 func New(options ...Option) *Router {
-	router := &Router{random: rand.IntN, states: map[uint64]*groupState{}}
+	router := &Router{random: rand.IntN, predict: Prediction, states: map[uint64]*groupState{}}
 	router.table.Store(&table{byModel: map[string]*groups{}})
 	for _, option := range options {
 		option(router)
@@ -217,7 +239,7 @@
 	if !ok {
 		return Choice{}, false
 	}
-	search := search{request: request, now: now}
+	search := search{request: request, now: now, predict: router.predict}
 	search.window(&groups.local, router.random)
 	search.window(&groups.remote, router.random)
 	if remembered, ok := groups.local.byNumber[router.prefixes[request.Prefix%prefixSlots].Load()]; ok {
@@ -252,6 +274,7 @@
 type search struct {
 	request     Request
 	now         time.Duration
+	predict     Predictor
 	found       [searchMost]*candidate
 	predictions [searchMost]time.Duration
 	count       int
@@ -284,7 +307,7 @@
 	if search.count == searchMost || !candidate.open(search.request, search.now) {
 		return
 	}
-	predicted := candidate.predict(search.request, search.now)
+	predicted := search.predict(&candidate.target, candidate.state.own(search.request.Prefix, search.now), search.request, search.now)
 	if search.count == 0 || predicted < search.best {
 		search.best = predicted
 	}
@@ -322,15 +345,22 @@
 	return running < candidate.share || running+int64(candidate.target.PeerRunning) < int64(candidate.target.Concurrency)
 }
 
-// predict estimates the time to the first token.
-func (candidate *candidate) predict(request Request, now time.Duration) time.Duration {
-	target := &candidate.target
+func (state *groupState) own(prefix uint64, now time.Duration) Own {
+	return Own{Running: state.running.Load(), Outstanding: state.outstanding.Load(), Cached: state.cached(prefix, now)}
+}
+
+// Prediction is the usual Predictor.
+func Prediction(target *Target, own Own, request Request, now time.Duration) time.Duration {
 	rate := float64(orDefault(target.TokensPerSecond, defaultRate))
 	prefill := float64(orDefault(target.PrefillPerSecond, defaultPrefill))
-	outstanding := float64(candidate.state.outstanding.Load()) + float64(target.PeerTokens)
-	drained := (now - target.ReadAt).Seconds() * rate
-	queued := max(outstanding, float64(target.QueuedTokens)-drained)
-	running := max(float64(candidate.state.running.Load())+float64(target.PeerRunning), float64(target.Running))
+	// What nodes say they have there is a second old at most; the group's own
+	// report is older and counts much of the same work again. Of what it says
+	// beyond theirs, less is believed the older it is.
+	believed := math.Exp(-(now - target.ReadAt).Seconds() / reportTrust.Seconds())
+	queued := float64(own.Outstanding) + float64(target.PeerTokens)
+	queued += believed * max(0, float64(target.QueuedTokens)-queued)
+	running := float64(own.Running) + float64(target.PeerRunning)
+	running += believed * max(0, float64(target.Running)-running)
 	waiting := 0.0
 	if running >= float64(target.Concurrency) && running > 0 {
 		// Every place in the batch is taken: the draft waits for the share of
@@ -338,7 +368,7 @@
 		waiting = queued * (running - float64(target.Concurrency) + 1) / running / rate
 	}
 	prompt := float64(request.PromptTokens) / prefill
-	if candidate.state.cached(request.Prefix, now) {
+	if own.Cached {
 		prompt *= 1 - cachedShare
 	}
 	// A fuller batch makes each step longer, which a draft pays at every token.
--- a/internal/run/capacity/fit.go
+++ b/internal/run/capacity/fit.go
@@ -74,5 +74,4 @@
 	servers = Term{"servers in the data centre", func(point Point) float64 { return float64(point.Servers) }}
 	centres = Term{"other data centres asked", func(point Point) float64 { return float64(point.DataCentres - 1) }}
 	changes = Term{"changes a second", func(point Point) float64 { return float64(point.ChangesPerSecond) }}
-	nodes   = Term{"nodes in the fleet", func(point Point) float64 { return float64(point.Nodes * point.DataCentres) }}
 )
--- a/internal/run/capacity/measure.go
+++ b/internal/run/capacity/measure.go
@@ -128,7 +128,7 @@
 	}{
 		{&report.Peer, func(sample Sample) float64 { return sample.PeerBytesPerSecond }, []Term{peers, servers, centres}},
 		{&report.Engine, func(sample Sample) float64 { return sample.EngineBytesPerSecond }, []Term{watched}},
-		{&report.Platform, func(sample Sample) float64 { return sample.PlatformBytesPerSecond }, []Term{servers, nodes, changes}},
+		{&report.Platform, func(sample Sample) float64 { return sample.PlatformBytesPerSecond }, []Term{watched, centres, changes}},
 		{&report.PeerMsg, func(sample Sample) float64 { return sample.PeerMessagesPerSecond }, []Term{peers, centres}},
 		{&report.EngMsg, func(sample Sample) float64 { return sample.EngineMessagesPerSecond }, []Term{watched}},
 		{&report.Memory, func(sample Sample) float64 { return sample.MemoryBytes }, []Term{peers, servers, watched, centres}},
@@ -189,9 +189,9 @@
 			Mechanism: "planned by the node that watches the domain; engines or a lease decide who may order",
 		},
 		{
-			Name: "reading the instance list", Parts: []string{"lists"}, Terms: []Term{servers, nodes},
+			Name: "reading the instance list", Parts: []string{"lists"}, Terms: []Term{servers, watched, centres},
 			State:     "last answer",
-			Mechanism: "own data centre every 3 s, entry nodes of all regions every 15 s",
+			Mechanism: "one node of a data centre reads it (own servers every 3 s, entry nodes of all regions every 15 s), the others pull changes",
 		},
 		{
 			Name: "following and relaying the log, configuration, checkpoints", Parts: []string{"stream", "checkpoint"}, Terms: []Term{changes},
--- a/internal/run/capacity/report.go
+++ b/internal/run/capacity/report.go
@@ -67,8 +67,8 @@
 	return report.Peer.At(report.Point) + report.Engine.At(report.Point) + report.PlatformAtTarget()
 }
 
-// PlatformAtTarget is the traffic to the platform. The fleet's nodes count
-// whole here, since their list is read whole.
+// PlatformAtTarget is the traffic to the platform. Every data centre counts
+// here, since the list of all entry nodes is read whole.
 func (report Report) PlatformAtTarget() float64 {
 	fleet := report.Point
 	fleet.DataCentres = report.Target.DataCentres
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -94,6 +94,7 @@
 
 	shape     Shape
 	basePort  int
+	rates     engine.Rates
 	listen    func(address string) (net.Listener, error)
 	servers   []*http.Server
 	listeners []net.Listener
@@ -113,6 +114,11 @@
 	return func(world *World) { world.shape = shape }
 }
 
+// Speed sets how fast the engines work.
+func Speed(rates engine.Rates) Option {
+	return func(world *World) { world.rates = rates }
+}
+
 // Listen sets how listeners are opened.
 func Listen(listen func(address string) (net.Listener, error)) Option {
 	return func(world *World) { world.listen = listen }
@@ -122,7 +128,7 @@
 func NewWorld(options ...Option) (*World, error) {
 	world := &World{
 		Log: platform.NewLog(), List: platform.NewList(listLag), Weights: platform.NewWeights(weightSlots, weightTime),
-		Book: service.NewBook(), Domains: map[string]*engine.Domain{}, basePort: 7000, shape: DefaultShape(),
+		Book: service.NewBook(), Domains: map[string]*engine.Domain{}, basePort: 7000, shape: DefaultShape(), rates: engine.DefaultRates,
 		listen: func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 	}
 	for _, option := range options {
@@ -202,7 +208,7 @@
 		for each := range world.shape.Engines {
 			offset := world.afterNodes(firstEngine) + (index*world.shape.Domains+domain)*world.shape.Engines + each
 			id := fmt.Sprintf("%s-engine-%d", name, each+1)
-			created := engine.New(id, world.address(offset), world.Domains[name], engine.ChecksFencing(!slices.Contains(world.unchecked(), name)))
+			created := engine.New(id, world.address(offset), world.Domains[name], engine.ChecksFencing(!slices.Contains(world.unchecked(), name)), engine.Speed(world.rates))
 			world.Engines = append(world.Engines, created)
 			world.serve(offset, created.Handler())
 			world.List.Put(instancelist.Instance{
--- a/internal/run/load/load.go
+++ b/internal/run/load/load.go
@@ -14,6 +14,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -85,11 +86,20 @@
 	Outcomes         map[string]int
 }
 
+// Second is what became of the requests that were sent in one second.
+type Second struct {
+	At       int
+	Class    string
+	Sent     int
+	InTarget int
+}
+
 // Report is what came back.
 type Report struct {
 	Seconds         float64
 	TokensPerSecond float64
 	Classes         []ClassReport
+	Timeline        []Second
 }
 
 // Check reports what is wrong with a plan.
@@ -108,8 +118,14 @@
 }
 
 type collector struct {
-	mu      sync.Mutex
-	classes map[string]*classCollector
+	mu       sync.Mutex
+	classes  map[string]*classCollector
+	timeline map[moment]*Second
+}
+
+type moment struct {
+	at    int
+	class string
 }
 
 type classCollector struct {
@@ -123,7 +139,7 @@
 	if err := plan.Check(); err != nil {
 		return Report{}, err
 	}
-	collector := &collector{classes: map[string]*classCollector{}}
+	collector := &collector{classes: map[string]*classCollector{}, timeline: map[moment]*Second{}}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024}, Timeout: requestTimeout}
 	random := rand.New(rand.NewPCG(plan.Seed, 1))
 	began := time.Now()
@@ -133,7 +149,8 @@
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		time.Sleep(time.Until(began.Add(at)))
 		target := plan.Targets[serial%len(plan.Targets)]
-		requests.Go(func() { collector.add(share, send(ctx, client, target, share, serial)) })
+		sentAt := int(at.Seconds())
+		requests.Go(func() { collector.add(share, sentAt, send(ctx, client, target, share, serial)) })
 	}
 	requests.Wait()
 	client.CloseIdleConnections()
@@ -251,7 +268,7 @@
 	return total/time.Duration(len(answer.gaps)) <= share.BetweenTokens
 }
 
-func (collector *collector) add(share Share, answer answer) {
+func (collector *collector) add(share Share, sentAt int, answer answer) {
 	collector.mu.Lock()
 	defer collector.mu.Unlock()
 	class, ok := collector.classes[share.Class]
@@ -264,6 +281,15 @@
 		collector.classes[share.Class] = class
 	}
 	class.add(share, answer)
+	second, ok := collector.timeline[moment{sentAt, share.Class}]
+	if !ok {
+		second = &Second{At: sentAt, Class: share.Class}
+		collector.timeline[moment{sentAt, share.Class}] = second
+	}
+	second.Sent++
+	if answer.inTarget(share) {
+		second.InTarget++
+	}
 }
 
 func (class *classCollector) add(share Share, answer answer) {
@@ -306,6 +332,12 @@
 		tokens += line.Tokens
 	}
 	report.TokensPerSecond = float64(tokens) / took.Seconds()
+	for _, second := range collector.timeline {
+		report.Timeline = append(report.Timeline, *second)
+	}
+	slices.SortFunc(report.Timeline, func(a, b Second) int {
+		return cmp.Or(cmp.Compare(a.At, b.At), strings.Compare(a.Class, b.Class))
+	})
 	slices.SortFunc(report.Classes, func(a, b ClassReport) int { return strings.Compare(a.Class, b.Class) })
 	return report
 }
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -79,6 +79,7 @@
 	// drafting holds the connections of drafts apart from those of control.
 	drafting  *engine.Client
 	metered   meters
+	policies  Policies
 	services  *service.Client
 	peers     *peer.Client
 	server    *peer.Server
@@ -131,6 +132,19 @@
 	return func(node *Node) { node.dial, node.listen = dial, listen }
 }
 
+// Policies change how a node decides under load; comparisons with simpler
+// rules use them.
+type Policies struct {
+	Route     []route.Option
+	Admission []admission.Option
+	Retry     []retry.Option
+}
+
+// Decide sets the node's policies.
+func Decide(policies Policies) Option {
+	return func(node *Node) { node.policies = policies }
+}
+
 // Seed makes the node's random choices and its incarnation repeatable.
 func Seed(seed uint64) Option {
 	return func(node *Node) {
@@ -284,10 +298,10 @@
 }
 
 func (node *Node) buildServing() {
-	node.router = route.New(route.Random(node.random.intN))
-	node.gate = admission.New()
+	node.router = route.New(append([]route.Option{route.Random(node.random.intN)}, node.policies.Route...)...)
+	node.gate = admission.New(node.policies.Admission...)
 	node.journal = journal.New(node.settings.Limits.JournalRequests)
-	node.drafts = draft.New(node.router, node.gate, node.drafting.Generate, func() int { return len(node.members.Live()) }, node.now)
+	node.drafts = draft.New(node.router, node.gate, node.drafting.Generate, func() int { return len(node.members.Live()) }, node.now, retry.New(node.policies.Retry...))
 	handler := &caller.Handler{
 		Classes: node.classes.Snapshot, Drafts: node.drafts, Journal: node.journal, Ready: node.Ready,
 		Begin: node.requests.begin, MaxBodyBytes: node.settings.Limits.MaxBodyBytes,
--- a/internal/run/settings/lines.go
+++ b/internal/run/settings/lines.go
@@ -100,3 +100,35 @@
 	}
 	return "accepted: " + strings.Join(names, ", ")
 }
+
+// unknownKeys lists the keys of a tree that the settings do not have. The
+// decoder's own list leaves out those beside a key of the wrong type.
+func unknownKeys(tree map[string]any, kind reflect.Type, path string) []string {
+	unknown := []string{}
+	for key, value := range tree {
+		field, ok := kind.FieldByName(key)
+		if !ok {
+			unknown = append(unknown, join(path, key))
+			continue
+		}
+		unknown = append(unknown, unknownBelow(value, field.Type, join(path, key))...)
+	}
+	return unknown
+}
+
+func unknownBelow(value any, kind reflect.Type, path string) []string {
+	unknown := []string{}
+	switch below := value.(type) {
+	case map[string]any:
+		if kind.Kind() == reflect.Struct {
+			unknown = unknownKeys(below, kind, path)
+		}
+	case []any:
+		for index, element := range below {
+			if kind.Kind() == reflect.Slice {
+				unknown = append(unknown, unknownBelow(element, kind.Elem(), fmt.Sprintf("%s[%d]", path, index))...)
+			}
+		}
+	}
+	return unknown
+}
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -15,6 +15,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strings"
 
@@ -199,9 +200,8 @@
 
 // decode fills the tree of settings and returns every key that does not fit.
 func decode(tree map[string]any, node *Node, finder *finder) Mistakes {
-	metadata := &mapstructure.Metadata{}
 	decoder, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
-		Result: node, Metadata: metadata, MatchName: func(key, field string) bool { return key == field },
+		Result: node, MatchName: func(key, field string) bool { return key == field },
 	})
 	if err != nil {
 		return Mistakes{{File: finder.file, Accepted: err.Error()}}
@@ -210,7 +210,7 @@
 	for _, cause := range flatten(decoder.Decode(tree)) {
 		mistakes = append(mistakes, typeMistake(cause, finder))
 	}
-	for _, key := range metadata.Unused {
+	for _, key := range unknownKeys(tree, reflect.TypeFor[Node](), "") {
 		mistakes = append(mistakes, finder.mistake(key, "there is no such key; "+acceptedKeys(key)))
 	}
 	return mistakes
--- a/internal/serve/draft/draft.go
+++ b/internal/serve/draft/draft.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	server := draft.New(router, gate, generate, clock.Boot)
+//	server := draft.New(router, gate, generate, nodes, clock.Boot, retry.New())
 //	result := server.Run(ctx, draft.Request{...}, func(token string) error { ... })
 //	if result.Failure != nil { ... }
 package draft
@@ -118,8 +118,9 @@
 	generate func(ctx context.Context, address string, generate engine.Generate) (*engine.Stream, error),
 	nodes func() int,
 	now clock.Now,
+	budget *retry.Budget,
 ) *Server {
-	return &Server{router: router, gate: gate, budget: retry.New(), generate: generate, nodes: nodes, now: now}
+	return &Server{router: router, gate: gate, budget: budget, generate: generate, nodes: nodes, now: now}
 }
 
 // Run answers the request. Emit gets each token once, in order; an error of
