test(node): random fleets under every fault at once

Cause: faults were tested one at a time.

`make soak` runs it for as long as asked and prints the seed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 BIN := bin
 
-.PHONY: setup build test lint format generate bench soak capacity ci
+.PHONY: setup build test lint format generate bench trial soak fuzz capacity ci
 
 setup: ## Download the modules and build the project's tools.
 	go mod download
@@ -29,3 +29,21 @@
 
 capacity: build ## Measure what control costs; write docs/CAPACITY.md.
 	$(BIN)/hazelslip capacity --write docs/CAPACITY.md
+
+bench: ## Benchmarks; compare the figures of one run only.
+	go test -run '^$$' -bench . -benchtime 2s ./internal/policy/route ./internal/run/node
+	go test -run '^$$' -bench . -benchtime 1x ./internal/policy/repair
+
+trial: build ## Targets under surges and faults beside simpler rules; some 15 minutes.
+	$(BIN)/hazelslip trial
+
+ROUNDS ?= 200
+soak: ## Long random runs with a free seed, which is printed.
+	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "HAZELSLIP_SEED=$$seed"; \
+	HAZELSLIP_SEED=$$seed HAZELSLIP_ROUNDS=$(ROUNDS) go test -count=1 -timeout 2h -run 'Random' ./internal/state/booking ./internal/run/node
+
+FUZZTIME ?= 30s
+fuzz: ## Fuzz everything that decodes bytes from outside.
+	go test -run '^$$' -fuzz FuzzParseChat -fuzztime $(FUZZTIME) ./internal/peer/caller
+	go test -run '^$$' -fuzz FuzzParsePiece -fuzztime $(FUZZTIME) ./internal/peer/engine
+	go test -run '^$$' -fuzz FuzzFolds -fuzztime $(FUZZTIME) ./internal/state/stream
