--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"hazelslip/cmd"
 	"hazelslip/internal/peer/operator"
@@ -57,7 +58,9 @@
 			if err := class.Check(change); err != nil {
 				return class.Verdict{Reason: err.Error()}, nil
 			}
-			take(fleet.ChangeBody(change.Target, change.BaseRevision, change.ChangeID))
+			body, err := proto.Marshal(&record.ConfigRecord{Kind: &record.ConfigRecord_Change{Change: change}})
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			take(body)
 			verdict, _ := table.Verdict(change.ChangeID)
 			return verdict, nil
 		},
@@ -142,3 +145,69 @@
 		gomega.Expect(failures).To(gomega.ContainSubstring("wrong.toml:2: Nonsense"))
 	})
 })
+
+// An operator copies a command from the documentation. It must be one that the
+// program takes, in README.md and on every page of docs/operating.
+var _ = ginkgo.Describe("the documentation", func() {
+	ginkgo.It("shows only commands that work", func() {
+		server := operatorOf()
+		ginkgo.DeferCleanup(server.Close)
+		pages, err := filepath.Glob("../docs/operating/*.md")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		shown := 0
+		for _, page := range append(pages, "../README.md") {
+			for _, line := range commandsOf(page) {
+				shown++
+				tryShown(page, line, server.URL)
+			}
+		}
+		gomega.Expect(shown).To(gomega.BeNumerically(">", 8))
+	})
+})
+
+// commandsOf lists the hazelslip commands in a page's shell blocks, with
+// continued lines joined.
+func commandsOf(page string) []string {
+	body, err := os.ReadFile(page)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	commands, inBlock := []string{}, false
+	for _, line := range strings.Split(strings.ReplaceAll(string(body), "\\\n", ""), "\n") {
+		if strings.HasPrefix(line, "```") {
+			inBlock = line == "```sh"
+			continue
+		}
+		line = strings.TrimPrefix(line, "bin/")
+		if inBlock && strings.HasPrefix(line, "hazelslip ") {
+			commands = append(commands, line)
+		}
+	}
+	return commands
+}
+
+// tryShown runs a command against a node's operator address. Commands that run
+// until they are stopped are tried by scripts/whole-path.sh; here only their
+// arguments are checked.
+func tryShown(page, line, node string) {
+	arguments := strings.Fields(line)[1:]
+	for index, argument := range arguments {
+		if strings.HasSuffix(argument, ".toml") {
+			arguments[index] = "../examples/node.toml"
+		}
+	}
+	switch arguments[0] {
+	case "node", "standin", "demo":
+		code, _, failures := run(append(arguments, "--help")...)
+		gomega.Expect(code).To(gomega.Equal(cmd.ExitOK), "%s: %s: %s", page, line, failures)
+		return
+	case "check-settings":
+	default:
+		arguments = append(arguments, "--node", node)
+	}
+	for index, argument := range arguments {
+		if argument == "4294967297" {
+			arguments[index] = "7"
+		}
+	}
+	code, out, failures := run(arguments...)
+	gomega.Expect(code).To(gomega.Equal(cmd.ExitOK), "%s: %s: %s%s", page, line, out, failures)
+}
--- a/internal/run/capacity/measure.go
+++ b/internal/run/capacity/measure.go
@@ -29,7 +29,7 @@
 var TwoYears = Target{
 	Nodes: 340, Servers: 2200, GroupSize: 8, Regions: 7, DataCentres: 27,
 	RequestsPerSecond: 890, TokensPerSecond: 370_000, ChangesPerDay: 2900, RestartsPerDay: 690, FailuresPerDay: 44,
-	InForceSeconds: 9, BudgetCores: 0.026, BudgetBytes: 32 << 20, BudgetRate: 25_000,
+	InForceSeconds: 9, BudgetCores: 0.026, BudgetBytes: 32e6, BudgetRate: 25_000,
 }
 
 // point is an average data centre of the target, as far as a node sees it. A
--- a/internal/run/node/state.go
+++ b/internal/run/node/state.go
@@ -170,3 +170,15 @@
 func (node *Node) GroupEvents() []*record.GroupEvent {
 	return node.leases.Events()
 }
+
+// InForce returns the revision of a class that is in force at this node, 0 for
+// none.
+func (node *Node) InForce(class string) uint64 {
+	return node.classes.Snapshot().Entries[class].GetRevision()
+}
+
+// BookOneByOne turns batches of bookings off; comparisons use it.
+func (node *Node) BookOneByOne(single bool) {
+	node.collector.OneByOne(single)
+	node.appender.OneByOne(single)
+}
--- a/internal/state/booking/batch.go
+++ b/internal/state/booking/batch.go
@@ -46,6 +46,15 @@
 	appends  uint64
 	entries  uint64
 	refused  uint64
+	single   bool
+}
+
+// OneByOne makes each entry an append of its own, sent as soon as the one
+// before has ended; comparisons use it.
+func (batcher *Batcher) OneByOne(single bool) {
+	batcher.mu.Lock()
+	defer batcher.mu.Unlock()
+	batcher.single = single
 }
 
 // NewBatcher returns a batcher that writes through the function.
@@ -96,6 +105,9 @@
 func (batcher *Batcher) pause() time.Duration {
 	batcher.mu.Lock()
 	defer batcher.mu.Unlock()
+	if batcher.single {
+		return 0
+	}
 	return batcher.interval
 }
 
@@ -121,7 +133,11 @@
 	defer batcher.mu.Unlock()
 	merged := &record.BookingBatch{}
 	taken, bytes := 0, 0
-	for taken < len(batcher.waiting) && taken < batchEntries && bytes < batchBytes {
+	most := batchEntries
+	if batcher.single {
+		most = 1
+	}
+	for taken < len(batcher.waiting) && taken < most && bytes < batchBytes {
 		part := batcher.waiting[taken].batch
 		bytes += proto.Size(part)
 		merged.Intents = append(merged.Intents, part.Intents...)
