feat(policy): spill to the neighbour, crowded weight store, bounds

Cause: a data centre whose groups were all down refused every draft although its neighbour had room; groups of other regions would have been used as if they were next door; the weight store's load was not looked at; the key table had no bound.

Change: a node may use a quarter of the share that it would have at groups of the region's other data centres. While the weight store is crowded only the most needed group is formed. New keys are refused at 500,000.

Measured: TestDraftsSpillToTheNeighbour fails before (refused), passes after.

--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -72,6 +72,9 @@
 	// Right returns nil when this node may give orders in a domain, for as
 	// long as the returned function says so.
 	Right func(ctx context.Context, domain string) (func() bool, error)
+	// StoreCrowded reports whether the weight store serves as many loads as it
+	// can. It may be unknown, which counts as no.
+	StoreCrowded func(ctx context.Context) bool
 	// Record notes what was done.
 	Record func(event Event)
 	Now    clock.Now
@@ -154,7 +157,7 @@
 	}
 	orders := &round{former: former, domain: domain, may: may, highest: highest(servers)}
 	defer former.ordered(domain)
-	for _, action := range due {
+	for _, action := range former.inOrder(ctx, due) {
 		if !orders.run(ctx, action, snapshot) {
 			former.backOff(domain)
 			return
@@ -163,6 +166,24 @@
 	former.restFor(domain, settleLeast)
 }
 
+// inOrder leaves out what should wait for the weight store. It serves loads in
+// the order in which they come; while it is crowded only the group that is
+// needed most is formed, so that the others' loads do not stand before it.
+func (former *Former) inOrder(ctx context.Context, actions []repair.Action) []repair.Action {
+	forming := func(action repair.Action) bool { return action.Kind == repair.Form }
+	first := slices.IndexFunc(actions, forming)
+	if first < 0 || !former.StoreCrowded(ctx) {
+		return actions
+	}
+	kept := slices.Clone(actions[:first+1])
+	for _, action := range actions[first+1:] {
+		if !forming(action) {
+			kept = append(kept, action)
+		}
+	}
+	return kept
+}
+
 // backOff keeps rivals that both think a domain theirs from taking each
 // other's half-formed groups apart in step.
 func (former *Former) backOff(domain string) {
--- a/internal/peer/caller/chat.go
+++ b/internal/peer/caller/chat.go
@@ -128,10 +128,18 @@
 	return chatResponse{
 		ID: work.ID, Object: "chat.completion", Created: time.Now().Unix(), Model: work.Class.Model,
 		Choices: []chatChoice{{Message: &chatMessage{Role: "assistant", Content: text}, FinishReason: &result.Reason}},
-		Usage:   &chatUsage{CompletionTokens: result.Tokens, TotalTokens: result.Tokens},
+		Usage:   usageOf(work.Prompt, result.Tokens),
 	}
 }
 
+// usageOf counts the answer's tokens; those of the prompt are estimated, since
+// only the engine's tokenizer knows.
+func usageOf(prompt string, tokens int) *chatUsage {
+	const bytesPerToken = 4
+	estimated := len(prompt) / bytesPerToken
+	return &chatUsage{PromptTokens: estimated, CompletionTokens: tokens, TotalTokens: estimated + tokens}
+}
+
 // eventWriter writes a draft as server-sent events.
 type eventWriter struct {
 	writer     http.ResponseWriter
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -48,6 +48,10 @@
 	// reportTrust is the age at which a report's excess over what nodes say is
 	// believed to a third.
 	reportTrust = 500 * time.Millisecond
+	// spillPart bounds what a node sends to a group of another data centre: a
+	// part of the share that it would have there, so that one data centre's
+	// surge does not sink its neighbours.
+	spillPart = 4
 	// remoteMargin is what a group of another data centre must be better by.
 	remoteMargin = 30 * time.Millisecond
 )
@@ -113,8 +117,9 @@
 
 // groups are those of one model, of this data centre and of others.
 type groups struct {
-	// capacity and taken sum up the local groups.
-	capacity, taken int64
+	// capacity and taken sum up the local groups, spill this node's shares of
+	// the remote ones.
+	capacity, taken, spill int64
 
 	local  list
 	remote list
@@ -204,6 +209,9 @@
 		}
 		states[target.Number] = state
 		share := int64(max(1, int(target.Concurrency)/max(1, nodes)))
+		if target.Remote {
+			share = max(1, share/spillPart)
+		}
 		next.add(candidate{target: target, state: state, share: share})
 	}
 	for number, state := range router.states {
@@ -222,6 +230,7 @@
 		table.byModel[candidate.target.Model] = ofModel
 	}
 	if candidate.target.Remote {
+		ofModel.spill += candidate.share
 		ofModel.remote.add(candidate)
 		return
 	}
@@ -342,6 +351,9 @@
 	if suspected != 0 && now-suspected < suspectFor+rampFor {
 		return running < max(1, candidate.share/4)
 	}
+	if candidate.target.Remote {
+		return running < candidate.share
+	}
 	return running < candidate.share || running+int64(candidate.target.PeerRunning) < int64(candidate.target.Concurrency)
 }
 
@@ -429,13 +441,14 @@
 }
 
 // Capacity is how many drafts of a model can run at once at the groups of this
-// data centre, and how many of them peers said are taken.
+// data centre, and in what this node may use of others, and how many of them
+// peers said are taken.
 func (router *Router) Capacity(model string) (capacity, taken int64) {
 	ofModel, ok := router.table.Load().byModel[model]
 	if !ok {
 		return 0, 0
 	}
-	return ofModel.capacity, ofModel.taken
+	return ofModel.capacity + ofModel.spill, ofModel.taken
 }
 
 // Sent returns what this node has at each group, for its peers.
--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -149,7 +149,7 @@
 		exchanger.learnDomain(known, sent, report)
 	}
 	exchanger.mu.Lock()
-	if len(reply.GetGroups()) > 0 {
+	if known.DataCentre != exchanger.node.settings.DataCentre {
 		exchanger.learnRemoteLocked(known, sent, reply.GetGroups())
 	} else {
 		exchanger.sent[known.Incarnation] = peerSent{at: sent, groups: reply.GetSent()}
@@ -195,6 +195,10 @@
 }
 
 func (exchanger *exchanger) learnRemoteLocked(known member.Peer, sent time.Duration, groups []*exchange.GroupSummary) {
+	if known.Region != exchanger.node.settings.Region {
+		// Other regions are too far for spill; they matter for configuration.
+		return
+	}
 	for _, group := range groups {
 		exchanger.remote[group.Number] = route.Target{
 			Number: group.Number, Model: group.Model, Leader: group.Leader, DataCentre: known.DataCentre, Remote: true,
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -41,6 +41,7 @@
 	peer "hazelslip/internal/peer/node"
 	"hazelslip/internal/peer/operator"
 	"hazelslip/internal/peer/service"
+	"hazelslip/internal/peer/weightstore"
 	"hazelslip/internal/policy/admission"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/policy/route"
@@ -75,6 +76,7 @@
 
 	log     *logservice.Client
 	list    *instancelist.Client
+	weights *weightstore.Client
 	engines *engine.Client
 	// drafting holds the connections of drafts apart from those of control.
 	drafting  *engine.Client
@@ -236,6 +238,7 @@
 	node.transport = &http.Transport{DialContext: node.metered.platform.Dial(node.dialer()), MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
 	node.log = logservice.New(node.settings.Platform.LogService, logservice.Transport(node.transport))
 	node.list = instancelist.New(node.settings.Platform.InstanceList, instancelist.Transport(node.transport))
+	node.weights = weightstore.New(node.settings.Platform.WeightStore, weightstore.Transport(node.transport))
 	node.engines = engine.New(engine.Dial(node.metered.engines.Dial(node.dialer())))
 	node.drafting = engine.New(engine.Dial(node.metered.drafts.Dial(node.dialer())))
 	node.services = service.New(service.Dial(node.dialer()))
@@ -291,7 +294,8 @@
 	node.former = &replica.Former{
 		Incarnation: node.Incarnation, Snapshot: node.groups.Load, Facts: node.facts.Snapshot,
 		Mine: node.mayForm, Models: node.models, Order: node.engines.Order, Right: node.right,
-		Record: node.recordGroup, Now: node.now, Random: node.random.intN, Logger: node.logger,
+		StoreCrowded: node.storeCrowded,
+		Record:       node.recordGroup, Now: node.now, Random: node.random.intN, Logger: node.logger,
 		Grace:    time.Duration(node.settings.Engines.GraceSeconds) * time.Second,
 		Stranded: node.settings.Prices.StrandedInstance,
 	}
--- a/internal/run/node/repair_test.go
+++ b/internal/run/node/repair_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	peer "hazelslip/internal/peer/engine"
 	"hazelslip/internal/run/demo"
 	"hazelslip/internal/run/settings"
 	"hazelslip/internal/standin/engine"
@@ -255,3 +256,55 @@
 		g.Expect(numbers).To(gomega.HaveLen(2))
 	})
 }
+
+// A node was paused past its lease and sends one order that it had ready, to an
+// engine that ignores fencing numbers. It cannot be prevented; it must cost one
+// group downtime and no more: nobody serves with a member that has left, and no
+// engine is in two groups.
+func TestStaleOrderCostsOneGroupDowntimeOnly(t *testing.T) {
+	inBubble(t, spare(1), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		others := []string{member.Report().Address, "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+		reply := member.Order(peer.Order{Number: 1, Model: "drafting", Members: others})
+		g.Expect(reply.Accepted).To(gomega.BeTrue())
+		running.Eventually(4*time.Second, "the group has stopped", func() bool { return !serves(running, number) })
+		g.Expect(running.Draft(0, "report", "meanwhile", 10).Whole).To(gomega.BeTrue())
+		running.Eventually(60*time.Second, "two groups serve again", servesBoth(running, 2))
+	})
+}
+
+// The same order to an engine that checks numbers is refused, and nothing
+// happens.
+func TestStaleOrderIsRefusedWhereNumbersAreChecked(t *testing.T) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, number := memberOf(running, 0)
+		reply := member.Order(peer.Order{Number: 1, Model: "drafting", Members: []string{member.Report().Address}})
+		g.Expect(reply.Accepted).To(gomega.BeFalse())
+		time.Sleep(10 * time.Second)
+		g.Expect(serves(running, number)).To(gomega.BeTrue())
+	})
+}
+
+// Every engine of a data centre is dark. Its callers' drafts must go to the
+// neighbouring data centre, in bounds, instead of being refused.
+func TestDraftsSpillToTheNeighbour(t *testing.T) {
+	shape := demo.Shape{
+		DataCentres: []string{"lakes-a", "lakes-b"}, Nodes: 2, Domains: 1, Engines: 4,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
+	}
+	inBubble(t, shape, func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		time.Sleep(10 * time.Second)
+		for _, server := range running.World.Engines[:4] {
+			server.SetFaults(engine.Faults{Dead: true})
+		}
+		running.Eventually(10*time.Second, "the group has stopped", func() bool { return running.Serving(0, "drafting") == 0 })
+		time.Sleep(5 * time.Second)
+		for index := range running.Nodes {
+			answer := running.Draft(index, "report", "from next door", 10)
+			g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt("from next door"), 10)), answer.Error)
+		}
+		for _, server := range running.World.Engines[:4] {
+			server.Restart()
+		}
+	})
+}
--- a/internal/run/node/view.go
+++ b/internal/run/node/view.go
@@ -90,6 +90,12 @@
 // baseWorth is what a class without a guaranteed share counts for.
 const baseWorth = 0.1
 
+// storeCrowded asks the weight store; without its word nothing is held back.
+func (node *Node) storeCrowded(ctx context.Context) bool {
+	status, err := node.weights.Status(ctx)
+	return err == nil && status.Slots > 0 && status.Loading >= status.Slots
+}
+
 // mayForm keeps a node that is leaving from beginning new orders.
 func (node *Node) mayForm(duty string) bool {
 	return !node.stopping.Load() && node.members.Mine(duty)
--- a/internal/state/booking/booking.go
+++ b/internal/state/booking/booking.go
@@ -249,6 +249,9 @@
 	if keeper.follower.Dark() {
 		return refuse("the log does not answer, so the key cannot be claimed; a ticket can be used instead")
 	}
+	if keeper.table.full() {
+		return refuse("this region keeps as many keys as it can hold")
+	}
 	attempt := keeper.attempts.Add(1)
 	began := keeper.now()
 	won, answer := keeper.win(ctx, call, attempt)
--- a/internal/state/booking/table.go
+++ b/internal/state/booking/table.go
@@ -20,6 +20,9 @@
 	// maxClockStep bounds how far one record can move the stream's time, so
 	// that a node with a wrong clock cannot expire every key at once.
 	maxClockStep = time.Minute
+	// keysMost bounds the table, some 250 MB with small answers. New keys are
+	// refused beyond it rather than the node being lost to its memory.
+	keysMost = 500_000
 )
 
 // Entry is what the stream says about one key. It never changes.
@@ -194,6 +197,13 @@
 	return proto.Marshal(&record.BookingRecord{Kind: &record.BookingRecord_Checkpoint{Checkpoint: checkpoint}})
 }
 
+// full reports whether no new key should be claimed.
+func (table *Table) full() bool {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return len(table.entries) >= keysMost
+}
+
 // Lookup returns what the stream says about a key.
 func (table *Table) Lookup(key string) (Entry, bool) {
 	table.mu.Lock()
