--- a/cmd/load.go
+++ b/cmd/load.go
@@ -27,6 +27,7 @@
 	StepAt      time.Duration `help:"When it begins to surge."`
 	StepTimes   float64       `default:"5" help:"How many times its rate becomes."`
 	Seed        uint64        `default:"1" help:"Seed of the random choices."`
+	Report      string        `type:"path" help:"Draw the share in target over time into this file (.svg or .png)."`
 	JSON        bool          `name:"json" help:"Print JSON."`
 }
 
@@ -55,6 +56,11 @@
 	if err != nil {
 		return err
 	}
+	if command.Report != "" {
+		if err := report.Plot(fmt.Sprintf("%g requests a second", command.Rate), command.Report); err != nil {
+			return err
+		}
+	}
 	if command.JSON {
 		return printJSON(streams.Out, report)
 	}
--- a/cmd/trial.go
+++ b/cmd/trial.go
@@ -2,8 +2,12 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hazelslip/internal/run/trial"
 )
 
@@ -11,6 +15,7 @@
 	Duration time.Duration `default:"16s" help:"How long each rule is given requests in each scenario."`
 	Scenario string        `help:"Only scenarios whose name begins with this."`
 	Rule     string        `help:"Only the rule of this name."`
+	Report   string        `type:"path" help:"Draw each run of our own rules into this folder."`
 	JSON     bool          `name:"json" help:"Print JSON."`
 }
 
@@ -45,12 +50,35 @@
 	if err != nil {
 		return err
 	}
+	if err := command.draw(results); err != nil {
+		return err
+	}
 	if command.JSON {
 		return printJSON(streams.Out, results)
 	}
 	return nil
 }
 
+// draw writes a plot of each scenario under our own rules.
+func (command *trialCommand) draw(results []trial.Result) error {
+	if command.Report == "" {
+		return nil
+	}
+	if err := os.MkdirAll(command.Report, folderMode); err != nil {
+		return errors.Wrap(err, "make the folder for plots")
+	}
+	for _, result := range results {
+		if result.Rule != trial.Rules()[0].Name {
+			continue
+		}
+		file := filepath.Join(command.Report, "trial-"+result.Scenario[:1]+".svg")
+		if err := result.Report.Plot(result.Scenario, file); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func printTrial(streams *streams, result trial.Result) {
 	shares := map[string]float64{}
 	refused, late, failed := 0, 0, 0
