--- a/internal/peer/instancelist/instancelist.go
+++ b/internal/peer/instancelist/instancelist.go
@@ -5,19 +5,19 @@
 //
 // # Usage
 //
-//	client := instancelist.New("http://127.0.0.1:7001")
+//	client := instancelist.New("http://127.0.0.1:7001", nil)
 //	instances, err := client.List(ctx, instancelist.Query{DataCentre: "lakes-a"})
 package instancelist
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/jsonhttp"
 )
 
 // The roles that an instance can have in the list.
@@ -48,25 +48,13 @@
 
 // Client reads the list. Its zero value is not usable; call New.
 type Client struct {
-	base       string
-	httpClient *http.Client
-}
-
-// Option changes how a Client is built.
-type Option func(*Client)
-
-// Transport makes the client use the given transport.
-func Transport(transport http.RoundTripper) Option {
-	return func(client *Client) { client.httpClient.Transport = transport }
+	client *jsonhttp.Client
 }
 
-// New returns a client of the instance list at the base URL.
-func New(base string, options ...Option) *Client {
-	client := &Client{base: base, httpClient: &http.Client{}}
-	for _, option := range options {
-		option(client)
-	}
-	return client
+// New returns a client of the instance list at the base URL. A nil transport
+// is the usual one.
+func New(base string, transport http.RoundTripper) *Client {
+	return &Client{client: jsonhttp.New(base, transport)}
 }
 
 // Query selects instances; an empty field selects all.
@@ -90,24 +78,8 @@
 
 // List returns the instances that the query selects.
 func (client *Client) List(ctx context.Context, query Query) ([]Instance, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	address := client.base + "/instances?" + query.Values().Encode()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "build list request")
-	}
-	response, err := client.httpClient.Do(request)
-	if err != nil {
-		return nil, errors.Wrap(err, "read the instance list")
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return nil, errors.Newf("read the instance list: it answered %s", response.Status)
-	}
 	var instances []Instance
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&instances); err != nil {
-		return nil, errors.Wrap(err, "decode the instance list")
-	}
-	return instances, nil
+	limits := jsonhttp.Limits{Timeout: requestTimeout, Bytes: maxListBytes}
+	err := client.client.Get(ctx, "/instances?"+query.Values().Encode(), limits, &instances)
+	return instances, errors.Wrap(err, "read the instance list")
 }
--- a/internal/peer/logservice/logservice.go
+++ b/internal/peer/logservice/logservice.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	client := logservice.New("http://127.0.0.1:7000")
+//	client := logservice.New("http://127.0.0.1:7000", nil)
 //	offset, err := client.Append(ctx, "Config", body)
 //	page, err := client.Read(ctx, "Config", offset, logservice.Wait(time.Second))
 package logservice
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/jsonhttp"
 )
 
 // Errors of the log. Use errors.Is.
@@ -68,25 +70,13 @@
 
 // Client reads and appends. Its zero value is not usable; call New.
 type Client struct {
-	base       string
-	httpClient *http.Client
+	client *jsonhttp.Client
 }
 
-// Option changes how a Client is built.
-type Option func(*Client)
-
-// Transport makes the client use the given transport.
-func Transport(transport http.RoundTripper) Option {
-	return func(client *Client) { client.httpClient.Transport = transport }
-}
-
-// New returns a client of the log at the base URL.
-func New(base string, options ...Option) *Client {
-	client := &Client{base: base, httpClient: &http.Client{}}
-	for _, option := range options {
-		option(client)
-	}
-	return client
+// New returns a client of the log at the base URL. A nil transport is the
+// usual one.
+func New(base string, transport http.RoundTripper) *Client {
+	return &Client{client: jsonhttp.New(base, transport)}
 }
 
 // Append adds one record and returns its offset. The error is ErrNotWritten
@@ -98,11 +88,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.streamURL(stream), bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, client.client.Base+streamPath(stream), bytes.NewReader(body))
 	if err != nil {
 		return 0, errors.Mark(errors.Wrap(err, "build append"), ErrNotWritten)
 	}
-	response, err := client.httpClient.Do(request)
+	response, err := client.client.HTTP.Do(request)
 	if err != nil {
 		return 0, errors.Mark(errors.Wrapf(err, "append to %s", stream), ErrLost)
 	}
@@ -128,30 +118,17 @@
 // Read returns records from the offset on, at most max of them. It waits up to
 // wait for a first record when there is none yet.
 func (client *Client) Read(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+requestTimeout)
-	defer cancel()
-	address := fmt.Sprintf("%s?From=%d&Max=%d&WaitMs=%d", client.streamURL(stream), from, maxRecords, wait.Milliseconds())
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
-	if err != nil {
-		return Page{}, errors.Wrap(err, "build read")
-	}
-	response, err := client.httpClient.Do(request)
-	if err != nil {
-		return Page{}, errors.Mark(errors.Wrapf(err, "read %s", stream), ErrDark)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return Page{}, errors.Mark(errors.Newf("read %s: the log answered %s", stream, response.Status), ErrDark)
-	}
 	var page Page
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxPageBytes)).Decode(&page); err != nil {
-		return Page{}, errors.Mark(errors.Wrapf(err, "read %s: decode page", stream), ErrDark)
+	path := fmt.Sprintf("%s?From=%d&Max=%d&WaitMs=%d", streamPath(stream), from, maxRecords, wait.Milliseconds())
+	limits := jsonhttp.Limits{Timeout: wait + requestTimeout, Bytes: maxPageBytes}
+	if err := client.client.Get(ctx, path, limits, &page); err != nil {
+		return Page{}, errors.Mark(errors.Wrapf(err, "read %s", stream), ErrDark)
 	}
 	return page, nil
 }
 
-func (client *Client) streamURL(stream string) string {
-	return client.base + "/streams/" + url.PathEscape(stream) + "/records"
+func streamPath(stream string) string {
+	return "/streams/" + url.PathEscape(stream) + "/records"
 }
 
 // ParseRead reads the query of a read request; the platform's stand-in uses it
--- a/internal/peer/weightstore/weightstore.go
+++ b/internal/peer/weightstore/weightstore.go
@@ -4,19 +4,19 @@
 //
 // # Usage
 //
-//	client := weightstore.New("http://127.0.0.1:7002")
+//	client := weightstore.New("http://127.0.0.1:7002", nil)
 //	status, err := client.Status(ctx)
 //	if status.Loading >= status.Slots { ... }
 package weightstore
 
 import (
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/jsonhttp"
 )
 
 const (
@@ -33,43 +33,19 @@
 
 // Client reads the store's status. Its zero value is not usable; call New.
 type Client struct {
-	base       string
-	httpClient *http.Client
-}
-
-// Option changes how a Client is built.
-type Option func(*Client)
-
-// Transport makes the client use the given transport.
-func Transport(transport http.RoundTripper) Option {
-	return func(client *Client) { client.httpClient.Transport = transport }
+	client *jsonhttp.Client
 }
 
-// New returns a client of the weight store at the base URL.
-func New(base string, options ...Option) *Client {
-	client := &Client{base: base, httpClient: &http.Client{}}
-	for _, option := range options {
-		option(client)
-	}
-	return client
+// New returns a client of the weight store at the base URL. A nil transport is
+// the usual one.
+func New(base string, transport http.RoundTripper) *Client {
+	return &Client{client: jsonhttp.New(base, transport)}
 }
 
 // Status reads the store's load.
 func (client *Client) Status(ctx context.Context) (Status, error) {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, client.base+"/status", nil)
-	if err != nil {
-		return Status{}, errors.Wrap(err, "build status request")
-	}
-	response, err := client.httpClient.Do(request)
-	if err != nil {
-		return Status{}, errors.Wrap(err, "read the weight store's status")
-	}
-	defer response.Body.Close()
 	var status Status
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatusBytes)).Decode(&status); err != nil {
-		return Status{}, errors.Wrap(err, "decode the weight store's status")
-	}
-	return status, nil
+	limits := jsonhttp.Limits{Timeout: requestTimeout, Bytes: maxStatusBytes}
+	err := client.client.Get(ctx, "/status", limits, &status)
+	return status, errors.Wrap(err, "read the weight store's status")
 }
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -20,7 +20,6 @@
 package route
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -167,18 +166,6 @@
 	return func(router *Router) { router.random = draw }
 }
 
-// Predictor estimates the time to the first token at a group at which this
-// node has so many drafts and tokens under way.
-type Predictor func(target *Target, own Own, request Request, now time.Duration) time.Duration
-
-// Own is what this node itself has at a group.
-type Own struct {
-	Running     int64
-	Outstanding int64
-	// Cached tells that the group is likely to know the prompt's prefix.
-	Cached bool
-}
-
 // Predict replaces the prediction; comparisons with simpler rules use it.
 func Predict(predict Predictor) Option {
 	return func(router *Router) { router.predict = predict }
@@ -239,39 +226,6 @@
 	ofModel.local.add(candidate)
 }
 
-// Pick chooses a group for the request, and false when there is none that may
-// take it. It looks at a few groups drawn at random and at the one that last
-// had the prompt's prefix, so its cost does not grow with the groups; where
-// none of these may take the request it looks at all.
-func (router *Router) Pick(request Request, now time.Duration) (Choice, bool) {
-	groups, ok := router.table.Load().byModel[request.Model]
-	if !ok {
-		return Choice{}, false
-	}
-	search := search{request: request, now: now, predict: router.predict}
-	search.window(&groups.local, router.random)
-	search.window(&groups.remote, router.random)
-	if remembered, ok := groups.local.byNumber[router.prefixes[request.Prefix%prefixSlots].Load()]; ok {
-		search.consider(&groups.local.candidates[remembered])
-	}
-	if search.count == 0 {
-		search.all(&groups.local)
-		search.all(&groups.remote)
-	}
-	known := len(groups.local.candidates) + len(groups.remote.candidates)
-	if search.count == 0 {
-		return Choice{Known: known}, false
-	}
-	chosen, predicted, near := search.draw(router.random)
-	choice := Choice{
-		Target: chosen.target, Predicted: predicted, Near: near, Known: known,
-		state: chosen.state, tokens: int64(request.AnswerTokens),
-	}
-	router.prefixes[request.Prefix%prefixSlots].Store(chosen.target.Number)
-	choice.begin(request.Prefix, now)
-	return choice, true
-}
-
 const (
 	// windowGroups is how many groups of one kind are looked at.
 	windowGroups = 12
@@ -279,142 +233,10 @@
 	searchMost = 2*windowGroups + 1
 )
 
-// search is the groups that one choice has looked at. It lives on the stack.
-type search struct {
-	request     Request
-	now         time.Duration
-	predict     Predictor
-	found       [searchMost]*candidate
-	predictions [searchMost]time.Duration
-	count       int
-	best        time.Duration
-}
-
-// window looks at a run of groups that begins at random.
-func (search *search) window(list *list, random func(n int) int) {
-	total := len(list.candidates)
-	if total == 0 {
-		return
-	}
-	first := 0
-	if total > windowGroups {
-		first = random(total)
-	}
-	for offset := range min(total, windowGroups) {
-		search.consider(&list.candidates[(first+offset)%total])
-	}
-}
-
-// all looks at every group until enough may take the request.
-func (search *search) all(list *list) {
-	for index := range list.candidates {
-		search.consider(&list.candidates[index])
-	}
-}
-
-func (search *search) consider(candidate *candidate) {
-	if search.count == searchMost || !candidate.open(search.request, search.now) {
-		return
-	}
-	predicted := search.predict(&candidate.target, candidate.state.own(search.request.Prefix, search.now), search.request, search.now)
-	if search.count == 0 || predicted < search.best {
-		search.best = predicted
-	}
-	search.found[search.count], search.predictions[search.count] = candidate, predicted
-	search.count++
-}
-
-// draw chooses at random among those near the best.
-func (search *search) draw(random func(n int) int) (chosen *candidate, predicted time.Duration, near int) {
-	limit := search.best + max(nearBestLeast, time.Duration(float64(search.best)*nearBestShare))
-	var within [searchMost]int
-	for index := range search.count {
-		if search.predictions[index] <= limit {
-			within[near] = index
-			near++
-		}
-	}
-	drawn := within[random(near)]
-	return search.found[drawn], search.predictions[drawn], near
-}
-
-// open reports whether the group may take one more draft of this node.
-func (candidate *candidate) open(request Request, now time.Duration) bool {
-	if candidate.target.Number == request.Exclude {
-		return false
-	}
-	running := candidate.state.running.Load()
-	suspected := time.Duration(candidate.state.suspectAt.Load())
-	if suspected != 0 && candidate.target.ReadAt <= suspected && now-suspected < suspectFor {
-		return false
-	}
-	if suspected != 0 && now-suspected < suspectFor+rampFor {
-		return running < max(1, candidate.share/4)
-	}
-	if candidate.target.Remote {
-		return running < candidate.share
-	}
-	return running < candidate.share || running+int64(candidate.target.PeerRunning) < int64(candidate.target.Concurrency)
-}
-
-func (state *groupState) own(prefix uint64, now time.Duration) Own {
-	return Own{Running: state.running.Load(), Outstanding: state.outstanding.Load(), Cached: state.cached(prefix, now)}
-}
-
-// Prediction is the usual Predictor.
-func Prediction(target *Target, own Own, request Request, now time.Duration) time.Duration {
-	rate := float64(orDefault(target.TokensPerSecond, defaultRate))
-	prefill := float64(orDefault(target.PrefillPerSecond, defaultPrefill))
-	// What nodes say they have there is a second old at most; the group's own
-	// report is older and counts much of the same work again. Of what it says
-	// beyond theirs, less is believed the older it is.
-	believed := math.Exp(-(now - target.ReadAt).Seconds() / reportTrust.Seconds())
-	queued := float64(own.Outstanding) + float64(target.PeerTokens)
-	queued += believed * max(0, float64(target.QueuedTokens)-queued)
-	running := float64(own.Running) + float64(target.PeerRunning)
-	running += believed * max(0, float64(target.Running)-running)
-	waiting := 0.0
-	if running >= float64(target.Concurrency) && running > 0 {
-		// Every place in the batch is taken: the draft waits for the share of
-		// the queue that is ahead of it.
-		waiting = queued * (running - float64(target.Concurrency) + 1) / running / rate
-	}
-	prompt := float64(request.PromptTokens) / prefill
-	if own.Cached {
-		prompt *= 1 - cachedShare
-	}
-	// A fuller batch makes each step longer, which a draft pays at every token.
-	step := running / rate
-	seconds := waiting + prompt + step
-	predicted := time.Duration(seconds * float64(time.Second))
-	if target.Remote {
-		predicted += remoteMargin
-	}
-	return predicted
-}
-
-func orDefault(value, otherwise uint32) uint32 {
-	if value == 0 {
-		return otherwise
-	}
-	return value
-}
-
 // The low bits of a slot hold when the prefix was sent, in seconds, the rest a
 // part of its hash.
 const prefixTimeBits = 24
 
-func (state *groupState) cached(prefix uint64, now time.Duration) bool {
-	slot := state.prefixes[prefix%prefixSlots].Load()
-	sent := time.Duration(slot&(1<<prefixTimeBits-1)) * time.Second
-	return slot != 0 && slot>>prefixTimeBits == prefix>>prefixTimeBits && now.Truncate(time.Second)-sent < prefixLifetime
-}
-
-func (state *groupState) remember(prefix uint64, now time.Duration) {
-	seconds := uint64(now/time.Second) & (1<<prefixTimeBits - 1)
-	state.prefixes[prefix%prefixSlots].Store(prefix>>prefixTimeBits<<prefixTimeBits | seconds)
-}
-
 func (choice *Choice) begin(prefix uint64, now time.Duration) {
 	choice.state.outstanding.Add(choice.tokens)
 	choice.state.running.Add(1)
--- a/internal/run/capacity/state.go
+++ b/internal/run/capacity/state.go
@@ -10,6 +10,7 @@
 	"hazelslip/internal/policy/route"
 	"hazelslip/internal/state/booking"
 	"hazelslip/internal/state/class"
+	"hazelslip/internal/state/stream"
 	"hazelslip/internal/wire/record"
 )
 
@@ -29,44 +30,55 @@
 	return (values[last] - values[0]) / float64(sizes[last]-sizes[0])
 }
 
-// KeyGrowth measures the table of booking keys: its memory, the size of its
-// checkpoint, and the time to fold one key.
-func KeyGrowth(sizes []int) (Growth, error) {
+// table is a fold that can be given one more thing.
+type table struct {
+	fold stream.Fold
+	add  func(fold stream.Fold, index int) error
+}
+
+// grown measures tables of each size: their memory, the size of their
+// checkpoint, and the time to fold one thing.
+func grown(sizes []int, newTable func() table) (Growth, error) {
 	growth := Growth{Sizes: sizes}
 	for _, size := range sizes {
 		before := memoryInUse()
-		table := booking.NewTable(time.Hour)
+		measured := newTable()
 		began := time.Now()
 		for index := range size {
-			if err := foldKey(table, index); err != nil {
+			if err := measured.add(measured.fold, index); err != nil {
 				return Growth{}, err
 			}
 		}
 		spent := time.Since(began)
 		growth.Bytes = append(growth.Bytes, float64(memoryInUse())-float64(before))
-		body, err := table.Fold().Snapshot(0)
+		body, err := measured.fold.Snapshot(0)
 		if err != nil {
 			return Growth{}, err
 		}
 		growth.Checkpoint = append(growth.Checkpoint, float64(len(body)))
 		growth.Nanoseconds = append(growth.Nanoseconds, float64(spent.Nanoseconds())/float64(size))
-		runtime.KeepAlive(table)
+		runtime.KeepAlive(measured)
 	}
 	return growth, nil
 }
 
-const answerBytes = 120
+// KeyGrowth measures the table of booking keys.
+func KeyGrowth(sizes []int) (Growth, error) {
+	return grown(sizes, func() table { return table{fold: booking.NewTable(time.Hour).Fold(), add: foldKey} })
+}
 
-func foldKey(table *booking.Table, index int) error {
-	key := fmt.Sprintf("scheduling/visit-%09d", index)
-	body, err := proto.Marshal(&record.BookingRecord{Kind: &record.BookingRecord_Batch{Batch: &record.BookingBatch{
-		Intents:  []*record.Intent{{Key: key, Digest: make([]byte, 16), Incarnation: 7, Attempt: uint64(index), UnixMs: 1}},
-		Outcomes: []*record.Outcome{{Key: key, Incarnation: 7, Attempt: uint64(index), Kind: record.OutcomeKind_OutcomeRun, Status: 200, ContentType: "application/json", Body: make([]byte, answerBytes)}},
-	}}})
+// ClassGrowth measures the table of classes.
+func ClassGrowth(sizes []int) (Growth, error) {
+	return grown(sizes, func() table { return table{fold: class.New().Fold(), add: foldClass} })
+}
+
+// foldBody folds one record.
+func foldBody(fold stream.Fold, index int, message proto.Message) error {
+	body, err := proto.Marshal(message)
 	if err != nil {
 		return err
 	}
-	decoded, err := table.Fold().Decode(body)
+	decoded, err := fold.Decode(body)
 	if err != nil {
 		return err
 	}
@@ -74,47 +86,25 @@
 	return nil
 }
 
-// ClassGrowth measures the table of classes: its memory, the size of its
-// checkpoint, and the time to fold one change.
-func ClassGrowth(sizes []int) (Growth, error) {
-	growth := Growth{Sizes: sizes}
-	for _, size := range sizes {
-		before := memoryInUse()
-		table := class.New()
-		began := time.Now()
-		for index := range size {
-			if err := foldClass(table, index); err != nil {
-				return Growth{}, err
-			}
-		}
-		spent := time.Since(began)
-		growth.Bytes = append(growth.Bytes, float64(memoryInUse())-float64(before))
-		body, err := table.Fold().Snapshot(0)
-		if err != nil {
-			return Growth{}, err
-		}
-		growth.Checkpoint = append(growth.Checkpoint, float64(len(body)))
-		growth.Nanoseconds = append(growth.Nanoseconds, float64(spent.Nanoseconds())/float64(size))
-		runtime.KeepAlive(table)
-	}
-	return growth, nil
+const answerBytes = 120
+
+func foldKey(fold stream.Fold, index int) error {
+	key := fmt.Sprintf("scheduling/visit-%09d", index)
+	return foldBody(fold, index, &record.BookingRecord{Kind: &record.BookingRecord_Batch{Batch: &record.BookingBatch{
+		Intents: []*record.Intent{{Key: key, Digest: make([]byte, 16), Incarnation: 7, Attempt: uint64(index), UnixMs: 1}},
+		Outcomes: []*record.Outcome{{
+			Key: key, Incarnation: 7, Attempt: uint64(index), Kind: record.OutcomeKind_OutcomeRun, Status: 200,
+			ContentType: "application/json", Body: make([]byte, answerBytes),
+		}},
+	}}})
 }
 
-func foldClass(table *class.Table, index int) error {
+func foldClass(fold stream.Fold, index int) error {
 	name := fmt.Sprintf("class-%06d", index)
-	body, err := proto.Marshal(&record.ConfigRecord{Kind: &record.ConfigRecord_Change{Change: &record.ConfigChange{
+	return foldBody(fold, index, &record.ConfigRecord{Kind: &record.ConfigRecord_Change{Change: &record.ConfigChange{
 		ChangeID: name, Name: name, Operator: "capacity",
 		Target: &record.ClassTarget{Name: name, Model: "drafting", FirstTokenMs: 1800, BetweenTokensMs: 34, InTargetShare: 0.95},
 	}}})
-	if err != nil {
-		return err
-	}
-	decoded, err := table.Fold().Decode(body)
-	if err != nil {
-		return err
-	}
-	decoded.Apply(uint64(index))
-	return nil
 }
 
 // ChoiceGrowth measures one choice of a group among as many as the sizes say.
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -236,9 +236,9 @@
 
 func (node *Node) buildPeers() {
 	node.transport = &http.Transport{DialContext: node.metered.platform.Dial(node.dialer()), MaxIdleConnsPerHost: 16, IdleConnTimeout: time.Minute}
-	node.log = logservice.New(node.settings.Platform.LogService, logservice.Transport(node.transport))
-	node.list = instancelist.New(node.settings.Platform.InstanceList, instancelist.Transport(node.transport))
-	node.weights = weightstore.New(node.settings.Platform.WeightStore, weightstore.Transport(node.transport))
+	node.log = logservice.New(node.settings.Platform.LogService, node.transport)
+	node.list = instancelist.New(node.settings.Platform.InstanceList, node.transport)
+	node.weights = weightstore.New(node.settings.Platform.WeightStore, node.transport)
 	node.engines = engine.New(engine.Dial(node.metered.engines.Dial(node.dialer())))
 	node.drafting = engine.New(engine.Dial(node.metered.drafts.Dial(node.dialer())))
 	node.services = service.New(service.Dial(node.dialer()))
--- a/internal/state/booking/booking_test.go
+++ b/internal/state/booking/booking_test.go
@@ -61,7 +61,7 @@
 	ledger.lastGiven++
 	incarnation := ledger.lastGiven
 	ledger.mu.Unlock()
-	client := logservice.New("http://log", logservice.Transport(inprocess.Transport{Handler: ledger.log.Handler()}))
+	client := logservice.New("http://log", inprocess.Transport{Handler: ledger.log.Handler()})
 	created := &node{table: booking.NewTable(time.Hour)}
 	created.follower = stream.New(
 		streamName, created.table.Fold(), stream.Read(client.Read), stream.Append(client.Append),
--- a/internal/state/class/class_test.go
+++ b/internal/state/class/class_test.go
@@ -33,7 +33,7 @@
 }
 
 func follow(log *platform.Log) follower {
-	client := logservice.New("http://log", logservice.Transport(inprocess.Transport{Handler: log.Handler()}))
+	client := logservice.New("http://log", inprocess.Transport{Handler: log.Handler()})
 	table := class.New()
 	return follower{table: table, Follower: stream.New(
 		class.StreamName, table.Fold(), stream.Read(client.Read), stream.Append(client.Append),
--- a/internal/testlib/inprocess/inprocess.go
+++ b/internal/testlib/inprocess/inprocess.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	client := logservice.New("http://log", logservice.Transport(inprocess.Transport{Handler: log.Handler()}))
+//	client := logservice.New("http://log", inprocess.Transport{Handler: log.Handler()})
 package inprocess
 
 import (
