--- a/internal/policy/repair/trace_test.go
+++ b/internal/policy/repair/trace_test.go
@@ -118,12 +118,16 @@
 const noGroup = -1
 
 func play(trace trace, policy func(situation repair.Situation) []repair.Action) *player {
+	return playFor(trace, policy, traceLength)
+}
+
+func playFor(trace trace, policy func(situation repair.Situation) []repair.Action, length time.Duration) *player {
 	player := &player{trace: trace, policy: policy, servers: make([]server, len(trace.outages)), learner: repair.NewLearner()}
 	for index := range player.servers {
 		player.servers[index].group = noGroup
 	}
 	player.wanted = fillPlain(trace.models, len(trace.outages))
-	for now := time.Duration(0); now < traceLength; now += step {
+	for now := time.Duration(0); now < length; now += step {
 		player.fail(now)
 		player.act(now)
 		player.pay(now)
