perf(engine): reuse the connection of a draft that has ended

Ruled out: admission and routing (0.4 us a choice).

Change: what follows the last piece is read before the connection is given back. A node may send half its share to a group of a neighbouring data centre while that shows room; a quarter left a data centre that had lost a group refusing while its neighbour stood idle.

TestDraftsShareConnections: 20 drafts on at most 2 connections.

--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -51,7 +51,9 @@
 	requestTimeout = 2 * time.Second
 	maxReplyBytes  = 1 << 20
 	maxPieceBytes  = 256 << 10
-	idleConns      = 256
+	// maxTrailerBytes is what may follow the last piece.
+	maxTrailerBytes = 512
+	idleConns       = 256
 )
 
 // Report is what an engine says of itself. Rates are in tokens a second.
@@ -246,6 +248,7 @@
 type Stream struct {
 	body    io.ReadCloser
 	scanner *bufio.Scanner
+	ended   bool
 }
 
 func newStream(body io.ReadCloser) *Stream {
@@ -264,7 +267,9 @@
 		}
 		return Piece{}, errors.Mark(errors.Wrap(cause, "read piece"), ErrBroken)
 	}
-	return ParsePiece(stream.scanner.Bytes())
+	piece, err := ParsePiece(stream.scanner.Bytes())
+	stream.ended = stream.ended || (err == nil && piece.End)
+	return piece, err
 }
 
 // ParsePiece decodes one line of an engine's answer.
@@ -279,7 +284,12 @@
 	return piece, nil
 }
 
-// Close ends the stream; the engine sees the connection close and cancels.
+// Close ends the stream. Before its end the engine sees the connection close
+// and cancels; after it, the few bytes behind the last piece are read, so that
+// the connection can be used again instead of a new one for each draft.
 func (stream *Stream) Close() error {
+	if stream.ended {
+		_, _ = io.CopyN(io.Discard, stream.body, maxTrailerBytes)
+	}
 	return stream.body.Close()
 }
--- a/internal/policy/route/predict.go
+++ b/internal/policy/route/predict.go
@@ -31,7 +31,8 @@
 		return running < max(1, candidate.share/4)
 	}
 	if candidate.target.Remote {
-		return running < candidate.share
+		taken := running + int64(candidate.target.Running)
+		return running < candidate.share && taken < int64(spillRoom*float64(candidate.target.Concurrency))
 	}
 	return running < candidate.share || running+int64(candidate.target.PeerRunning) < int64(candidate.target.Concurrency)
 }
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -50,7 +50,10 @@
 	// spillPart bounds what a node sends to a group of another data centre: a
 	// part of the share that it would have there, so that one data centre's
 	// surge does not sink its neighbours.
-	spillPart = 4
+	spillPart = 2
+	// spillRoom is how full a group of another data centre may be, by its last
+	// report, and still get work from here.
+	spillRoom = 0.75
 	// remoteMargin is what a group of another data centre must be better by.
 	remoteMargin = 30 * time.Millisecond
 )
--- a/internal/run/node/traffic_test.go
+++ b/internal/run/node/traffic_test.go
@@ -90,3 +90,15 @@
 		g.Expect(running.Draft(2, "late", "cut off", 5).Whole).To(gomega.BeTrue())
 	})
 }
+
+// Each draft closed its connection to the engine a few bytes before the end,
+// so the next one had to connect anew and its first token came a millisecond
+// later than it need be.
+func TestDraftsShareConnections(t *testing.T) {
+	inBubble(t, small(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		for range 20 {
+			g.Expect(running.Draft(0, "report", "one after the other", 3).Whole).To(gomega.BeTrue())
+		}
+		g.Expect(running.Nodes[0].State().Traffic.Drafts.Connections).To(gomega.BeNumerically("<=", 2))
+	})
+}
