--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go build -o $(BIN)/hazelslip .
 
 test: ## Run every test with the race detector and fixed seeds.
-	go test -race -count=1 ./... -args -ginkgo.seed=$(SEED)
+	HAZELSLIP_SEED=$(SEED) go test -race -count=1 ./...
 
 lint: ## Check format and style.
 	$(BIN)/golangci-lint run ./...
