fix(draft): refuse before the target has passed

Cause: with more spill allowed, admission counted places at neighbours that the router then did not find free; the drafts waited for a group until their whole target for the first token had passed and were refused after it.

Change: the target counts from the request's arrival, admission included, and a draft of which nothing was sent is refused at 0.8 of it. Other data centres are asked every 1.5 s instead of 3 s. Fuzz targets for peer frames, settings and tickets.

A first try with a third of the target failed TestDraftSurvivesEngineFaults (a group that refused once was not given time to be asked again) and was dropped.

--- a/Makefile
+++ b/Makefile
@@ -43,7 +43,9 @@
 	HAZELSLIP_SEED=$$seed HAZELSLIP_ROUNDS=$(ROUNDS) go test -count=1 -timeout 2h -run 'Random' ./internal/state/booking ./internal/run/node
 
 FUZZTIME ?= 30s
+FUZZ := ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
+	./internal/state/stream:FuzzFolds ./internal/state/booking:FuzzTicketIssuer ./internal/run/settings:FuzzParse
 fuzz: ## Fuzz everything that decodes bytes from outside.
-	go test -run '^$$' -fuzz FuzzParseChat -fuzztime $(FUZZTIME) ./internal/peer/caller
-	go test -run '^$$' -fuzz FuzzParsePiece -fuzztime $(FUZZTIME) ./internal/peer/engine
-	go test -run '^$$' -fuzz FuzzFolds -fuzztime $(FUZZTIME) ./internal/state/stream
+	@set -e; for target in $(FUZZ); do \
+		go test -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZTIME) "$${target%%:*}"; \
+	done
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -53,7 +53,7 @@
 	spillPart = 2
 	// spillRoom is how full a group of another data centre may be, by its last
 	// report, and still get work from here.
-	spillRoom = 0.75
+	spillRoom = 0.9
 	// remoteMargin is what a group of another data centre must be better by.
 	remoteMargin = 30 * time.Millisecond
 )
--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -22,7 +22,7 @@
 	pullConcurrency = 32
 	// remoteEvery is how often other data centres are asked. Their groups are
 	// needed only for spill, so they may be known less freshly.
-	remoteEvery   = 3 * time.Second
+	remoteEvery   = 1500 * time.Millisecond
 	remoteTimeout = 2 * time.Second
 	// remoteFresh is the age at which a remote group is no longer used.
 	remoteFresh  = 8 * time.Second
--- a/internal/serve/draft/draft.go
+++ b/internal/serve/draft/draft.go
@@ -43,6 +43,10 @@
 	// firstFactor does the same for the first token.
 	firstFactor = 2
 	firstLeast  = 3 * time.Second
+	// waitPart is the part of the first-token target, admission included, that
+	// a draft waits for a group before its caller is told: a refusal should not
+	// come after the target has passed.
+	waitPart = 0.8
 	// resumePatience is how long a draft that has begun waits for a group.
 	resumePatience = 10 * time.Second
 	pickAgain      = 50 * time.Millisecond
@@ -126,6 +130,7 @@
 // Run answers the request. Emit gets each token once, in order; an error of
 // emit means that the caller has left and ends the draft.
 func (server *Server) Run(ctx context.Context, request Request, emit func(token string) error) Result {
+	began := time.Now()
 	pass, refusal := server.gate.Enter(ctx, admission.Request{Class: request.Class, Workspace: request.Workspace}, func() admission.Capacity {
 		return server.capacity(request.Class.Model)
 	})
@@ -140,7 +145,7 @@
 	if pass.Guaranteed {
 		request.Priority += guaranteedPriority
 	}
-	work := &work{server: server, ctx: ctx, request: request, emit: emit, began: time.Now()}
+	work := &work{server: server, ctx: ctx, request: request, emit: emit, began: began}
 	result := work.run()
 	server.count(result)
 	return result
@@ -220,11 +225,11 @@
 
 // await chooses a group, and waits a while when none can take the draft: a
 // group that is being rebuilt is worth waiting for. A draft of which nothing
-// was sent waits no longer than its target for the first token, then its
-// caller is told; one that has begun waits longer, since giving it up would
+// was sent waits a part of its target for the first token, then its caller is
+// told; one that has begun waits longer, since giving it up would
 // cost its caller all of it.
 func (work *work) await() (route.Choice, bool) {
-	deadline := work.began.Add(work.request.FirstToken)
+	deadline := work.began.Add(time.Duration(waitPart * float64(work.request.FirstToken)))
 	if work.sent {
 		deadline = work.failedAt.Add(resumePatience)
 	}
