fix(state): refuse checkpoints that name nobody

Cause: found by fuzzing the folds: a checkpoint entry without a claim is valid protobuf and ended every node that read it, and again each time it started, for as long as the log kept the record. A class without a target in a checkpoint would have done the same on the request path.

Change: such a record cannot be decoded; it is skipped and counted like any other. The fuzzer also checks that what was folded can be written back and used.

--- a/internal/state/booking/table.go
+++ b/internal/state/booking/table.go
@@ -64,6 +64,9 @@
 	case *record.BookingRecord_Batch:
 		return stream.Decoded{Apply: func(uint64) { table.apply(kind.Batch) }}, nil
 	case *record.BookingRecord_Checkpoint:
+		if slices.ContainsFunc(kind.Checkpoint.Entries, func(entry *record.BookingEntry) bool { return entry.Intent == nil }) {
+			return stream.Decoded{}, errors.New("a checkpoint of Bookings with an entry that nobody claimed")
+		}
 		return stream.Decoded{
 			Checkpoint: true, Through: kind.Checkpoint.Through,
 			Apply: func(uint64) { table.restore(kind.Checkpoint) },
--- a/internal/state/class/class.go
+++ b/internal/state/class/class.go
@@ -135,6 +135,9 @@
 	case *record.ConfigRecord_Change:
 		return stream.Decoded{Apply: func(offset uint64) { table.apply(offset, kind.Change) }}, nil
 	case *record.ConfigRecord_Checkpoint:
+		if slices.ContainsFunc(kind.Checkpoint.Entries, func(entry *record.ConfigEntry) bool { return entry.GetTarget().GetName() == "" }) {
+			return stream.Decoded{}, errors.New("a checkpoint of Config with a class without a name")
+		}
 		return stream.Decoded{
 			Checkpoint: true, Through: kind.Checkpoint.Through,
 			Apply: func(uint64) { table.restore(kind.Checkpoint) },
--- a/internal/state/stream/fuzz_test.go
+++ b/internal/state/stream/fuzz_test.go
@@ -14,7 +14,11 @@
 )
 
 // FuzzFolds feeds a record of any bytes to every fold, as a log or a peer could
-// hand it over. Whatever it is, the follower must go on to the next offset.
+// hand it over. Whatever it is, the follower must go on to the next offset, and
+// what it says must be fit for use.
+//
+// The fuzzer found a checkpoint with an entry that nobody had claimed: a record
+// that is valid protobuf and ended every node that read it.
 func FuzzFolds(f *testing.F) {
 	f.Add([]byte{})
 	f.Add([]byte{0})
@@ -23,13 +27,22 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 		now := func() time.Duration { return time.Hour }
-		for _, fold := range []stream.Fold{class.New().Fold(), booking.NewTable(time.Hour).Fold(), lease.New(now).Fold()} {
+		classes := class.New()
+		for _, fold := range []stream.Fold{classes.Fold(), booking.NewTable(time.Hour).Fold(), lease.New(now).Fold()} {
 			follower := stream.New("any", fold, stream.Logger(quiet), stream.Clock(now))
 			follower.Offer(stream.Relayed{Records: []logservice.Record{{Offset: 0, Body: body}, {Offset: 1, Body: body}}})
 			if follower.Next() != 2 {
 				t.Fatalf("stopped at %d", follower.Next())
 			}
 			follower.Offer(stream.Relayed{Snapshot: body, SnapshotNext: 5})
+			if _, err := fold.Snapshot(5); err != nil {
+				t.Fatalf("what was folded cannot be written back: %v", err)
+			}
+		}
+		for _, name := range classes.Snapshot().Names() {
+			if target, ok := classes.Snapshot().Target(name); !ok || target.Name != name {
+				t.Fatalf("class %q has target %v", name, target)
+			}
 		}
 	})
 }
