test(node): two regions share configuration and nothing else

Cause: regions were a field that no test used.

Change: a deployment of stand-ins can span regions; a test cuts one off from the platform.

Measured: a change reaches the cut-off region through the other within 9 s (virtual time); drafts are refused, not sent across.

--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -43,9 +43,12 @@
 type Shape struct {
 	// DataCentres are named in the order of their ports.
 	DataCentres []string
-	Nodes       int
-	Domains     int
-	Engines     int
+	// Regions names each data centre's region; where it is empty all are in
+	// Region.
+	Regions []string
+	Nodes   int
+	Domains int
+	Engines int
 	// Unchecked is how many domains, from the last one on, have engines that
 	// ignore fencing numbers.
 	Unchecked int
@@ -158,6 +161,13 @@
 	return names[len(names)-world.shape.Unchecked:]
 }
 
+func (world *World) region(dataCentre int) string {
+	if len(world.shape.Regions) == 0 {
+		return Region
+	}
+	return world.shape.Regions[dataCentre]
+}
+
 func (world *World) domainName(dataCentre, domain int) string {
 	return fmt.Sprintf("%s-fabric-%d", world.shape.DataCentres[dataCentre], domain+1)
 }
@@ -218,7 +228,7 @@
 			world.Engines = append(world.Engines, created)
 			world.serve(offset, created.Handler())
 			world.List.Put(instancelist.Instance{
-				ID: id, Address: world.address(offset), Role: instancelist.RoleEngine, Region: Region,
+				ID: id, Address: world.address(offset), Role: instancelist.RoleEngine, Region: world.region(index),
 				DataCentre: dataCentre, FabricDomain: name,
 			})
 		}
@@ -231,7 +241,7 @@
 	world.Services = append(world.Services, created)
 	world.serve(world.afterNodes(firstService)+index, created.Handler())
 	world.List.Put(instancelist.Instance{
-		ID: id, Address: world.address(world.afterNodes(firstService) + index), Role: instancelist.RoleService, Region: Region,
+		ID: id, Address: world.address(world.afterNodes(firstService) + index), Role: instancelist.RoleService, Region: world.region(index),
 		DataCentre: dataCentre, Service: ServiceName,
 	})
 }
@@ -239,7 +249,7 @@
 func (world *World) listNode(index int, dataCentre string) {
 	world.List.Put(instancelist.Instance{
 		ID: world.nodeName(index, dataCentre), Address: world.nodeAddress(index, peerPort), Role: instancelist.RoleEntry,
-		Region: Region, DataCentre: dataCentre,
+		Region: world.region(index / world.shape.Nodes), DataCentre: dataCentre,
 	})
 }
 
@@ -264,7 +274,7 @@
 	for index := range len(world.shape.DataCentres) * world.shape.Nodes {
 		dataCentre := world.shape.DataCentres[index/world.shape.Nodes]
 		node := settings.Default()
-		node.Name, node.Region, node.DataCentre = world.nodeName(index, dataCentre), Region, dataCentre
+		node.Name, node.Region, node.DataCentre = world.nodeName(index, dataCentre), world.region(index/world.shape.Nodes), dataCentre
 		node.Listen = settings.Listen{
 			Caller: world.nodeAddress(index, callerPort), Operator: world.nodeAddress(index, operatorPort),
 			Peer: world.nodeAddress(index, peerPort),
--- a/internal/run/node/state.go
+++ b/internal/run/node/state.go
@@ -182,3 +182,8 @@
 	node.collector.OneByOne(single)
 	node.appender.OneByOne(single)
 }
+
+// Booking returns what this node's region knows about a service's key.
+func (node *Node) Booking(service, key string) (operator.BookingLine, bool) {
+	return node.showBooking(service, key)
+}
--- a/internal/run/node/traffic_test.go
+++ b/internal/run/node/traffic_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/onsi/gomega"
 
+	"hazelslip/internal/common/outcome"
 	"hazelslip/internal/run/demo"
 	"hazelslip/internal/run/settings"
+	"hazelslip/internal/standin/engine"
 	"hazelslip/internal/testlib/fleet"
 )
 
@@ -102,3 +104,39 @@
 		g.Expect(running.Nodes[0].State().Traffic.Drafts.Connections).To(gomega.BeNumerically("<=", 2))
 	})
 }
+
+// Two regions, one of which loses the platform. Configuration must reach it
+// through the other region's nodes, and a draft must not be sent across regions
+// when its own is dark, nor do keys cross: a key holds within its region.
+func TestRegionsShareConfigurationOnly(t *testing.T) {
+	shape := demo.Shape{
+		DataCentres: []string{"lakes-a", "costa-a"}, Regions: []string{"great-lakes", "costa-centro"},
+		Nodes: 2, Domains: 1, Engines: 4, Models: []settings.Model{{Name: "drafting", GroupSize: 4}},
+	}
+	inBubble(t, shape, func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		time.Sleep(30 * time.Second)
+		g.Expect(running.Book(0, "visit", "lakes").Outcome).To(gomega.Equal(outcome.Run))
+		g.Expect(running.Book(2, "face", "costa").Outcome).To(gomega.Equal(outcome.Run))
+		_, known := running.Nodes[2].Booking(demo.ServiceName, "visit")
+		g.Expect(known).To(gomega.BeFalse())
+
+		for _, index := range []int{2, 3} {
+			running.Network.Cut(running.Trees[index].Name, "127.0.0.1:7000", "127.0.0.1:7001", "127.0.0.1:7002")
+		}
+		time.Sleep(15 * time.Second)
+		running.World.Log.Append("Config", fleet.ChangeBody(fleet.Target("late", "drafting", 0.1), 0, "late"))
+		running.Eventually(9*time.Second, "the change is in force in both regions", func() bool {
+			return running.Nodes[2].InForce("late") == 1 && running.Nodes[3].InForce("late") == 1
+		})
+		for _, server := range running.World.Engines[4:] {
+			server.SetFaults(engine.Faults{Dead: true})
+		}
+		running.Eventually(10*time.Second, "the region's group has stopped", func() bool { return running.Serving(2, "drafting") == 0 })
+		time.Sleep(5 * time.Second)
+		answer := running.Draft(2, "report", "far away", 3)
+		g.Expect(answer.Outcome).To(gomega.Equal(outcome.NotRun), answer.Text)
+		for _, server := range running.World.Engines[4:] {
+			server.Restart()
+		}
+	})
+}
