fix(node): say replays and conflicts of forwarded tickets

Cause: found by trying the demo: a ticketed call that another node passes to its issuer came back without its replay mark, and one with another body as 503 instead of 422.

Change: the reply between nodes carries both.

Measured: TestTicketIsRunByItsIssuer fails before, passes after.

--- a/internal/run/node/answer.go
+++ b/internal/run/node/answer.go
@@ -283,6 +283,7 @@
 		return booking.Answer{
 			Outcome: outcome.Outcome(answered.Outcome), Status: int(answered.Status),
 			ContentType: answered.ContentType, Body: answered.Body, Cause: answered.Cause,
+			Replayed: answered.Replayed, Conflict: answered.Conflict,
 		}
 	}
 	return unknown
@@ -309,7 +310,7 @@
 	answer := node.callerServices().RunTicket(ctx, request.Service, call, request.Body, request.Key, request.Digest)
 	return &exchange.CallReply{
 		Outcome: string(answer.Outcome), Status: uint32(answer.Status), ContentType: answer.ContentType,
-		Body: answer.Body, Cause: answer.Cause,
+		Body: answer.Body, Cause: answer.Cause, Replayed: answer.Replayed, Conflict: answer.Conflict,
 	}
 }
 
--- a/internal/run/node/input_test.go
+++ b/internal/run/node/input_test.go
@@ -185,6 +185,11 @@
 			g.Expect(answer.Outcome).To(gomega.Equal(outcome.Run), answer.Text)
 		}
 		g.Expect(running.World.Book.Executions(ticket)).To(gomega.Equal(1))
+		// What the issuer says of a repeated or misused ticket was lost on its
+		// way through the other node: a replay looked like a run, and another
+		// request under the ticket like an outage (503 instead of 422).
+		g.Expect(running.Book(1, ticket, "x").Header.Get(caller.HeaderReplayed)).To(gomega.Equal("true"))
+		g.Expect(running.Book(1, ticket, "another").Status).To(gomega.Equal(http.StatusUnprocessableEntity))
 
 		// The issuer stops gracefully; its peer answers for it.
 		running.Nodes[0].Stop()
