feat(capacity): messages, bytes and memory by role

Change: what was counted is given to the role that causes it; the cost of a state dump is measured; `hazelslip load` prints the outcomes of each class.

--- a/cmd/load.go
+++ b/cmd/load.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -79,12 +81,21 @@
 	}, nil
 }
 
+// outcomes lists how often each outcome came.
+func outcomes(counts map[string]int) string {
+	parts := []string{}
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", name, counts[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
 func printReport(streams *streams, report load.Report) error {
 	table := tabwriter.NewWriter(streams.Out, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "CLASS\tSENT\tWHOLE\tIN TARGET\tREFUSED\tLATE\tFAILED\tFIRST p50/p95/p99 ms\tBETWEEN p50/p95/p99 ms")
+	_, _ = fmt.Fprintln(table, "CLASS\tSENT\tWHOLE\tIN TARGET\tREFUSED\tLATE\tFAILED\tOUTCOMES\tFIRST p50/p95/p99 ms\tBETWEEN p50/p95/p99 ms")
 	for _, line := range report.Classes {
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%.3f\t%d\t%d\t%d\t%.1f/%.1f/%.1f\t%.1f/%.1f/%.1f\n", line.Class, line.Sent, line.Whole,
-			line.InTargetShare, line.Refused, line.RefusedLate, line.Failed, line.FirstTokenP50, line.FirstTokenP95, line.FirstTokenP99,
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\t%.3f\t%d\t%d\t%d\t%s\t%.1f/%.1f/%.1f\t%.1f/%.1f/%.1f\n", line.Class, line.Sent, line.Whole,
+			line.InTargetShare, line.Refused, line.RefusedLate, line.Failed, outcomes(line.Outcomes), line.FirstTokenP50, line.FirstTokenP95, line.FirstTokenP99,
 			line.BetweenTokensP50, line.BetweenTokensP95, line.BetweenTokensP99)
 	}
 	_, _ = fmt.Fprintf(table, "%.0f tokens/s over %.1f s\n", report.TokensPerSecond, report.Seconds)
--- a/internal/run/capacity/data.go
+++ b/internal/run/capacity/data.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"runtime/pprof"
 	"time"
 
@@ -20,6 +21,26 @@
 	Whole            int
 }
 
+// Dump is what one state dump costs.
+type Dump struct {
+	Bytes  int
+	Micros float64
+}
+
+// dump takes the state of a node as an operator's request does.
+func dump(running *deployment) (Dump, error) {
+	const times = 20
+	began, size := time.Now(), 0
+	for range times {
+		body, err := json.Marshal(running.nodes[0].State())
+		if err != nil {
+			return Dump{}, err
+		}
+		size = len(body)
+	}
+	return Dump{Bytes: size, Micros: float64(time.Since(began).Microseconds()) / times}, nil
+}
+
 const (
 	loadLabel  = "load"
 	loadRate   = 60
@@ -29,10 +50,10 @@
 
 // MeasureDataPath sends streamed drafts through one node and attributes the
 // processor time of its caller side, engine connections included, to tokens.
-func MeasureDataPath(duration time.Duration) (DataPath, error) {
+func MeasureDataPath(duration time.Duration) (DataPath, Dump, error) {
 	running, err := deploy(Point{DataCentres: 1, Nodes: 1, Servers: 80})
 	if err != nil {
-		return DataPath{}, err
+		return DataPath{}, Dump{}, err
 	}
 	defer running.stop()
 	callers, _, _ := running.nodes[0].Addresses()
@@ -48,9 +69,13 @@
 		})
 	})
 	if err != nil {
-		return DataPath{}, err
+		return DataPath{}, Dump{}, err
 	}
 	took := time.Since(began).Seconds()
+	dumped, err := dump(running)
+	if err != nil {
+		return DataPath{}, Dump{}, err
+	}
 	class := report.Classes[0]
 	caller := spent.byPart["caller"]
 	labelled := spent.total - spent.byPart[unlabelled]
@@ -60,5 +85,5 @@
 		Requests: class.Sent, Tokens: class.Tokens, Whole: class.Whole, TokensPerSecond: float64(class.Tokens) / took,
 		Cores: caller / took, MicrosPerToken: caller * micros / float64(class.Tokens),
 		MicrosPerRequest: caller * micros / float64(class.Sent),
-	}, nil
+	}, dumped, nil
 }
--- a/internal/run/capacity/measure.go
+++ b/internal/run/capacity/measure.go
@@ -52,6 +52,10 @@
 	State     string
 	Mechanism string
 	Cores     Fit
+	// Messages and Bytes are a second, Memory in bytes, at the target.
+	Messages float64
+	Bytes    float64
+	Memory   float64
 }
 
 // Report is everything that was measured.
@@ -70,6 +74,7 @@
 	Classes  Growth
 	Choices  Growth
 	Data     DataPath
+	Dump     Dump
 	Took     time.Duration
 }
 
@@ -140,9 +145,42 @@
 		}
 		*line.fit = fit
 	}
+	report.share()
 	return nil
 }
 
+// share gives messages, bytes and memory to the roles that cause them. Memory
+// is told apart by what it grows with; its constant belongs to no one role.
+func (report *Report) share() {
+	memory := map[string]float64{}
+	for index, term := range report.Memory.Terms {
+		memory[term.Name] = max(0, report.Memory.Slopes[index]*term.Of(report.Point))
+	}
+	for index := range report.Roles {
+		role := &report.Roles[index]
+		switch role.Name {
+		case roleWatching:
+			role.Messages, role.Bytes, role.Memory = report.EngMsg.At(report.Point), report.Engine.At(report.Point), memory[watched.Name]
+		case roleExchange:
+			role.Messages, role.Bytes = report.PeerMsg.At(report.Point), report.Peer.At(report.Point)
+			role.Memory = memory[peers.Name] + memory[centres.Name]
+		case roleJudging:
+			role.Memory = memory[servers.Name]
+		case roleLog:
+			role.Bytes = report.PlatformAtTarget()
+			role.Memory = report.Memory.Constant
+		}
+	}
+}
+
+// The roles that messages and memory are given to.
+const (
+	roleWatching = "watching fabric domains"
+	roleExchange = "peer exchange"
+	roleJudging  = "judging groups and the routing table"
+	roleLog      = "following and relaying the log, configuration, checkpoints"
+)
+
 func (report *Report) grow(duration time.Duration) error {
 	var err error
 	if report.Keys, err = KeyGrowth([]int{1000, 10_000, 50_000}); err != nil {
@@ -152,7 +190,7 @@
 		return err
 	}
 	report.Choices = ChoiceGrowth([]int{10, 100, 300})
-	report.Data, err = MeasureDataPath(duration)
+	report.Data, report.Dump, err = MeasureDataPath(duration)
 	return err
 }
 
@@ -169,17 +207,17 @@
 func roles() []Role {
 	return []Role{
 		{
-			Name: "watching fabric domains", Parts: []string{"watcher"}, Terms: []Term{watched},
+			Name: roleWatching, Parts: []string{"watcher"}, Terms: []Term{watched},
 			State:     "newest report of each server of the data centre; own readings",
 			Mechanism: "domains split over the data centre's live nodes by rendezvous hashing; one read a second of each server by one node",
 		},
 		{
-			Name: "peer exchange", Parts: []string{"exchange", "peers"}, Terms: []Term{peers, servers, centres},
+			Name: roleExchange, Parts: []string{"exchange", "peers"}, Terms: []Term{peers, servers, centres},
 			State:     "one connection a peer of the data centre and one a neighbouring data centre",
 			Mechanism: "each node pulls what changed from the peers of its data centre only; other data centres are asked through one peer each",
 		},
 		{
-			Name: "judging groups and the routing table", Parts: []string{"view"}, Terms: []Term{servers},
+			Name: roleJudging, Parts: []string{"view"}, Terms: []Term{servers},
 			State:     "groups of the data centre, replaced whole on a change",
 			Mechanism: "a pure function of the reports, four times a second and on changes",
 		},
@@ -194,7 +232,7 @@
 			Mechanism: "one node of a data centre reads it (own servers every 3 s, entry nodes of all regions every 15 s), the others pull changes",
 		},
 		{
-			Name: "following and relaying the log, configuration, checkpoints", Parts: []string{"stream", "checkpoint"}, Terms: []Term{changes},
+			Name: roleLog, Parts: []string{"stream", "checkpoint"}, Terms: []Term{changes},
 			State:     "classes, leases, keys; the newest records for peers (at most 1 MiB a stream)",
 			Mechanism: "one long poll a stream; peers relay by offset when the log is dark; one node of a data centre writes a checkpoint",
 		},
