fix(node): give no orders before peers were heard

Cause: found by reading: a node that has just started has heard nobody, so every domain looks like its own and it plans against the node whose duty it is.

Change: a node gives orders from 3 s after its start. Two counters that nothing showed are gone.

--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -41,13 +41,11 @@
 	*lifecycle.Part
 	node *Node
 
-	mu      sync.Mutex
-	pulled  map[string]pulledReading
-	sent    map[uint64]peerSent
-	remote  map[uint64]route.Target
-	behind  map[string]int
-	pulls   uint64
-	fetches uint64
+	mu     sync.Mutex
+	pulled map[string]pulledReading
+	sent   map[uint64]peerSent
+	remote map[uint64]route.Target
+	behind map[string]int
 }
 
 // pulledReading is a peer's latest reading of one domain.
@@ -129,7 +127,6 @@
 	}
 	exchanger.mu.Lock()
 	defer exchanger.mu.Unlock()
-	exchanger.pulls++
 	pull.Listings = exchanger.node.lists.versions()
 	for domain, reading := range exchanger.pulled {
 		if reading.watcher == known.Incarnation {
@@ -285,11 +282,7 @@
 	exchanger.mu.Lock()
 	defer exchanger.mu.Unlock()
 	exchanger.behind[position.Stream]++
-	wanted := follower.Dark() || !follower.Ready() || exchanger.behind[position.Stream] > behindPulls
-	if wanted {
-		exchanger.fetches++
-	}
-	return wanted
+	return follower.Dark() || !follower.Ready() || exchanger.behind[position.Stream] > behindPulls
 }
 
 // positions lists the streams whose history this node knows.
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -111,9 +111,10 @@
 	operatorServer *http.Server
 	listeners      []net.Listener
 
-	stopping atomic.Bool
-	requests requestCount
-	stopOnce sync.Once
+	startedAt time.Duration
+	stopping  atomic.Bool
+	requests  requestCount
+	stopOnce  sync.Once
 }
 
 // Option changes how a Node is built.
@@ -353,6 +354,7 @@
 
 // Start runs every part.
 func (node *Node) Start() {
+	node.startedAt = node.now()
 	for _, follower := range node.streams {
 		follower.Start()
 	}
--- a/internal/run/node/repair_test.go
+++ b/internal/run/node/repair_test.go
@@ -308,3 +308,20 @@
 		}
 	})
 }
+
+// A node that has just started has heard no peer yet, so every domain looks
+// like its own. It must not plan against the node that is forming a group
+// there at that moment.
+func TestNodeThatJustStartedGivesNoOrders(t *testing.T) {
+	inBubble(t, spare(0), func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+		member, _ := memberOf(running, 0)
+		running.Kill(0)
+		member.SetFaults(engine.Faults{Dead: true})
+		time.Sleep(9 * time.Second)
+		running.StartNode(0)
+		time.Sleep(2900 * time.Millisecond)
+		former := running.Nodes[0].State().Former
+		g.Expect(former.Formed + former.Retired + former.Refused + former.Failed).To(gomega.BeZero())
+		running.Eventually(30*time.Second, "two groups serve again", servesBoth(running, 2))
+	})
+}
--- a/internal/run/node/view.go
+++ b/internal/run/node/view.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"hazelslip/internal/fleet/member"
 	"hazelslip/internal/fleet/replica"
 	"hazelslip/internal/policy/repair"
 	"hazelslip/internal/policy/route"
@@ -96,9 +97,12 @@
 	return err == nil && status.Slots > 0 && status.Loading >= status.Slots
 }
 
-// mayForm keeps a node that is leaving from beginning new orders.
+// mayForm keeps a node that is leaving from beginning new orders, and one that
+// has just started: until it has heard its peers every duty looks like its own,
+// and it would plan against the node whose duty the domain is.
 func (node *Node) mayForm(duty string) bool {
-	return !node.stopping.Load() && node.members.Mine(duty)
+	settledIn := node.now()-node.startedAt >= member.LiveFor
+	return settledIn && !node.stopping.Load() && node.members.Mine(duty)
 }
 
 // right tells whether this node may give orders in a domain. Engines that
