fix(replica): drain a group before a planned retirement

Cause: found by reading: a plan that takes a serving group's members for something worth more retired it at once, with its answers under way; a group with a leaving member was retired on a report that could be a second old. A planned stop must cut off nothing.

Measured: TestGroupThatGivesWayFinishesItsDrafts fails without the drain, passes with it. A first version of the test hung: its loop of refused drafts let no virtual time pass.

--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -87,10 +87,11 @@
 
 	experience *experience
 
-	mu    sync.Mutex
-	rest  map[string]time.Duration
-	plans map[string][]repair.Action
-	seen  map[uint64]*sighting
+	mu       sync.Mutex
+	rest     map[string]time.Duration
+	plans    map[string][]repair.Action
+	seen     map[uint64]*sighting
+	draining map[uint64]draining
 	// last is when this node last gave orders in a domain, given the highest
 	// number that it gave.
 	last  map[string]time.Duration
@@ -106,6 +107,7 @@
 	former.rest = map[string]time.Duration{}
 	former.plans = map[string][]repair.Action{}
 	former.seen = map[uint64]*sighting{}
+	former.draining = map[uint64]draining{}
 	former.last = map[string]time.Duration{}
 	former.Every(PlanEvery, former.Tick)
 }
@@ -143,6 +145,7 @@
 	former.plans[domain] = plan
 	former.mu.Unlock()
 	due := slices.DeleteFunc(slices.Clone(plan), func(action repair.Action) bool { return action.Kind == repair.Wait })
+	due = former.drain(domain, due, snapshot)
 	if len(due) == 0 || !former.settled(domain, servers) {
 		return
 	}
--- a/internal/run/node/answer.go
+++ b/internal/run/node/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -78,6 +79,7 @@
 		return reply
 	}
 	reply.Listings = node.lists.own(pull.Listings)
+	reply.Draining = node.former.Draining()
 	held := map[string]*exchange.DomainVersion{}
 	for _, version := range pull.Domains {
 		held[version.FabricDomain] = version
@@ -97,9 +99,10 @@
 // summaries lists the serving groups for another data centre.
 func (node *Node) summaries() []*exchange.GroupSummary {
 	now := node.now()
+	draining := node.draining(now)
 	summaries := []*exchange.GroupSummary{}
 	for _, group := range node.groups.Load().Groups {
-		if !group.Serving || group.Draining {
+		if !group.Serving || group.Draining || slices.Contains(draining, group.Number) {
 			continue
 		}
 		summaries = append(summaries, &exchange.GroupSummary{
--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -55,10 +55,12 @@
 	reports []engine.Report
 }
 
-// peerSent is what a peer said it has at the groups.
+// peerSent is what a peer said it has at the groups, and which of them it is
+// about to retire.
 type peerSent struct {
-	at     time.Duration
-	groups []*exchange.Sent
+	at       time.Duration
+	groups   []*exchange.Sent
+	draining []uint64
 }
 
 type groupLoad struct {
@@ -149,7 +151,7 @@
 	if known.DataCentre != exchanger.node.settings.DataCentre {
 		exchanger.learnRemoteLocked(known, sent, reply.GetGroups())
 	} else {
-		exchanger.sent[known.Incarnation] = peerSent{at: sent, groups: reply.GetSent()}
+		exchanger.sent[known.Incarnation] = peerSent{at: sent, groups: reply.GetSent(), draining: reply.GetDraining()}
 	}
 	exchanger.mu.Unlock()
 	for _, position := range reply.GetStreams() {
@@ -222,6 +224,19 @@
 	return targets
 }
 
+// drainingAtPeers lists the groups that peers are about to retire.
+func (exchanger *exchanger) drainingAtPeers(now time.Duration) []uint64 {
+	exchanger.mu.Lock()
+	defer exchanger.mu.Unlock()
+	numbers := []uint64{}
+	for _, sent := range exchanger.sent {
+		if now-sent.at <= sentFresh {
+			numbers = append(numbers, sent.draining...)
+		}
+	}
+	return numbers
+}
+
 // sentByPeers adds up what the peers said they have at each group.
 func (exchanger *exchanger) sentByPeers(now time.Duration) map[uint64]groupLoad {
 	exchanger.mu.Lock()
--- a/internal/run/node/repair_test.go
+++ b/internal/run/node/repair_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
+	"hazelslip/internal/common/outcome"
 	peer "hazelslip/internal/peer/engine"
 	"hazelslip/internal/run/demo"
 	"hazelslip/internal/run/settings"
@@ -325,3 +327,73 @@
 		running.Eventually(30*time.Second, "two groups serve again", servesBoth(running, 2))
 	})
 }
+
+// Two groups of a lesser model stand while a group of the model that matters
+// has lost a member for good. The planner takes a lesser group's members, while
+// that group is writing drafts. A planned stop cuts off nothing: the group gets
+// no new work, finishes, and is then taken apart.
+func TestGroupThatGivesWayFinishesItsDrafts(t *testing.T) {
+	shape := demo.Shape{
+		DataCentres: []string{"lakes-a"}, Nodes: 2, Domains: 1, Engines: 6,
+		Models: []settings.Model{{Name: "drafting", GroupSize: 4}, {Name: "summary", GroupSize: 2}},
+	}
+	fleet.Bubble(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		running := fleet.New(t, shape)
+		defer running.Stop()
+		running.Start()
+		running.Classes(fleet.Target("urgent", "drafting", 0.9), fleet.Target("later", "summary", 0))
+		running.Eventually(60*time.Second, "both groups serve", func() bool {
+			return running.Serving(0, "drafting") == 1 && running.Serving(0, "summary") == 1
+		})
+		time.Sleep(5 * time.Second)
+		answers := make(chan fleet.Answer, 2)
+		callers := conc.NewWaitGroup()
+		for index := range 2 {
+			callers.Go(func() { answers <- running.Draft(index, "later", "a long summary", 6000) })
+		}
+		time.Sleep(time.Second)
+		memberOfModel(running, "drafting").SetFaults(engine.Faults{Dead: true})
+		running.Eventually(10*time.Second, "the group has stopped", func() bool { return running.Serving(0, "drafting") == 0 })
+		done := make(chan struct{})
+		callers.Go(func() { keepDrafting(running, g, done) })
+		running.Eventually(100*time.Second, "the model that matters serves again", func() bool {
+			return running.Serving(0, "drafting") == 1
+		})
+		close(done)
+		callers.Wait()
+		for range 2 {
+			answer := <-answers
+			g.Expect(answer.Whole).To(gomega.BeTrue(), answer.Error)
+			g.Expect(answer.Text).To(gomega.Equal(engine.Answer(fleet.Prompt("a long summary"), 6000)))
+		}
+		for _, node := range running.Nodes {
+			g.Expect(node.State().Drafts.Resumed).To(gomega.BeZero())
+		}
+	})
+}
+
+// keepDrafting sends one draft after the other at the node that did not plan.
+// Each must be whole, or refused without having run.
+func keepDrafting(running *fleet.Fleet, g *gomega.WithT, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		// A refusal takes no time; without a pause this would never let any pass.
+		time.Sleep(500 * time.Millisecond)
+		answer := running.Draft(1, "later", "one more", 400)
+		g.Expect(answer.Whole || answer.Outcome == outcome.NotRun).To(gomega.BeTrue(), answer.Error)
+	}
+}
+
+func memberOfModel(running *fleet.Fleet, model string) *engine.Engine {
+	for _, server := range running.World.Engines {
+		if report := server.Report(); report.Model == model && report.Members[0] != report.Address {
+			return server
+		}
+	}
+	return nil
+}
--- a/internal/run/node/view.go
+++ b/internal/run/node/view.go
@@ -54,9 +54,9 @@
 // and those that other data centres say they have.
 func (node *Node) targets(snapshot *replica.Snapshot, now time.Duration) []route.Target {
 	targets := []route.Target{}
-	sent := node.exchange.sentByPeers(now)
+	sent, draining := node.exchange.sentByPeers(now), node.draining(now)
 	for _, group := range snapshot.Groups {
-		if !group.Serving || group.Draining {
+		if !group.Serving || group.Draining || slices.Contains(draining, group.Number) {
 			continue
 		}
 		targets = append(targets, route.Target{
@@ -69,6 +69,11 @@
 	return append(targets, node.exchange.remoteTargets(now)...)
 }
 
+// draining lists the groups that this node or a peer is about to retire.
+func (node *Node) draining(now time.Duration) []uint64 {
+	return append(node.former.Draining(), node.exchange.drainingAtPeers(now)...)
+}
+
 // models returns the models that classes in force ask for, with their worth.
 func (node *Node) models() []repair.Model {
 	snapshot := node.classes.Snapshot()
