--- a/internal/fleet/replica/former.go
+++ b/internal/fleet/replica/former.go
@@ -103,6 +103,8 @@
 // Start begins to plan.
 func (former *Former) Start() {
 	former.Part = lifecycle.New("former")
+	former.mu.Lock()
+	defer former.mu.Unlock()
 	former.experience = newExperience(former.Now)
 	former.rest = map[string]time.Duration{}
 	former.plans = map[string][]repair.Action{}
--- a/internal/peer/caller/services.go
+++ b/internal/peer/caller/services.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,7 +119,7 @@
 		if response, err = services.Call(ctx, address, call); err == nil {
 			return response, nil
 		}
-		if !errors.Is(err, service.ErrNotSent) || body.touched {
+		if !errors.Is(err, service.ErrNotSent) || body.touched.Load() {
 			return nil, err
 		}
 	}
@@ -129,11 +130,11 @@
 // that never read it.
 type untouched struct {
 	reader  io.Reader
-	touched bool
+	touched atomic.Bool
 }
 
 func (untouched *untouched) Read(buffer []byte) (int, error) {
-	untouched.touched = true
+	untouched.touched.Store(true)
 	return untouched.reader.Read(buffer)
 }
 
