fix(standin): read a call's body before refusing it

The stand-in refused without reading the body and closed the connection; the caller's write of the body then failed, at times before the refusal was read, and the node said Unknown. That was true: with its refusal lost nothing proves that a call did not run. Ruled out: a fault of the node (its answer is the careful one).

Change: the stand-in reads the body, then refuses. The test keeps its assertion.

--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -109,16 +109,19 @@
 	service.mu.Lock()
 	faults := service.faults
 	service.mu.Unlock()
-	if faults.Refuse {
-		writer.Header().Set(peer.HeaderRefused, "true")
-		http.Error(writer, "leaving", http.StatusServiceUnavailable)
-		return
-	}
 	body, err := io.ReadAll(io.LimitReader(request.Body, maxBodyBytes))
 	if err != nil {
 		http.Error(writer, "the body broke off", http.StatusBadRequest)
 		return
 	}
+	if faults.Refuse {
+		// A refusal that comes before the body was read can be lost to the
+		// caller's failing write of the body; the caller then says Unknown,
+		// which is true, and no test can expect more.
+		writer.Header().Set(peer.HeaderRefused, "true")
+		http.Error(writer, "leaving", http.StatusServiceUnavailable)
+		return
+	}
 	time.Sleep(time.Duration(faults.DelayMs) * time.Millisecond)
 	serial := 0
 	if request.Method != http.MethodGet {
