refactor: one rule of what takes work, one keeper of calls, names for streams

Which groups take work stood in three places, one of them used by tests only; each forwarded ticket built the callers' services anew, with a retry budget of its own; the tickets kept a lock and a flag behind pointers so that they could be copied; streams were picked by bare numbers and their names read through a copy of their whole state; the number of random runs and the set-up of the booking tests stood twice and more; two options served nobody.

Behaviour and assertions are unchanged.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -77,15 +77,16 @@
 	Violations []string
 }
 
-// ByModel returns the groups that take new work, by model.
-func (snapshot *Snapshot) ByModel() map[string][]*Group {
-	byModel := map[string][]*Group{}
+// Open returns the groups that take new work: those that serve, have no leaving
+// member, and are not among the numbers that are about to be retired.
+func (snapshot *Snapshot) Open(retiring []uint64) []*Group {
+	open := []*Group{}
 	for _, group := range snapshot.Groups {
-		if group.Serving && !group.Draining {
-			byModel[group.Model] = append(byModel[group.Model], group)
+		if group.Serving && !group.Draining && !slices.Contains(retiring, group.Number) {
+			open = append(open, group)
 		}
 	}
-	return byModel
+	return open
 }
 
 // Find returns the group with a number.
--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -74,7 +74,7 @@
 		facts[2].ListedLeaving = true
 		snapshot := assemble(facts)
 		gomega.Expect(snapshot.Groups[0].Serving).To(gomega.BeTrue())
-		gomega.Expect(snapshot.ByModel()).To(gomega.BeEmpty())
+		gomega.Expect(snapshot.Open(nil)).To(gomega.BeEmpty())
 	})
 
 	ginkgo.It("counts no server as free that does not answer or is leaving", func() {
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -122,12 +122,6 @@
 	return func(world *World) { world.rates = rates }
 }
 
-// Store sets how many loads the weight store serves at once, and how long each
-// takes.
-func Store(slots int, loadTime time.Duration) Option {
-	return func(world *World) { world.Weights = platform.NewWeights(slots, loadTime) }
-}
-
 // Listen sets how listeners are opened.
 func Listen(listen func(address string) (net.Listener, error)) Option {
 	return func(world *World) { world.listen = listen }
--- a/internal/run/node/answer.go
+++ b/internal/run/node/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,12 +98,8 @@
 // summaries lists the serving groups for another data centre.
 func (node *Node) summaries() []*exchange.GroupSummary {
 	now := node.now()
-	draining := node.draining(now)
 	summaries := []*exchange.GroupSummary{}
-	for _, group := range node.groups.Load().Groups {
-		if !group.Serving || group.Draining || slices.Contains(draining, group.Number) {
-			continue
-		}
+	for _, group := range node.groups.Load().Open(node.draining(now)) {
 		summaries = append(summaries, &exchange.GroupSummary{
 			Number: group.Number, Model: group.Model, Leader: group.Leader, Running: group.Running,
 			QueuedTokens: group.QueuedTokens, TokensPerSecond: group.TokensPerSecond,
@@ -167,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = node.streams[2].Append(ctx, body)
+	_, err = node.streams[bookingStream].Append(ctx, body)
 	return err
 }
 
@@ -310,7 +305,7 @@
 	for _, header := range request.Headers {
 		call.Header.Add(header.Name, header.Value)
 	}
-	answer := node.callerServices().RunTicket(ctx, request.Service, call, request.Body, request.Key, request.Digest)
+	answer := node.calls.RunTicket(ctx, request.Service, call, request.Body, request.Key, request.Digest)
 	return &exchange.CallReply{
 		Outcome: string(answer.Outcome), Status: uint32(answer.Status), ContentType: answer.ContentType,
 		Body: answer.Body, Cause: answer.Cause, Replayed: answer.Replayed, Conflict: answer.Conflict,
--- a/internal/run/node/exchange.go
+++ b/internal/run/node/exchange.go
@@ -305,7 +305,7 @@
 	positions := []*exchange.StreamPosition{}
 	for _, follower := range node.streams {
 		if follower.Ready() {
-			positions = append(positions, &exchange.StreamPosition{Stream: follower.State().Stream, Next: follower.Next()})
+			positions = append(positions, &exchange.StreamPosition{Stream: follower.Name, Next: follower.Next()})
 		}
 	}
 	return positions
@@ -313,7 +313,7 @@
 
 func (node *Node) stream(name string) (*stream.Follower, bool) {
 	for _, follower := range node.streams {
-		if follower.State().Stream == name {
+		if follower.Name == name {
 			return follower, true
 		}
 	}
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -94,6 +94,7 @@
 	router    *route.Router
 	gate      *admission.Gate
 	drafts    *draft.Server
+	calls     *caller.Services
 	journal   *journal.Journal
 	classes   *class.Table
 	leases    *lease.Table
@@ -263,22 +264,31 @@
 
 const dialTimeout = 500 * time.Millisecond
 
+// The streams that a node follows, as indexes of its followers.
+const (
+	configStream = iota
+	groupStream
+	bookingStream
+)
+
 func (node *Node) buildState() {
 	node.classes = class.New()
 	node.leases = lease.New(node.now)
 	node.keys = booking.NewTable(time.Duration(node.settings.Limits.BookingWindowMinutes) * time.Minute)
-	configStream := node.follow(class.StreamName, node.classes.Fold())
-	groupStream := node.follow("Groups."+node.settings.DataCentre, node.leases.Fold())
-	bookingStream := node.follow("Bookings."+node.settings.Region, node.keys.Fold())
-	node.streams = []*stream.Follower{configStream, groupStream, bookingStream}
+	node.streams = []*stream.Follower{
+		configStream:  node.follow(class.StreamName, node.classes.Fold()),
+		groupStream:   node.follow("Groups."+node.settings.DataCentre, node.leases.Fold()),
+		bookingStream: node.follow("Bookings."+node.settings.Region, node.keys.Fold()),
+	}
+	groups, bookings := node.streams[groupStream], node.streams[bookingStream]
 	node.leaseHold = &lease.Keeper{
 		Incarnation: node.Incarnation, Table: node.leases, Now: node.now,
-		Append: groupStream.Append, Ready: groupStream.Ready,
+		Append: groups.Append, Ready: groups.Ready,
 	}
 	node.appender = booking.NewBatcher(node.appendBatch)
 	node.collector = booking.NewBatcher(node.relayBatch)
 	node.bookings = booking.New(node.Incarnation, node.keys,
-		booking.Follower{Ready: bookingStream.Ready, Dark: bookingStream.Dark}, node.collector,
+		booking.Follower{Ready: bookings.Ready, Dark: bookings.Dark}, node.collector,
 		booking.Clock(node.now), booking.AskHolder(node.askHolder))
 }
 
@@ -304,13 +314,14 @@
 
 func (node *Node) buildServing() {
 	node.router = route.New(append([]route.Option{route.Random(node.random.intN)}, node.policies.Route...)...)
+	node.calls = node.callerServices()
 	node.gate = admission.New(node.policies.Admission...)
 	node.journal = journal.New(node.settings.Limits.JournalRequests)
 	node.drafts = draft.New(node.router, node.gate, node.drafting.Generate, func() int { return len(node.members.Live()) }, node.now, retry.New(node.policies.Retry...))
 	handler := &caller.Handler{
 		Classes: node.classes.Snapshot, Drafts: node.drafts, Journal: node.journal, Ready: node.Ready,
 		Begin: node.requests.begin, MaxBodyBytes: node.settings.Limits.MaxBodyBytes,
-		Services: node.callerServices(),
+		Services: node.calls,
 	}
 	node.callerServer = &http.Server{
 		Handler: handler.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second,
@@ -327,7 +338,7 @@
 }
 
 func (node *Node) submitter() *class.Submitter {
-	return &class.Submitter{Table: node.classes, Follower: node.streams[0]}
+	return &class.Submitter{Table: node.classes, Follower: node.streams[configStream]}
 }
 
 func (node *Node) callerServices() *caller.Services {
@@ -378,11 +389,11 @@
 // checkpoint writes the checkpoints that are this node's duty.
 func (node *Node) checkpoint() {
 	for _, follower := range node.streams {
-		if !node.members.Mine("checkpoint/" + follower.State().Stream) {
+		if !node.members.Mine("checkpoint/" + follower.Name) {
 			continue
 		}
 		if err := follower.MaybeCheckpoint(); err != nil {
-			node.logger.Warn("node: a checkpoint could not be written.", "Stream", follower.State().Stream, "Error", err.Error())
+			node.logger.Warn("node: a checkpoint could not be written.", "Stream", follower.Name, "Error", err.Error())
 		}
 	}
 }
@@ -400,7 +411,7 @@
 	}
 	for _, follower := range node.streams {
 		if !follower.Ready() {
-			return errors.Newf("the history of the stream %s is not known yet, from the log or from a peer", follower.State().Stream)
+			return errors.Newf("the history of the stream %s is not known yet, from the log or from a peer", follower.Name)
 		}
 	}
 	return nil
--- a/internal/run/node/node_test.go
+++ b/internal/run/node/node_test.go
@@ -30,10 +30,10 @@
 
 // inBubble runs a test on a fleet in virtual time, and checks the promises
 // that every node asserts of itself when it ends.
-func inBubble(t *testing.T, shape demo.Shape, test func(t *testing.T, running *fleet.Fleet, g *gomega.WithT), options ...demo.Option) {
+func inBubble(t *testing.T, shape demo.Shape, test func(t *testing.T, running *fleet.Fleet, g *gomega.WithT)) {
 	t.Helper()
 	fleet.Bubble(t, func(t *testing.T) {
-		running := fleet.New(t, shape, options...)
+		running := fleet.New(t, shape)
 		defer running.Stop()
 		running.Start()
 		running.Classes(fleet.Target("report", "drafting", 0.5))
--- a/internal/run/node/random_test.go
+++ b/internal/run/node/random_test.go
@@ -3,8 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -21,16 +19,6 @@
 	"hazelslip/internal/testlib/suite"
 )
 
-// roundsVariable sets how many random runs are made, for `make soak`.
-const roundsVariable = "HAZELSLIP_ROUNDS"
-
-func rounds(otherwise int) int {
-	if asked, err := strconv.Atoi(os.Getenv(roundsVariable)); err == nil {
-		return asked
-	}
-	return otherwise
-}
-
 const (
 	randomSteps   = 30
 	randomCallers = 4
@@ -43,7 +31,7 @@
 // and book. No promise may break, every answer must be whole and right or end
 // in an error, and once all is mended everything must serve again.
 func TestRandomFleets(t *testing.T) {
-	for round := range rounds(3) {
+	for round := range suite.Rounds(3) {
 		seed := suite.Seed()*1_000_000 + uint64(round)
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			shape := demo.Shape{
--- a/internal/run/node/view.go
+++ b/internal/run/node/view.go
@@ -54,11 +54,8 @@
 // and those that other data centres say they have.
 func (node *Node) targets(snapshot *replica.Snapshot, now time.Duration) []route.Target {
 	targets := []route.Target{}
-	sent, draining := node.exchange.sentByPeers(now), node.draining(now)
-	for _, group := range snapshot.Groups {
-		if !group.Serving || group.Draining || slices.Contains(draining, group.Number) {
-			continue
-		}
+	sent := node.exchange.sentByPeers(now)
+	for _, group := range snapshot.Open(node.draining(now)) {
 		targets = append(targets, route.Target{
 			Number: group.Number, Model: group.Model, Leader: group.Leader, DataCentre: node.settings.DataCentre,
 			Running: group.Running, QueuedTokens: group.QueuedTokens, TokensPerSecond: group.TokensPerSecond,
@@ -142,7 +139,7 @@
 	node.Go(func() {
 		ctx, cancel := node.Context(recordTimeout)
 		defer cancel()
-		if _, err := node.streams[1].Append(ctx, body); err != nil {
+		if _, err := node.streams[groupStream].Append(ctx, body); err != nil {
 			node.logger.Warn("replica: a group event was not recorded.", "Group", event.Number, "Error", err.Error())
 		}
 	})
--- a/internal/state/booking/booking.go
+++ b/internal/state/booking/booking.go
@@ -117,7 +117,7 @@
 	mu        sync.Mutex
 	running   map[string]*run
 	abandoned map[claimRef]time.Duration
-	tickets   tickets
+	tickets   *tickets
 	attempts  atomic.Uint64
 
 	runs, replays, notRun, unknown, violations atomic.Uint64
--- a/internal/state/booking/booking_test.go
+++ b/internal/state/booking/booking_test.go
@@ -135,15 +135,22 @@
 	return ledger.book.Run(key)
 }
 
+// withLedger runs a test on nodes that have read the log, in virtual time.
+func withLedger(t *testing.T, nodes int, test func(t *testing.T, g *gomega.WithT, ledger *ledger)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ledger := newLedger(nodes)
+		defer ledger.stop()
+		time.Sleep(time.Second)
+		test(t, gomega.NewWithT(t), ledger)
+	})
+}
+
 // The caller's retry reaches another node while the first call is still
 // running, as from a tablet on a bad line. The call must run once and both
 // must get its answer.
 func TestRetryAtAnotherNodeRunsNothingTwice(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(3)
-		defer ledger.stop()
-		time.Sleep(time.Second)
+	withLedger(t, 3, func(_ *testing.T, g *gomega.WithT, ledger *ledger) {
 		answers := make([]booking.Answer, 6)
 		callers := conc.NewWaitGroup()
 		for index := range answers {
@@ -164,11 +171,7 @@
 // The log goes dark. A call under a key is refused and truly was not run; a
 // call under a ticket runs all the same, once.
 func TestLogOutageRefusesKeysAndRunsTickets(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(1)
-		defer ledger.stop()
-		time.Sleep(time.Second)
+	withLedger(t, 1, func(_ *testing.T, g *gomega.WithT, ledger *ledger) {
 		ledger.log.SetFaults(platform.LogFaults{Dark: true})
 		time.Sleep(5 * time.Second)
 		var reached bool
@@ -192,11 +195,7 @@
 // finds the first claim it must not release the second one: the key would be
 // free and the call would run twice.
 func TestSweepReleasesOnlyWhatWasGivenUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(2)
-		defer ledger.stop()
-		time.Sleep(time.Second)
+	withLedger(t, 2, func(_ *testing.T, g *gomega.WithT, ledger *ledger) {
 		var reached bool
 		ledger.log.SetFaults(platform.LogFaults{LatencyMs: 6000})
 		refused := ledger.nodes[0].Run(context.Background(), ledger.call("visit", &reached))
@@ -218,10 +217,7 @@
 // must replay the calls that ran, and say NotRun of the others; the node itself
 // must run nothing more.
 func TestTicketsAreHandedOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(2)
-		defer ledger.stop()
+	withLedger(t, 2, func(_ *testing.T, g *gomega.WithT, ledger *ledger) {
 		used, err := ledger.nodes[0].Issue()
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		unused, err := ledger.nodes[0].Issue()
@@ -252,11 +248,7 @@
 // call ran is not known, and a retry must be told so: NotRun could make the
 // caller book again under another key.
 func TestClaimOfALostNodeIsUnknown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(2)
-		defer ledger.stop()
-		time.Sleep(time.Second)
+	withLedger(t, 2, func(_ *testing.T, g *gomega.WithT, ledger *ledger) {
 		lost := ledger.nodes[0]
 		var reached bool
 		call := ledger.call("visit", &reached)
@@ -284,11 +276,7 @@
 // checkpoint, nodes that started from it did not: the first said Unknown of
 // the key for hours while the others could run it.
 func TestCheckpointBringsNoReleasedClaimBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(1)
-		defer ledger.stop()
-		time.Sleep(time.Second)
+	withLedger(t, 1, func(t *testing.T, g *gomega.WithT, ledger *ledger) {
 		appendBatch(t, ledger, &record.BookingBatch{Intents: []*record.Intent{{Key: "visit", Incarnation: 99, Attempt: 1, UnixMs: 1}}})
 		time.Sleep(time.Second)
 		checkpoint, err := ledger.nodes[0].table.Fold().Snapshot(ledger.nodes[0].follower.Next())
@@ -321,11 +309,7 @@
 // It could never be written, and once older records expired a node that started
 // had no history. It goes onto the log in parts, with other records between.
 func TestLargeCheckpointGoesInParts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		g := gomega.NewWithT(t)
-		ledger := newLedger(1)
-		defer ledger.stop()
-		time.Sleep(time.Second)
+	withLedger(t, 1, func(t *testing.T, g *gomega.WithT, ledger *ledger) {
 		const keys, batchKeys = 30_000, 1000
 		for first := 0; first < keys; first += batchKeys {
 			batch := &record.BookingBatch{}
--- a/internal/state/booking/random_test.go
+++ b/internal/state/booking/random_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -20,16 +18,6 @@
 	"hazelslip/internal/testlib/suite"
 )
 
-// roundsVariable sets how many random runs are made, for `make soak`.
-const roundsVariable = "HAZELSLIP_ROUNDS"
-
-func rounds(otherwise int) int {
-	if asked, err := strconv.Atoi(os.Getenv(roundsVariable)); err == nil {
-		return asked
-	}
-	return otherwise
-}
-
 // request is one caller's request and what became of it.
 type request struct {
 	key        string
@@ -46,7 +34,7 @@
 // of one register a key (checked by porcupine).
 func TestRandomRunsBookOnce(t *testing.T) {
 	totals := map[outcome.Outcome]int{}
-	for round := range rounds(20) {
+	for round := range suite.Rounds(20) {
 		seed := suite.Seed()*1_000_000 + uint64(round)
 		synctest.Test(t, func(t *testing.T) {
 			for _, request := range randomRun(t, seed) {
--- a/internal/state/booking/ticket.go
+++ b/internal/state/booking/ticket.go
@@ -29,10 +29,10 @@
 // tickets is one incarnation's memory of the keys that it alone may run. It
 // needs no agreement and no log: when the process dies, nobody may run them.
 type tickets struct {
-	mu *sync.Mutex
+	mu sync.Mutex
 	// closed is set once the table was handed over: a call that ran after that
 	// would be missing from what the peer answers by.
-	closed  *bool
+	closed  bool
 	issued  map[string]*ticket
 	adopted map[uint64]map[string]*record.Outcome
 }
@@ -42,17 +42,17 @@
 	used     *run
 }
 
-func newTickets() tickets {
-	return tickets{mu: &sync.Mutex{}, closed: new(bool), issued: map[string]*ticket{}, adopted: map[uint64]map[string]*record.Outcome{}}
+func newTickets() *tickets {
+	return &tickets{issued: map[string]*ticket{}, adopted: map[uint64]map[string]*record.Outcome{}}
 }
 
-func (tickets tickets) count() int {
+func (tickets *tickets) count() int {
 	tickets.mu.Lock()
 	defer tickets.mu.Unlock()
 	return len(tickets.issued)
 }
 
-func (tickets tickets) expire(now time.Duration) {
+func (tickets *tickets) expire(now time.Duration) {
 	tickets.mu.Lock()
 	defer tickets.mu.Unlock()
 	for key, ticket := range tickets.issued {
@@ -86,7 +86,7 @@
 	key := fmt.Sprintf("%s%016x-%s", ticketPrefix, keeper.incarnation, hex.EncodeToString(random))
 	keeper.tickets.mu.Lock()
 	defer keeper.tickets.mu.Unlock()
-	if *keeper.tickets.closed || len(keeper.tickets.issued) >= ticketsMost {
+	if keeper.tickets.closed || len(keeper.tickets.issued) >= ticketsMost {
 		return "", ErrTooManyTickets
 	}
 	keeper.tickets.issued[key] = &ticket{issuedAt: keeper.now()}
@@ -119,7 +119,7 @@
 	keeper.tickets.mu.Lock()
 	defer keeper.tickets.mu.Unlock()
 	ticket, ok := keeper.tickets.issued[call.Key]
-	if !ok || *keeper.tickets.closed || keeper.now()-ticket.issuedAt > TicketWindow {
+	if !ok || keeper.tickets.closed || keeper.now()-ticket.issuedAt > TicketWindow {
 		return nil, false, false
 	}
 	if ticket.used != nil {
@@ -147,7 +147,7 @@
 func (keeper *Keeper) HandOver() []*record.Outcome {
 	keeper.tickets.mu.Lock()
 	defer keeper.tickets.mu.Unlock()
-	*keeper.tickets.closed = true
+	keeper.tickets.closed = true
 	ended := []*record.Outcome{}
 	for key, ticket := range keeper.tickets.issued {
 		if ticket.used != nil {
--- a/internal/state/stream/parts.go
+++ b/internal/state/stream/parts.go
@@ -24,7 +24,7 @@
 // appendParts writes a checkpoint in as many records as it needs.
 func (follower *Follower) appendParts(ctx context.Context, body []byte) error {
 	if len(body) <= partBytes {
-		_, err := follower.append(ctx, follower.name, body)
+		_, err := follower.append(ctx, follower.Name, body)
 		return err
 	}
 	count := (len(body) + partBytes - 1) / partBytes
@@ -37,7 +37,7 @@
 		if err != nil {
 			return err
 		}
-		if _, err := follower.append(ctx, follower.name, append([]byte{partMarker}, part...)); err != nil {
+		if _, err := follower.append(ctx, follower.Name, append([]byte{partMarker}, part...)); err != nil {
 			return err
 		}
 	}
--- a/internal/state/stream/relay.go
+++ b/internal/state/stream/relay.go
@@ -90,7 +90,7 @@
 	decoded, err := follower.fold.Decode(relayed.Snapshot)
 	if err != nil || !decoded.Checkpoint {
 		follower.statistics.Undecodable++
-		follower.logger.Warn("stream: a peer's snapshot cannot be decoded.", "Stream", follower.name)
+		follower.logger.Warn("stream: a peer's snapshot cannot be decoded.", "Stream", follower.Name)
 		return
 	}
 	decoded.Apply(relayed.SnapshotNext - 1)
--- a/internal/state/stream/reset.go
+++ b/internal/state/stream/reset.go
@@ -37,7 +37,7 @@
 	if page.Next == 0 || page.Next == page.Earliest {
 		return false, nil
 	}
-	last, err := follower.read(ctx, follower.name, page.Next-1, 1, 0)
+	last, err := follower.read(ctx, follower.Name, page.Next-1, 1, 0)
 	if err != nil || len(last.Records) == 0 {
 		return false, err
 	}
@@ -66,7 +66,7 @@
 			return errors.Wrap(err, "checkpoint for a log that lost its records")
 		}
 	}
-	follower.logger.Warn("stream: the log lost its records, what is in force was written back.", "Stream", follower.name)
+	follower.logger.Warn("stream: the log lost its records, what is in force was written back.", "Stream", follower.Name)
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	follower.next, follower.behindAt = page.Earliest, 0
--- a/internal/state/stream/stream.go
+++ b/internal/state/stream/stream.go
@@ -84,7 +84,8 @@
 // Follower folds one stream.
 type Follower struct {
 	*lifecycle.Part
-	name   string
+	// Name is the stream's.
+	Name   string
 	fold   Fold
 	read   func(ctx context.Context, stream string, from uint64, maxRecords int, wait time.Duration) (logservice.Page, error)
 	append func(ctx context.Context, stream string, body []byte) (uint64, error)
@@ -139,7 +140,7 @@
 // New returns a follower that has read nothing.
 func New(name string, fold Fold, options ...Option) *Follower {
 	follower := &Follower{
-		Part: lifecycle.New("stream"), name: name, fold: fold, now: clock.Boot,
+		Part: lifecycle.New("stream"), Name: name, fold: fold, now: clock.Boot,
 		logger: slog.Default(), advanced: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -187,7 +188,7 @@
 	follower.mu.Unlock()
 	ctx, cancel := follower.Context(wait + 5*time.Second)
 	defer cancel()
-	page, err := follower.read(ctx, follower.name, from, pageRecords, wait)
+	page, err := follower.read(ctx, follower.Name, from, pageRecords, wait)
 	if err != nil {
 		select {
 		case <-follower.Stopping:
@@ -208,7 +209,7 @@
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	if !follower.dark {
-		follower.logger.Warn("stream: the log does not answer.", "Stream", follower.name, "Error", err.Error())
+		follower.logger.Warn("stream: the log does not answer.", "Stream", follower.Name, "Error", err.Error())
 	}
 	follower.dark = true
 }
@@ -258,7 +259,7 @@
 	if err != nil {
 		follower.statistics.Undecodable++
 		follower.logger.Warn("stream: a record cannot be decoded and is skipped.",
-			"Stream", follower.name, "Offset", record.Offset, "Error", err.Error())
+			"Stream", follower.Name, "Offset", record.Offset, "Error", err.Error())
 		return
 	}
 	if !follower.complete {
@@ -331,7 +332,7 @@
 
 // Append adds a record to the stream and returns its offset.
 func (follower *Follower) Append(ctx context.Context, body []byte) (uint64, error) {
-	return follower.append(ctx, follower.name, body)
+	return follower.append(ctx, follower.Name, body)
 }
 
 // Advanced returns a channel that closes when more was folded.
@@ -367,7 +368,7 @@
 	follower.mu.Lock()
 	defer follower.mu.Unlock()
 	state := follower.statistics
-	state.Stream, state.Next, state.Complete = follower.name, follower.next, follower.complete
+	state.Stream, state.Next, state.Complete = follower.Name, follower.next, follower.complete
 	state.CaughtUp, state.LogDark = follower.caughtUp, follower.dark
 	state.QuietSince = follower.now() - follower.lastRead
 	return state
--- a/internal/testlib/fleet/fleet.go
+++ b/internal/testlib/fleet/fleet.go
@@ -51,10 +51,10 @@
 
 // New builds the stand-ins and the nodes' settings; nothing runs yet but the
 // stand-ins.
-func New(t *testing.T, shape demo.Shape, options ...demo.Option) *Fleet {
+func New(t *testing.T, shape demo.Shape) *Fleet {
 	t.Helper()
 	wires := network.New()
-	world, err := demo.NewWorld(append([]demo.Option{demo.Size(shape), demo.Listen(wires.Listen)}, options...)...)
+	world, err := demo.NewWorld(demo.Size(shape), demo.Listen(wires.Listen))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/testlib/suite/suite.go
+++ b/internal/testlib/suite/suite.go
@@ -29,6 +29,18 @@
 	return seed
 }
 
+// RoundsVariable names the environment variable that sets how many random runs
+// a test makes, for `make soak`.
+const RoundsVariable = "HAZELSLIP_ROUNDS"
+
+// Rounds returns how many random runs to make.
+func Rounds(otherwise int) int {
+	if asked, err := strconv.Atoi(os.Getenv(RoundsVariable)); err == nil {
+		return asked
+	}
+	return otherwise
+}
+
 // Run runs the specs of a package.
 func Run(t *testing.T, name string) {
 	gomega.RegisterFailHandler(ginkgo.Fail)
