--- a/cmd/root.go
+++ b/cmd/root.go
@@ -39,6 +39,7 @@
 
 	Demo          demoCommand          `cmd:"" help:"Run a small deployment on loopback, with stand-ins for everything around it."`
 	Node          nodeCommand          `cmd:"" help:"Run an entry node."`
+	Gateway       gatewayCommand       `cmd:"" help:"Run an entry node on the users' platform."`
 	Standin       standinCommand       `cmd:"" help:"Run the stand-ins of the platform, the engines and a service."`
 	Class         classCommand         `cmd:"" help:"State and change targets of classes."`
 	Groups        groupsCommand        `cmd:"" help:"List the replica groups."`
@@ -153,6 +154,14 @@
 	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: parsed}))
 }
 
+func newJSONLogger(out io.Writer, level string) *slog.Logger {
+	var parsed slog.Level
+	if err := parsed.UnmarshalText([]byte(level)); err != nil {
+		parsed = slog.LevelInfo
+	}
+	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed}))
+}
+
 func printJSON(out io.Writer, value any) error {
 	encoder := json.NewEncoder(out)
 	encoder.SetIndent("", "  ")
--- a/internal/common/jsonhttp/jsonhttp.go
+++ b/internal/common/jsonhttp/jsonhttp.go
@@ -54,3 +54,11 @@
 	}
 	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, limits.Bytes)).Decode(value), "decode the answer")
 }
+
+// Write answers a request with a value as indented JSON.
+func Write(writer http.ResponseWriter, value any) {
+	writer.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(writer)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
--- a/internal/common/rendezvous/rendezvous.go
+++ b/internal/common/rendezvous/rendezvous.go
@@ -29,6 +29,19 @@
 	return best, best != 0
 }
 
+// Rank returns how many of the candidates come before the node for the duty.
+func Rank(duty string, node uint64, candidates []uint64) int {
+	rank := 0
+	own := weigh(duty, node)
+	for _, candidate := range candidates {
+		weight := weigh(duty, candidate)
+		if weight > own || (weight == own && candidate > node) {
+			rank++
+		}
+	}
+	return rank
+}
+
 func weigh(duty string, node uint64) uint64 {
 	buffer := make([]byte, 0, 64)
 	buffer = binary.BigEndian.AppendUint64(buffer, node)
--- /dev/null
+++ b/internal/fleet/formation/former.go
@@ -0,0 +1,325 @@
+package formation
+
+import (
+	"log/slog"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/common/lifecycle"
+	"hazelslip/internal/fleet/roster"
+)
+
+// Parts is what a Former works with.
+type Parts struct {
+	Fleet
+	View    *View
+	Servers func() *roster.Snapshot
+	// Services returns the services whose servers form groups.
+	Services func() []Service
+	// Term returns the number under which this node may give orders, 0 while it
+	// may not.
+	Term func() int64
+	// Outdated is told of a number that a server refused.
+	Outdated func(term int64)
+	// Announce makes news known to this node and its peers.
+	Announce func(news News)
+	// Load returns how many places of a model's groups are taken, and how many
+	// there are.
+	Load func(service, model string) (taken, places int)
+	// Quiet says that no request has come yet.
+	Quiet  func() bool
+	Bounds Bounds
+	Now    clock.Now
+	Logger *slog.Logger
+}
+
+const (
+	// tick is how often the plan is looked at.
+	tick = 100 * time.Millisecond
+	// answerTime bounds one question or order. A server in the region answers
+	// within a few milliseconds; one that takes so long is dark.
+	answerTime = 150 * time.Millisecond
+	// lostFor is how long a server that didn't answer is left alone.
+	lostFor = 2 * time.Second
+	// examineAgain is how long a group that was found whole isn't asked again.
+	examineAgain = 500 * time.Millisecond
+	// termBits is how many epochs one term has.
+	termBits = 16
+)
+
+// Former gives the orders that form and mend groups.
+type Former struct {
+	*lifecycle.Part
+	Parts
+	gate gate
+
+	mu sync.Mutex
+	// busy are the servers that an order concerns, with the group or purpose.
+	busy map[string]string
+	// lost are servers that didn't answer, up to when they are left alone.
+	lost map[string]time.Duration
+	// forming are the groups in the making.
+	forming map[string]Group
+	// working are the groups that are being examined, ended or opened.
+	working map[string]bool
+	// examined is when a group was last found whole.
+	examined map[string]time.Duration
+	// since is when a group was first seen in a state that should pass.
+	since map[string]time.Duration
+	// haves counts the groups of each service and model, as of the last round.
+	haves   map[string]int
+	counter int64
+	termed  int64
+
+	Counts Counts
+}
+
+// Counts are the former's counters; they only grow.
+type Counts struct {
+	Formed    atomic.Uint64
+	Abandoned atomic.Uint64
+	Lost      atomic.Uint64
+	Retired   atomic.Uint64
+	Staged    atomic.Uint64
+	Orders    atomic.Uint64
+	Reports   atomic.Uint64
+	WholeSeen atomic.Uint64
+}
+
+// New returns a former that is yet to be started.
+func New(parts Parts) *Former {
+	former := &Former{
+		Part: lifecycle.New("former"), Parts: parts,
+		busy: map[string]string{}, lost: map[string]time.Duration{}, forming: map[string]Group{},
+		working: map[string]bool{}, examined: map[string]time.Duration{}, since: map[string]time.Duration{},
+	}
+	former.gate.now = parts.Now
+	return former
+}
+
+// Start begins to form groups whenever this node may.
+func (former *Former) Start() {
+	former.Every(tick, former.round)
+}
+
+// epoch returns the next epoch and a name for it. Epochs of a later term are
+// higher than all of earlier ones.
+func (former *Former) epoch(term int64) (int64, string) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	if former.termed != term {
+		former.termed, former.counter = term, 0
+	}
+	former.counter++
+	epoch := term<<termBits | former.counter
+	return epoch, "g" + strconv.FormatInt(epoch, 36)
+}
+
+// TermOf returns the term under which an epoch was given.
+func TermOf(epoch int64) int64 {
+	return epoch >> termBits
+}
+
+// round looks at what there is and starts what should be done.
+func (former *Former) round() {
+	term := former.Term()
+	servers := former.Servers()
+	if term == 0 || !servers.Known() {
+		former.gate.rest()
+		return
+	}
+	services := former.Services()
+	listed := List(servers, services)
+	for _, group := range listed {
+		former.look(term, group, servers)
+	}
+	for _, service := range services {
+		former.plan(term, service, servers, listed)
+	}
+}
+
+// look starts what one listed group needs.
+func (former *Former) look(term int64, group *Listed, servers *roster.Snapshot) {
+	if former.Free(group) || former.isBusy(group) {
+		return
+	}
+	switch {
+	case group.HeadState() == "":
+		// The list doesn't show the head: it is gone, or in no group any more.
+		if former.lasts(group.Name, time.Second) {
+			former.begin(group.Name, func() { former.orphan(term, group, servers) })
+		}
+	case group.HeadState() == roster.Broken:
+		former.begin(group.Name, func() { former.end(term, group.Group, nil, Lost) })
+	case !group.Complete():
+		// A member's entry was removed, or it is in another group. Lists lag, so
+		// this must last.
+		if former.lasts(group.Name, time.Second) {
+			former.begin(group.Name, func() { former.examine(term, group.Group) })
+		}
+	case group.Draining():
+		former.begin(group.Name, func() { former.drain(term, group.Group) })
+	case group.HeadState() == roster.Ready && group.All(roster.Ready):
+		// All are ready and nobody opened it: the node that formed it ended.
+		if former.lasts(group.Name, time.Second) {
+			former.begin(group.Name, func() { former.open(term, group.Group) })
+		}
+	case group.HeadState() == roster.Open:
+		former.clear(group.Name)
+	default:
+		if former.lasts(group.Name, stuckAfter) {
+			former.begin(group.Name, func() { former.end(term, group.Group, nil, Lost) })
+		}
+	}
+}
+
+// stuckAfter is how long a group may be joining or closing before it is taken
+// apart: more than a load from the weight store takes.
+const stuckAfter = 40 * time.Second
+
+// Free says whether the members of a listed group may join others.
+func (former *Former) Free(group *Listed) bool {
+	return former.View.Free(group.Name)
+}
+
+func (former *Former) isBusy(group *Listed) bool {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	if former.working[group.Name] {
+		return true
+	}
+	_, forming := former.forming[group.Name]
+	return forming
+}
+
+// lasts says whether it was asked about the same name for so long.
+func (former *Former) lasts(name string, span time.Duration) bool {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	now := former.Now()
+	since, ok := former.since[name]
+	if !ok {
+		former.since[name] = now
+		return false
+	}
+	return now-since >= span
+}
+
+func (former *Former) clear(name string) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	delete(former.since, name)
+}
+
+// begin runs work on a group unless some is under way.
+func (former *Former) begin(name string, work func()) {
+	former.mu.Lock()
+	if former.working[name] {
+		former.mu.Unlock()
+		return
+	}
+	former.working[name] = true
+	former.mu.Unlock()
+	former.Go(func() {
+		defer func() {
+			former.mu.Lock()
+			defer former.mu.Unlock()
+			delete(former.working, name)
+			delete(former.since, name)
+		}()
+		work()
+	})
+}
+
+// Suspect is told that a head's calls stand still.
+func (former *Former) Suspect(head, group string) {
+	term := former.Term()
+	if term == 0 || former.View.Ended(group) {
+		return
+	}
+	former.mu.Lock()
+	recent := former.Now()-former.examined[group] < examineAgain && former.examined[group] != 0
+	former.mu.Unlock()
+	if recent {
+		return
+	}
+	found, ok := former.find(group)
+	if !ok || found.Head() != head {
+		return
+	}
+	former.begin(group, func() { former.examine(term, found) })
+}
+
+// find returns a group by its name, from news or from the list.
+func (former *Former) find(name string) (Group, bool) {
+	for _, group := range former.View.Serving(former.Servers(), former.Services()) {
+		if group.Name == name {
+			return group, true
+		}
+	}
+	for _, listed := range List(former.Servers(), former.Services()) {
+		if listed.Name == name && listed.Complete() {
+			return listed.Group, true
+		}
+	}
+	return Group{}, false
+}
+
+// reserve marks servers as concerned by an order, all or none.
+func (former *Former) reserve(ids []string, purpose string) bool {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	for _, id := range ids {
+		if former.busy[id] != "" {
+			return false
+		}
+	}
+	for _, id := range ids {
+		former.busy[id] = purpose
+	}
+	return true
+}
+
+func (former *Former) release(ids []string) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	for _, id := range ids {
+		delete(former.busy, id)
+	}
+}
+
+func (former *Former) markLost(id string) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	former.lost[id] = former.Now() + lostFor
+}
+
+// State is the former's part of the state dump.
+type State struct {
+	Term    int64
+	Busy    map[string]string
+	Forming []Group
+	Lost    []string
+}
+
+// State returns what the former is doing.
+func (former *Former) State() State {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	state := State{Term: former.Term(), Busy: map[string]string{}}
+	for id, purpose := range former.busy {
+		state.Busy[id] = purpose
+	}
+	for _, group := range former.forming {
+		state.Forming = append(state.Forming, group)
+	}
+	for id, until := range former.lost {
+		if until > former.Now() {
+			state.Lost = append(state.Lost, id)
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/internal/fleet/formation/work.go
@@ -0,0 +1,489 @@
+package formation
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/fleet/roster"
+)
+
+const (
+	// orderTries is how often an order without an answer is given again.
+	orderTries = 3
+	// looksWhileJoining is how often in a row a joining member may fail to
+	// answer before the group is given up.
+	looksWhileJoining = 2
+	// joinMost bounds how long a group may take to be ready, beyond what its
+	// slowest member should take: loads slow each other down.
+	joinMost = 30 * time.Second
+	// closeMost is how long a closing head may take to finish what it has.
+	closeMost = 9 * time.Second
+	// releaseMargin is waited beyond the life of a group without its head.
+	releaseMargin = 1500 * time.Millisecond
+)
+
+var errNotListed = errors.New("the list doesn't show the server")
+
+// answered is one server's report, or why there is none.
+type answered struct {
+	server *roster.Server
+	report Report
+	err    error
+}
+
+// ask asks servers for reports at once.
+func (former *Former) ask(ids []string, within time.Duration) []answered {
+	answers := make([]answered, len(ids))
+	waiters := conc.WaitGroup{}
+	for number, id := range ids {
+		server, ok := former.Servers().Servers[id]
+		if !ok {
+			answers[number].err = errNotListed
+			continue
+		}
+		waiters.Go(func() {
+			ctx, cancel := former.Context(within)
+			defer cancel()
+			former.Counts.Reports.Add(1)
+			report, err := former.Report(ctx, server)
+			answers[number] = answered{server: server, report: report, err: err}
+		})
+	}
+	waiters.Wait()
+	return answers
+}
+
+// give gives one order, again if there is no answer. An order that got none may
+// have been taken; giving it again does no harm, since a server that has taken
+// it says Done, or counts one more order than expected.
+func (former *Former) give(server *roster.Server, order Order) (Result, error) {
+	var failure error
+	for range orderTries {
+		if former.Term() != order.Term {
+			return Outdated, nil
+		}
+		ctx, cancel := former.Context(2 * answerTime)
+		former.Counts.Orders.Add(1)
+		result, err := former.Order(ctx, server, order)
+		cancel()
+		former.Logger.Info("former: an order was given.", "Server", server.ID, "Kind", order.Kind.String(),
+			"Group", order.Group, "Model", order.Model, "Term", order.Term, "Result", result.String(), "Error", errorText(err))
+		switch {
+		case err == nil && result == Outdated:
+			former.Outdated(order.Term)
+			return result, nil
+		case err == nil:
+			return result, nil
+		case former.Dead(err):
+			return Absent, nil
+		}
+		failure = err
+	}
+	return Invalid, failure
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// examine asks all members of a group whether they are there, and ends the
+// group if one is not.
+func (former *Former) examine(term int64, group Group) {
+	dead := former.missing(group, group.Members)
+	if len(dead) > 0 {
+		// A packet may have been lost; the ones that failed are asked again.
+		dead = former.missing(group, dead)
+	}
+	if len(dead) == 0 {
+		former.mu.Lock()
+		former.examined[group.Name] = former.Now()
+		former.mu.Unlock()
+		former.Counts.WholeSeen.Add(1)
+		former.Logger.Info("former: a silent group is whole.", "Group", group.Name, "Model", group.Model)
+		return
+	}
+	former.Counts.Lost.Add(1)
+	former.Logger.Warn("former: a group lost members.", "Group", group.Name, "Model", group.Model, "Members", dead)
+	for _, id := range dead {
+		former.markLost(id)
+	}
+	former.end(term, group, dead, Lost)
+}
+
+// missing returns which of some members don't answer or are not in the group.
+func (former *Former) missing(group Group, ids []string) []string {
+	missing := []string{}
+	for number, answer := range former.ask(ids, answerTime) {
+		inGroup := answer.report.Group.Name == group.Name && answer.report.Group.State != roster.Broken
+		if answer.err != nil || !inGroup {
+			missing = append(missing, ids[number])
+		}
+	}
+	return missing
+}
+
+// end takes a group apart. Its members are free once its head has left it.
+func (former *Former) end(term int64, group Group, dead []string, change Change) {
+	former.Announce(News{Change: change, Group: group})
+	head, ok := former.Servers().Servers[group.Head()]
+	if ok && !contains(dead, head.ID) && former.leave(term, head, group) {
+		former.Announce(News{Change: Released, Group: group})
+		return
+	}
+	former.outwait(term, group, group.Head(), former.Servers())
+}
+
+// leave makes a server leave a group and says whether it provably has.
+func (former *Former) leave(term int64, server *roster.Server, group Group) bool {
+	result, err := former.give(server, Order{
+		Kind: Leave, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1,
+	})
+	if err != nil {
+		return false
+	}
+	switch result {
+	case Begun, Done, Absent:
+		return true
+	case Conflict:
+		// It is in another group, or in none.
+		report := former.ask([]string{server.ID}, answerTime)[0]
+		return report.err == nil && report.report.Group.Name != group.Name
+	default:
+		return false
+	}
+}
+
+// outwait releases the members of a group whose head can't be reached. The head
+// may live on the far side of a partition and serve. Once the others have left,
+// it stands still, and after the stall bound it serves nobody. Its own return
+// must not find its members in another group while it still would.
+func (former *Former) outwait(term int64, group Group, head string, servers *roster.Snapshot) {
+	for _, id := range group.Members {
+		server, ok := servers.Servers[id]
+		if !ok || id == head {
+			continue
+		}
+		if server.Group.Name == group.Name || former.View.Ended(group.Name) {
+			former.leave(term, server, group)
+		}
+	}
+	former.Logger.Info("former: a head can't be reached; its members wait.", "Group", group.Name, "Head", head)
+	if former.Sleep(former.Bounds.Stall + releaseMargin) {
+		former.Announce(News{Change: Released, Group: group})
+	}
+}
+
+// orphan deals with a listed group whose head the list doesn't show in it.
+func (former *Former) orphan(term int64, listed *Listed, servers *roster.Snapshot) {
+	group := listed.Group
+	for rank, server := range listed.ByRank {
+		if rank > 0 && server != nil {
+			former.leave(term, server, group)
+		}
+	}
+	former.Announce(News{Change: Lost, Group: group})
+	former.outwait(term, Group{Name: group.Name, Epoch: group.Epoch}, group.Head(), servers)
+}
+
+// drain ends a group of which a member is leaving: no new calls, those it has
+// are finished, then its members are free.
+func (former *Former) drain(term int64, group Group) {
+	former.Counts.Retired.Add(1)
+	former.Announce(News{Change: Retired, Group: group})
+	head, ok := former.Servers().Servers[group.Head()]
+	if !ok {
+		former.end(term, group, nil, Lost)
+		return
+	}
+	result, err := former.give(head, Order{Kind: Close, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
+	if err == nil && result.Taken() {
+		former.awaitClosed(group)
+	}
+	former.end(term, group, nil, Lost)
+}
+
+// awaitClosed waits until a closing head has finished what it has.
+func (former *Former) awaitClosed(group Group) {
+	deadline := former.Now() + closeMost
+	for former.Now() < deadline && former.Sleep(closeLook) {
+		answer := former.ask([]string{group.Head()}, answerTime)[0]
+		state := answer.report.Group.State
+		if answer.err != nil || (state != roster.Closing && state != roster.Open) {
+			return
+		}
+	}
+}
+
+// closeLook is how often a closing head is asked. A stream takes a second or
+// two to end.
+const closeLook = 400 * time.Millisecond
+
+// form makes a group of free servers.
+func (former *Former) form(term int64, service Service, modelName string, members []string) {
+	epoch, name := former.epoch(term)
+	group := Group{Name: name, Epoch: epoch, Service: service.Name, Model: modelName, Members: members}
+	former.mu.Lock()
+	former.forming[name] = group
+	former.mu.Unlock()
+	defer func() {
+		former.mu.Lock()
+		delete(former.forming, name)
+		former.mu.Unlock()
+		former.release(members)
+	}()
+	reports, ok := former.usable(members)
+	if !ok || !former.joinAll(term, group, reports) || !former.awaitReady(service, group, reports) {
+		former.abandon(group)
+		return
+	}
+	former.open(term, group)
+}
+
+// usable asks servers that are to form a group, and says whether all of them
+// may.
+func (former *Former) usable(members []string) ([]answered, bool) {
+	reports := former.ask(members, answerTime)
+	all := true
+	for number, answer := range reports {
+		if answer.err != nil {
+			former.markLost(members[number])
+			all = false
+			continue
+		}
+		membership := answer.report.Group
+		taken := membership.Name != "" && !former.View.Free(membership.Name)
+		if taken || membership.State == roster.Open || membership.State == roster.Closing || answer.report.Busy {
+			// The list is behind; it shows soon what the server is doing.
+			former.markLost(members[number])
+			all = false
+		}
+	}
+	return reports, all
+}
+
+// joinAll orders every member to join, all at once.
+func (former *Former) joinAll(term int64, group Group, reports []answered) bool {
+	joined := make([]bool, len(reports))
+	waiters := conc.WaitGroup{}
+	for number, answer := range reports {
+		waiters.Go(func() { joined[number] = former.join(term, group, answer) })
+	}
+	waiters.Wait()
+	for _, ok := range joined {
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+func (former *Former) join(term int64, group Group, member answered) bool {
+	order := Order{
+		Kind: Join, Group: group.Name, Epoch: group.Epoch, Model: group.Model, Members: group.Members,
+		Term: term, Expected: member.report.Orders,
+	}
+	result, err := former.give(member.server, order)
+	if err == nil && result.Taken() {
+		return true
+	}
+	if err == nil && result != Conflict {
+		return false
+	}
+	// The answer was lost, or an earlier try of the same order was taken after
+	// all: the server itself tells.
+	again := former.ask([]string{member.server.ID}, answerTime)[0]
+	return again.err == nil && again.report.Group.Name == group.Name
+}
+
+// awaitReady looks at the members until all are ready under the group's name
+// and epoch.
+func (former *Former) awaitReady(service Service, group Group, reports []answered) bool {
+	model, _ := service.Engine.Model(group.Model)
+	pause := firstLook
+	expected := model.WarmupTime
+	for _, answer := range reports {
+		if !hasModel(answer.report.Staged, group.Model) {
+			expected = model.LoadTime
+		}
+	}
+	deadline := former.Now() + expected + joinMost
+	failed := map[string]int{}
+	waiting := group.Members
+	for former.Now() < deadline && former.Sleep(pause) {
+		waiting = former.notReady(group, waiting, failed)
+		if waiting == nil {
+			return false
+		}
+		if len(waiting) == 0 {
+			return true
+		}
+		pause = nextLook
+	}
+	return false
+}
+
+const (
+	// firstLook is when a member whose last group had the model is ready, and
+	// nextLook how often the others are asked.
+	firstLook = 220 * time.Millisecond
+	nextLook  = 150 * time.Millisecond
+)
+
+// notReady returns the members that are still joining, nil if the group can't
+// come about.
+func (former *Former) notReady(group Group, ids []string, failed map[string]int) []string {
+	waiting := []string{}
+	for number, answer := range former.ask(ids, answerTime) {
+		id := ids[number]
+		membership := answer.report.Group
+		switch {
+		case answer.err != nil:
+			failed[id]++
+			if failed[id] >= looksWhileJoining {
+				former.markLost(id)
+				return nil
+			}
+			waiting = append(waiting, id)
+		case membership.Name != group.Name || membership.Epoch != group.Epoch || membership.State == roster.Broken:
+			return nil
+		case membership.State == roster.Joining:
+			failed[id] = 0
+			waiting = append(waiting, id)
+		}
+	}
+	return waiting
+}
+
+// abandon gives up a group that was never opened, so that its members are free
+// at once: no head was told to serve, and a join that arrives late carries an
+// older epoch than the next.
+func (former *Former) abandon(group Group) {
+	former.Counts.Abandoned.Add(1)
+	former.Logger.Warn("former: a group could not be formed.", "Group", group.Name, "Model", group.Model, "Members", group.Members)
+	former.Announce(News{Change: Lost, Group: group})
+	former.Announce(News{Change: Released, Group: group})
+}
+
+// open tells the head of a ready group to serve, and makes the group known
+// when it does.
+func (former *Former) open(term int64, group Group) {
+	head, ok := former.Servers().Servers[group.Head()]
+	if !ok {
+		return
+	}
+	result, err := former.give(head, Order{Kind: Open, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
+	if err != nil || !result.Taken() {
+		// It may have been taken, so the head must have left before a member is
+		// used again.
+		former.end(term, group, nil, Lost)
+		return
+	}
+	former.Counts.Formed.Add(1)
+	former.Logger.Info("former: a group serves.", "Group", group.Name, "Model", group.Model, "Members", group.Members)
+	if former.Sleep(former.formTime(group.Service)) {
+		former.Announce(News{Change: Opened, Group: group})
+	}
+}
+
+func (former *Former) formTime(name string) time.Duration {
+	for _, service := range former.Services() {
+		if service.Name == name {
+			return service.Engine.FormTime
+		}
+	}
+	return 0
+}
+
+// stage loads a model onto a free server's host.
+func (former *Former) stage(term int64, model string, id string) {
+	defer former.release([]string{id})
+	server, ok := former.Servers().Servers[id]
+	if !ok {
+		return
+	}
+	former.Counts.Staged.Add(1)
+	result, err := former.give(server, Order{Kind: Stage, Model: model, Term: term, Expected: -1})
+	if err != nil {
+		former.markLost(id)
+		return
+	}
+	if result == Begun {
+		former.awaitStaged(id, model)
+	}
+}
+
+// awaitStaged waits until the list shows the model on the server's host.
+func (former *Former) awaitStaged(id, model string) {
+	deadline := former.Now() + joinMost
+	for former.Now() < deadline && former.Sleep(nextLook) {
+		server, ok := former.Servers().Servers[id]
+		if !ok || server.HasStaged(model) {
+			return
+		}
+	}
+}
+
+func contains(ids []string, id string) bool {
+	for _, held := range ids {
+		if held == id {
+			return true
+		}
+	}
+	return false
+}
+
+func hasModel(staged []string, model string) bool {
+	return contains(staged, model)
+}
+
+// gate bounds loads from the weight store.
+type gate struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	started []time.Duration
+	held    bool
+}
+
+// rest notes that this node gives no orders. Whoever gave them may have begun
+// loads just now; when this node takes over, it counts half of a window as
+// used.
+func (gate *gate) rest() {
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	gate.held = false
+}
+
+// take counts loads, or reports false when they would be too many for any
+// window.
+func (gate *gate) take(loads, most int, window time.Duration) bool {
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	now := gate.now()
+	if !gate.held {
+		gate.held = true
+		for range most / 2 {
+			gate.started = append(gate.started, now)
+		}
+	}
+	kept := gate.started[:0]
+	for _, at := range gate.started {
+		if now-at < window {
+			kept = append(kept, at)
+		}
+	}
+	gate.started = kept
+	if len(kept)+loads > most {
+		return false
+	}
+	for range loads {
+		gate.started = append(gate.started, now)
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleet/tenure/tenure.go
@@ -0,0 +1,168 @@
+// Package tenure decides which node gives orders to backend servers.
+//
+// A node orders under a number, its term, that it gets from the platform's
+// store: the place of a record that it appends, so no two nodes get the same
+// and each is higher than all before. The node that holds the highest term
+// keeps it for as long as its peers hear it; nothing is renewed. When it falls
+// silent, the peer that comes first by rendezvous hashing takes the next term,
+// and the others after it one by one if it doesn't.
+//
+// Two holders are possible, when nodes are cut off from each other. The servers
+// themselves then decide, since they refuse the lower number; see package
+// formation. So a node that can't reach the store may also make up a term,
+// between the highest that it knows and the next that the store would give.
+//
+// # Usage
+//
+//	keeper := tenure.New(incarnation, claim, clock.Boot)
+//	keeper.Look(peers)
+//	if term := keeper.Term(); term != 0 { ... }
+package tenure
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/common/rendezvous"
+)
+
+// Peer is what a node last said.
+type Peer struct {
+	Incarnation uint64
+	// Term is what it holds, 0 for none.
+	Term int64
+	// Fit says that it knows enough to give orders.
+	Fit bool
+}
+
+const (
+	// Block is how many terms there are between two that the store gives. Those
+	// between are made up while the store is away.
+	Block = 4096
+	// vacantFor is how long there must be no holder before the first candidate
+	// takes over: longer than one lost exchange, since a second holder costs
+	// orders that are refused.
+	vacantFor = 300 * time.Millisecond
+	// rankStep is how much longer each next candidate waits.
+	rankStep = 400 * time.Millisecond
+	// outdatedRest is how long a node whose term was refused waits before it
+	// may take another.
+	outdatedRest = 2 * time.Second
+)
+
+// Keeper holds this node's term.
+type Keeper struct {
+	incarnation uint64
+	// claim gets a place in the store's order; it fails while that is away.
+	claim func() (int64, error)
+	now   clock.Now
+
+	term    atomic.Int64
+	highest atomic.Int64
+
+	mu          sync.Mutex
+	vacantSince time.Duration
+	vacant      bool
+	restUntil   time.Duration
+}
+
+// New returns a keeper without a term.
+func New(incarnation uint64, claim func() (int64, error), now clock.Now) *Keeper {
+	return &Keeper{incarnation: incarnation, claim: claim, now: now}
+}
+
+// Term returns the term that this node holds, 0 for none.
+func (keeper *Keeper) Term() int64 {
+	return keeper.term.Load()
+}
+
+// Highest returns the highest term that this node has heard of.
+func (keeper *Keeper) Highest() int64 {
+	return keeper.highest.Load()
+}
+
+// Heard takes a term that was seen anywhere. A holder that hears of a higher
+// one stands down.
+func (keeper *Keeper) Heard(term int64) {
+	for {
+		held := keeper.highest.Load()
+		if term <= held || keeper.highest.CompareAndSwap(held, term) {
+			break
+		}
+	}
+	if held := keeper.term.Load(); held != 0 && held < term {
+		keeper.term.CompareAndSwap(held, 0)
+	}
+}
+
+// Outdated is told that a server refused a term. The node gives no more orders
+// under it, and takes a new one only after a rest: another node orders.
+func (keeper *Keeper) Outdated(term int64) {
+	if !keeper.term.CompareAndSwap(term, 0) {
+		return
+	}
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	keeper.restUntil = keeper.now() + outdatedRest
+}
+
+// Look decides whether this node should take a term, and takes it. Peers are
+// those that were heard lately; fit says whether this node could give orders.
+// It returns true when it took one.
+func (keeper *Keeper) Look(peers []Peer, fit bool) bool {
+	held := keeper.Term() != 0
+	for _, peer := range peers {
+		keeper.Heard(peer.Term)
+		held = held || peer.Term != 0
+	}
+	if !keeper.due(held, peers, fit) {
+		return false
+	}
+	keeper.Heard(keeper.next())
+	keeper.term.Store(keeper.highest.Load())
+	return true
+}
+
+// due says whether this node's time to take over has come.
+func (keeper *Keeper) due(held bool, peers []Peer, fit bool) bool {
+	keeper.mu.Lock()
+	defer keeper.mu.Unlock()
+	now := keeper.now()
+	if held || !fit {
+		keeper.vacant = false
+		return false
+	}
+	if !keeper.vacant {
+		keeper.vacant, keeper.vacantSince = true, now
+	}
+	if now < keeper.restUntil {
+		return false
+	}
+	return now-keeper.vacantSince >= vacantFor+time.Duration(keeper.rank(peers))*rankStep
+}
+
+// rank returns how many candidates come before this node.
+func (keeper *Keeper) rank(peers []Peer) int {
+	candidates := []uint64{keeper.incarnation}
+	for _, peer := range peers {
+		if peer.Fit {
+			candidates = append(candidates, peer.Incarnation)
+		}
+	}
+	return rendezvous.Rank(duty, keeper.incarnation, candidates)
+}
+
+const duty = "orders"
+
+// next returns a term above all that are known.
+func (keeper *Keeper) next() int64 {
+	highest := keeper.highest.Load()
+	place, err := keeper.claim()
+	if err == nil && (place+1)*Block > highest {
+		return (place + 1) * Block
+	}
+	return highest + 1 + rand.Int64N(Block/8)
+}
--- /dev/null
+++ b/internal/peer/backendserver/backendserver.go
@@ -0,0 +1,373 @@
+// Package backendserver sends calls to backend servers over kept connections
+// and tells, of every call that fails, whether the server may have run it.
+//
+// The package has its own pool in place of http.Transport, because the
+// transport decides two things that must be decided here: it sends a GET again
+// by itself when a kept connection breaks, which runs a call twice, and it
+// can't say whether a byte of a failed call had left. Requests and answers are
+// read and written by net/http.
+//
+// A connection carries one call at a time and goes back to the pool only after
+// the whole answer was read, with nothing left over. Before it is used again it
+// is looked at: one that the server closed, or on which bytes came that nobody
+// asked for, is thrown away.
+//
+// # Usage
+//
+//	pool := backendserver.New(backendserver.Codec{Encode: encode, Decode: decode})
+//	reply, err := pool.Send(call)
+//	switch {
+//	case errors.Is(err, backendserver.ErrNotSent): // may be sent elsewhere
+//	case err != nil: // may have run
+//	}
+//	defer reply.Close()
+package backendserver
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Errors of a call. Use errors.Is.
+var (
+	// ErrNotSent means that no byte of the call left this process.
+	ErrNotSent = errors.New("the call was not sent")
+	// ErrNoAnswer means that the call was sent, at least in part, and no whole
+	// head of an answer came.
+	ErrNoAnswer = errors.New("the call was sent and got no answer")
+)
+
+// Call is one call to one server.
+type Call struct {
+	ID      string
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Address string
+	// Server is the ID of the server that the call is for. A server that took
+	// over the address refuses it.
+	Server string
+	// Workspace is empty on routes that ask for no key.
+	Workspace string
+	// Left is how long the caller will wait from now; 0 is unknown.
+	Left time.Duration
+	// Urgency ranks the call at the server, 0 the most urgent.
+	Urgency int
+	// After is the last event that the caller has, where Continues is set.
+	After     int64
+	Continues bool
+	// Cancel, when set, is given a function that ends the call at once from
+	// another goroutine. It is called before anything is sent.
+	Cancel func(end func())
+}
+
+// Verdict is what the head of an answer says.
+type Verdict struct {
+	// NotRun means that the server did not run the call and never will.
+	NotRun bool
+	// WrongServer means that another server has the address, or that the group
+	// is not there.
+	WrongServer bool
+	// Other marks an answer that belongs to another call.
+	Other bool
+	// Culprit names the server at fault for a refusal, if the server says so.
+	Culprit string
+	// KeepAlive is how long the server keeps the connection; 0 if it didn't say.
+	KeepAlive time.Duration
+}
+
+// Codec speaks for the pool: names of headers and what they mean.
+type Codec struct {
+	// Encode returns the headers to send.
+	Encode func(call *Call) http.Header
+	// Decode reads the head of an answer.
+	Decode func(call *Call, status int, header http.Header) Verdict
+}
+
+// Timeouts and limits of a connection.
+const (
+	// dialTimeout bounds connecting. Within a region it takes a few
+	// milliseconds; a lost first packet comes again only after a second, by
+	// which time another server has answered.
+	dialTimeout = 400 * time.Millisecond
+	// userTimeout ends a connection whose sent bytes are not acknowledged: a
+	// host that lost power answers nothing.
+	userTimeout = 3 * time.Second
+	// writeTimeout bounds sending. A call fits into the buffers of a connection
+	// unless its body is long and the server doesn't read it.
+	writeTimeout = 2 * time.Second
+	// readBuffer holds the head of an answer and some events.
+	readBuffer = 2 << 10
+	// idleUnsaid is how long an idle connection is trusted when the server
+	// didn't say how long it keeps it.
+	idleUnsaid = 4 * time.Second
+	// idleMargin is taken off what the server said, for the way there.
+	idleMargin = time.Second
+	// idlePerServer bounds the idle connections to one server.
+	idlePerServer = 24
+	// strayAnswers is how many answers of earlier calls are skipped.
+	strayAnswers = 2
+)
+
+// Counts are the pool's counters; they only grow.
+type Counts struct {
+	Dialled     atomic.Uint64
+	Reused      atomic.Uint64
+	DialFailed  atomic.Uint64
+	Discarded   atomic.Uint64
+	StrayAnswer atomic.Uint64
+}
+
+// Pool sends calls.
+type Pool struct {
+	codec  Codec
+	dial   func(address string) (net.Conn, error)
+	Counts Counts
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+type conn struct {
+	net.Conn
+	reader *bufio.Reader
+	// until is when the server may close the connection for being idle.
+	until time.Time
+	// cut says that only a part of the last call was sent.
+	cut bool
+}
+
+// Option changes how a Pool is built.
+type Option func(*Pool)
+
+// Dial makes the pool connect through the given function.
+func Dial(dial func(address string) (net.Conn, error)) Option {
+	return func(pool *Pool) { pool.dial = dial }
+}
+
+// New returns a pool with no connections.
+func New(codec Codec, options ...Option) *Pool {
+	pool := &Pool{codec: codec, dial: dialTCP, idle: map[string][]*conn{}}
+	for _, option := range options {
+		option(pool)
+	}
+	return pool
+}
+
+// Reply is the head of an answer and the way to its body. Close must be
+// called.
+type Reply struct {
+	Verdict
+	Status int
+	Header http.Header
+	// Length is -1 where the head doesn't tell it.
+	Length int64
+
+	response *http.Response
+	pool     *Pool
+	conn     *conn
+	address  string
+	whole    bool
+}
+
+// Send sends a call and reads the head of its answer.
+func (pool *Pool) Send(call *Call) (*Reply, error) {
+	connection, err := pool.connection(call.Address)
+	if err != nil {
+		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
+	}
+	if call.Cancel != nil {
+		call.Cancel(func() { _ = connection.SetDeadline(longAgo) })
+	}
+	if err := pool.write(connection, call); err != nil {
+		connection.Close()
+		return nil, err
+	}
+	reply, err := pool.read(connection, call)
+	if err != nil {
+		connection.Close()
+		return nil, errors.Mark(errors.Wrapf(err, "answer of %s", call.Address), ErrNoAnswer)
+	}
+	return reply, nil
+}
+
+// longAgo as a deadline ends reads and writes that are under way.
+var longAgo = time.Unix(1, 0)
+
+// write sends the call in one piece. If the first write fails without having
+// taken a byte, the call provably did not leave. A server may answer before it
+// has read a long body and then read no further: what was written stays at
+// that, the answer is read, and the connection is not used again.
+func (pool *Pool) write(connection *conn, call *Call) error {
+	message := encode(call, pool.codec.Encode(call))
+	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+	sent, err := connection.Write(message)
+	switch {
+	case err == nil:
+		return nil
+	case sent == 0:
+		return errors.Mark(errors.Wrapf(err, "send to %s", call.Address), ErrNotSent)
+	}
+	connection.cut = true
+	return nil
+}
+
+func (pool *Pool) read(connection *conn, call *Call) (*Reply, error) {
+	asked := &http.Request{Method: call.Method}
+	for stray := 0; ; {
+		response, err := http.ReadResponse(connection.reader, asked)
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
+			continue
+		}
+		verdict := pool.codec.Decode(call, response.StatusCode, response.Header)
+		if !verdict.Other {
+			return &Reply{
+				Verdict: verdict, Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
+				response: response, pool: pool, conn: connection, address: call.Address,
+			}, nil
+		}
+		// A server may answer an earlier call twice; its second answer then
+		// stands where ours is due. It names the call that it belongs to.
+		pool.Counts.StrayAnswer.Add(1)
+		stray++
+		if stray > strayAnswers || response.ContentLength < 0 {
+			return nil, errors.New("answers of other calls came")
+		}
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Read reads the body. It returns io.EOF only after a whole body.
+func (reply *Reply) Read(buffer []byte) (int, error) {
+	n, err := reply.response.Body.Read(buffer)
+	if errors.Is(err, io.EOF) {
+		reply.whole = true
+	}
+	return n, err
+}
+
+// Framed says whether the end of the body can be told from a broken
+// connection.
+func (reply *Reply) Framed() bool {
+	return reply.Length >= 0 || len(reply.response.TransferEncoding) > 0
+}
+
+// SetDeadline ends reads that have not returned by then.
+func (reply *Reply) SetDeadline(deadline time.Time) {
+	_ = reply.conn.SetReadDeadline(deadline)
+}
+
+// Close gives the connection back if the whole body was read, else ends it,
+// at which most servers stop working on the call.
+func (reply *Reply) Close() {
+	reusable := reply.whole && !reply.conn.cut && reply.Framed() && !reply.response.Close && reply.conn.reader.Buffered() == 0
+	if !reusable {
+		reply.conn.Close()
+		return
+	}
+	keep := idleUnsaid
+	if reply.KeepAlive > 0 {
+		keep = reply.KeepAlive - idleMargin
+	}
+	reply.pool.put(reply.address, reply.conn, keep)
+}
+
+func (pool *Pool) put(address string, connection *conn, keep time.Duration) {
+	if keep <= 0 || connection.SetDeadline(time.Time{}) != nil {
+		connection.Close()
+		return
+	}
+	connection.until = time.Now().Add(keep)
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	if len(pool.idle[address]) >= idlePerServer {
+		connection.Close()
+		return
+	}
+	pool.idle[address] = append(pool.idle[address], connection)
+}
+
+func (pool *Pool) connection(address string) (*conn, error) {
+	for {
+		connection := pool.take(address)
+		if connection == nil {
+			break
+		}
+		if time.Now().Before(connection.until) && quiet(connection.Conn) {
+			pool.Counts.Reused.Add(1)
+			return connection, nil
+		}
+		pool.Counts.Discarded.Add(1)
+		connection.Close()
+	}
+	pool.Counts.Dialled.Add(1)
+	dialled, err := pool.dial(address)
+	if err != nil {
+		pool.Counts.DialFailed.Add(1)
+		return nil, err
+	}
+	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}, nil
+}
+
+// take returns the connection used last, which is the least likely to have
+// been closed.
+func (pool *Pool) take(address string) *conn {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	idle := pool.idle[address]
+	if len(idle) == 0 {
+		return nil
+	}
+	connection := idle[len(idle)-1]
+	idle[len(idle)-1] = nil
+	pool.idle[address] = idle[:len(idle)-1]
+	return connection
+}
+
+// Sweep closes idle connections that have run out, and all of those to servers
+// that are not wanted any more.
+func (pool *Pool) Sweep(wanted func(address string) bool) {
+	now := time.Now()
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for address, idle := range pool.idle {
+		kept := idle[:0]
+		for _, connection := range idle {
+			if now.Before(connection.until) && wanted(address) {
+				kept = append(kept, connection)
+				continue
+			}
+			connection.Close()
+		}
+		if len(kept) == 0 {
+			delete(pool.idle, address)
+			continue
+		}
+		pool.idle[address] = kept
+	}
+}
+
+// Drop closes the idle connections to one server, after one of them went
+// silent.
+func (pool *Pool) Drop(address string) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, connection := range pool.idle[address] {
+		connection.Close()
+	}
+	delete(pool.idle, address)
+}
--- /dev/null
+++ b/internal/policy/dispatch/dispatch.go
@@ -0,0 +1,266 @@
+// Package dispatch chooses the server for a call and watches what becomes of
+// the calls that were sent.
+//
+// A Pool is a set of Targets that can do the same work: the heads of the groups
+// of one model, or the servers of a plain service. A call goes to the target
+// with the smallest part of its places taken, at random among those near it,
+// because all nodes see the same counts late and would rush to the same one.
+// What is taken is what this node has there and what its peers last said they
+// have.
+//
+// A group whose member is lost accepts calls and stands still, and no error
+// shows it. All its streams falling silent together does: a target with running
+// streams and no event for a while gets no new calls, its streams are moved,
+// and the node that repairs groups is told.
+//
+// # Usage
+//
+//	board := dispatch.New(dispatch.Clock(clock.Boot))
+//	board.Update(pools)
+//	target, verdict := board.Pick("draft/large", dispatch.Wish{})
+//	use := target.Begin(cancel)
+//	defer use.End()
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hazelslip/internal/common/clock"
+)
+
+// Spec describes a target for Update.
+type Spec struct {
+	// ID is the server's ID, the head's for a group.
+	ID         string
+	Address    string
+	DataCentre string
+	// Group is empty for a plain server.
+	Group string
+	// Slots is how many calls run there at once.
+	Slots int
+	// Pass is how long a group takes between two events of a stream when all
+	// its places are taken; 0 for a plain server.
+	Pass time.Duration
+}
+
+// Target is a place that runs calls.
+type Target struct {
+	Spec
+	*load
+}
+
+// load is what this node knows of a target from its own calls. It outlives the
+// lists of targets and is the same object in each.
+type load struct {
+	now clock.Now
+	// mine and peers count the calls under way.
+	mine  atomic.Int32
+	peers atomic.Int32
+	// running counts the streams that have had their first event, progress is
+	// when something last came of any call.
+	running  atomic.Int32
+	progress atomic.Int64
+	// avoidUntil is up to when the target gets no new calls unless there is no
+	// other.
+	avoidUntil atomic.Int64
+	// lost says that the group was found to have lost a member.
+	lost atomic.Bool
+
+	mu   sync.Mutex
+	uses map[*Use]struct{}
+}
+
+// Use is one call at a target. End must be called once.
+type Use struct {
+	load    *load
+	sent    time.Duration
+	running bool
+	moved   atomic.Bool
+	// end stops the call from another goroutine.
+	end func()
+}
+
+// pool is the targets that can do the same work.
+type pool struct {
+	targets []*Target
+	places  int
+}
+
+// Board holds the pools.
+type Board struct {
+	pools  atomic.Pointer[map[string]*pool]
+	random func(n int) int
+	now    clock.Now
+
+	mu    sync.Mutex
+	loads map[string]*load
+}
+
+// Option changes how a Board is built.
+type Option func(*Board)
+
+// Clock sets the clock.
+func Clock(now clock.Now) Option {
+	return func(board *Board) { board.now = now }
+}
+
+// Random sets how a number below n is drawn; it is called from many goroutines.
+func Random(draw func(n int) int) Option {
+	return func(board *Board) { board.random = draw }
+}
+
+// New returns a board with no targets.
+func New(options ...Option) *Board {
+	board := &Board{random: rand.IntN, now: clock.Boot, loads: map[string]*load{}}
+	board.pools.Store(&map[string]*pool{})
+	for _, option := range options {
+		option(board)
+	}
+	return board
+}
+
+// loadKey tells one group's calls from those of the next group with the same
+// head: what was seen of the one says nothing of the other.
+func loadKey(spec Spec) string {
+	return spec.ID + "/" + spec.Group
+}
+
+// Update replaces the pools. Loads of targets that are gone are kept while
+// calls are under way there.
+func (board *Board) Update(pools map[string][]Spec) {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	next := make(map[string]*pool, len(pools))
+	used := map[string]*load{}
+	for name, specs := range pools {
+		filled := &pool{}
+		for _, spec := range specs {
+			target := &Target{Spec: spec, load: board.load(loadKey(spec))}
+			used[loadKey(spec)] = target.load
+			filled.targets = append(filled.targets, target)
+			filled.places += spec.Slots
+		}
+		next[name] = filled
+	}
+	for key, held := range board.loads {
+		if used[key] == nil && held.mine.Load() > 0 {
+			used[key] = held
+		}
+	}
+	board.loads = used
+	board.pools.Store(&next)
+}
+
+func (board *Board) load(key string) *load {
+	if held, ok := board.loads[key]; ok {
+		return held
+	}
+	created := &load{now: board.now, uses: map[*Use]struct{}{}}
+	board.loads[key] = created
+	return created
+}
+
+// PeerLoads takes what all peers together have at each server.
+func (board *Board) PeerLoads(running map[string]int) {
+	for _, filled := range *board.pools.Load() {
+		for _, target := range filled.targets {
+			target.peers.Store(int32(running[target.ID]))
+		}
+	}
+}
+
+// Running returns what this node has at each server, for its peers.
+func (board *Board) Running() map[string]int {
+	running := map[string]int{}
+	for _, filled := range *board.pools.Load() {
+		for _, target := range filled.targets {
+			if mine := target.mine.Load(); mine > 0 {
+				running[target.ID] = int(mine)
+			}
+		}
+	}
+	return running
+}
+
+// Taken is how many calls are under way at the target as far as is known.
+func (target *Target) Taken() int {
+	return int(target.mine.Load() + target.peers.Load())
+}
+
+// Begin counts a call. The function given ends it from another goroutine.
+func (target *Target) Begin(end func()) *Use {
+	use := &Use{load: target.load, sent: target.now(), end: end}
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.mine.Add(1)
+	target.uses[use] = struct{}{}
+	return use
+}
+
+// Event tells that something came of the call; the first makes it a running
+// stream.
+func (use *Use) Event() {
+	use.load.progress.Store(int64(use.load.now()))
+	if !use.running {
+		use.running = true
+		use.load.running.Add(1)
+	}
+}
+
+// End uncounts the call.
+func (use *Use) End() {
+	load := use.load
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	if _, ok := load.uses[use]; !ok {
+		return
+	}
+	delete(load.uses, use)
+	load.mine.Add(-1)
+	if use.running {
+		load.running.Add(-1)
+	}
+}
+
+// Moved says whether the call was ended because its target was given up.
+func (use *Use) Moved() bool {
+	return use.moved.Load()
+}
+
+// Avoid keeps new calls off the target for a while, after it failed one.
+func (target *Target) Avoid(span time.Duration) {
+	target.avoidUntil.Store(int64(target.now() + span))
+}
+
+// Avoided says whether new calls are kept off the target.
+func (target *Target) Avoided(now time.Duration) bool {
+	return target.lost.Load() || time.Duration(target.avoidUntil.Load()) > now
+}
+
+// move ends the calls of a target so that they go on elsewhere.
+func (load *load) move() int {
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	for use := range load.uses {
+		use.moved.Store(true)
+		use.end()
+	}
+	return len(load.uses)
+}
+
+// Lose gives a group up: no new calls, and its calls go on elsewhere. It
+// returns how many calls there were.
+func (board *Board) Lose(group string) int {
+	moved := 0
+	for _, filled := range *board.pools.Load() {
+		for _, target := range filled.targets {
+			if target.Group == group && !target.lost.Swap(true) {
+				moved += target.move()
+			}
+		}
+	}
+	return moved
+}
--- /dev/null
+++ b/internal/run/gateway/gateway.go
@@ -0,0 +1,279 @@
+// Package gateway puts an entry node together: it takes callers' requests,
+// forwards them to backend servers, forms and mends the groups that run models,
+// and shares with the other nodes what it learns.
+//
+// Every node is the same and keeps nothing on disk. What the operator states
+// and which servers there are comes from the platform's store, read by one node
+// and passed on to the others, or read by any node whose knowledge grows old.
+// One node at a time gives orders to servers; all others go on without it.
+//
+// The platform's own names and formats are not known here. Platform holds the
+// functions that speak them.
+//
+// # Usage
+//
+//	node, err := gateway.New(settings, platform, gateway.Logger(logger))
+//	node.Start()
+//	<-signals
+//	node.Stop()
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/common/lifecycle"
+	"hazelslip/internal/fleet/formation"
+	"hazelslip/internal/fleet/roster"
+	"hazelslip/internal/fleet/tenure"
+	"hazelslip/internal/peer/backendserver"
+	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/retry"
+	"hazelslip/internal/serve/forward"
+	"hazelslip/internal/state/configuration"
+	"hazelslip/internal/wire/exchange"
+)
+
+// Platform speaks the platform's names and formats.
+type Platform struct {
+	Store Store
+	Fleet formation.Fleet
+	Codec backendserver.Codec
+	// DecodeCaller reads a caller's request but for its body.
+	DecodeCaller func(request *http.Request) *forward.Request
+	// ReadinessPath is where the balancer asks.
+	ReadinessPath string
+}
+
+// Node is an entry node.
+type Node struct {
+	*lifecycle.Part
+	Incarnation uint64
+
+	settings Settings
+	platform Platform
+	logger   *slog.Logger
+	now      clock.Now
+	listen   func(address string) (net.Listener, error)
+	dialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+
+	configuration *configuration.Table
+	rawVersion    atomic.Pointer[rawConfiguration]
+	servers       *roster.List
+	view          *formation.View
+	former        *formation.Former
+	keeper        *tenure.Keeper
+	board         *dispatch.Board
+	pool          *backendserver.Pool
+	forwarder     *forward.Forwarder
+	peers         *peers
+	services      atomic.Pointer[engineServices]
+	silentHeads   atomic.Pointer[[]*exchange.SilentHead]
+	startedAt     time.Duration
+	dirty         chan struct{}
+	stopping      atomic.Bool
+	reading       atomic.Bool
+	storeAway     atomic.Bool
+	listExpired   atomic.Bool
+	failuresInRow atomic.Int32
+	storeFailures atomic.Uint64
+	storeReads    atomic.Uint64
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Window
+
+	listeners []net.Listener
+	caller    *http.Server
+	readiness *http.Server
+	operator  *http.Server
+}
+
+// rawConfiguration is the version in force as the store holds it, for peers.
+type rawConfiguration struct {
+	version int64
+	body    []byte
+}
+
+// engineServices are the services that form groups, of one version.
+type engineServices struct {
+	version  int64
+	services []formation.Service
+}
+
+// Option changes how a Node is built.
+type Option func(*Node)
+
+// Logger sets the logger.
+func Logger(logger *slog.Logger) Option {
+	return func(node *Node) { node.logger = logger }
+}
+
+// Clock sets the clock.
+func Clock(now clock.Now) Option {
+	return func(node *Node) { node.now = now }
+}
+
+// Network sets how the node listens and how it connects to its peers.
+func Network(listen func(address string) (net.Listener, error), dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(node *Node) { node.listen, node.dialPeer = listen, dial }
+}
+
+func listenTCP(address string) (net.Listener, error) {
+	return net.Listen("tcp", address)
+}
+
+// New returns a node that listens and is yet to be started.
+func New(settings Settings, platform Platform, options ...Option) (*Node, error) {
+	node := &Node{
+		Part: lifecycle.New("gateway"), Incarnation: rand.Uint64() | 1, settings: settings, platform: platform,
+		logger: slog.New(slog.DiscardHandler), now: clock.Boot, listen: listenTCP,
+		configuration: configuration.NewTable(), servers: roster.New(), budgets: map[string]*retry.Window{},
+		dirty: make(chan struct{}, 1),
+	}
+	node.services.Store(&engineServices{version: -1})
+	for _, option := range options {
+		option(node)
+	}
+	node.view = formation.NewView(node.now)
+	node.board = dispatch.New(dispatch.Clock(node.now))
+	node.pool = backendserver.New(platform.Codec)
+	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
+	node.former = formation.New(node.formerParts())
+	node.forwarder = forward.New(node.forwarderParts())
+	return node, node.open()
+}
+
+func (node *Node) formerParts() formation.Parts {
+	return formation.Parts{
+		Fleet: node.platform.Fleet, View: node.view, Servers: node.servers.Load, Services: node.engineServices,
+		Term: node.keeper.Term, Outdated: node.outdated, Announce: node.announce, Load: node.modelLoad,
+		Quiet: func() bool { return node.forwarder.Counts.Requests.Load() == 0 && !node.peers.busy() },
+		Bounds: formation.Bounds{
+			Stall: node.settings.Bounds.Stall, LoadWindow: node.settings.Bounds.LoadWindow, LoadBurst: node.settings.Bounds.LoadBurst,
+		},
+		Now: node.now, Logger: node.logger,
+	}
+}
+
+func (node *Node) forwarderParts() forward.Parts {
+	return forward.Parts{
+		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
+		DataCentre: node.settings.DataCentre, Budget: node.budget, Stopping: node.stopping.Load,
+		Failed: node.callFailed, Logger: node.logger, Now: node.now,
+	}
+}
+
+// open listens at all addresses, so that one that is taken is told at start.
+func (node *Node) open() error {
+	addresses := []string{node.settings.Listen.Caller, node.settings.Listen.Readiness, node.settings.Listen.Peer}
+	if node.settings.Listen.Operator != "" {
+		addresses = append(addresses, node.settings.Listen.Operator)
+	}
+	for _, address := range addresses {
+		listener, err := node.listen(address)
+		if err != nil {
+			node.closeListeners()
+			return errors.Wrapf(err, "listen at %s", address)
+		}
+		node.listeners = append(node.listeners, listener)
+	}
+	node.peers = newPeers(node, node.listeners[2])
+	node.caller = &http.Server{Handler: node.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
+	node.readiness = &http.Server{Handler: http.HandlerFunc(node.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
+	node.operator = &http.Server{Handler: node.operatorHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
+	return nil
+}
+
+const (
+	// headerTimeout bounds reading the head of a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an idle caller's connection is kept: longer than
+	// any caller keeps one, so that the caller is the one that closes it and no
+	// request crosses a close.
+	idleTimeout = 5 * time.Minute
+)
+
+func (node *Node) closeListeners() {
+	for _, listener := range node.listeners {
+		listener.Close()
+	}
+}
+
+// Start runs every part.
+func (node *Node) Start() {
+	node.startedAt = node.now()
+	node.peers.start()
+	node.GoAs("configuration", node.followConfiguration)
+	node.EveryAs("list", listTick, node.refreshServers)
+	node.GoAs("directory", node.register)
+	node.GoAs("targets", node.followTargets)
+	node.EveryAs("watch", watchTick, node.watch)
+	node.EveryAs("tenure", tenureTick, node.lookTenure)
+	node.EveryAs("sweep", time.Second, node.sweep)
+	node.former.Start()
+	servers := []*http.Server{node.caller, node.readiness, nil, node.operator}
+	for number, listener := range node.listeners {
+		if server := servers[number]; server != nil {
+			node.GoAs("http", func() { node.serve(server, listener) })
+		}
+	}
+	node.logger.Info("gateway: started.", "Name", node.settings.Name, "DataCentre", node.settings.DataCentre, "Incarnation", node.Incarnation)
+}
+
+func (node *Node) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		node.logger.Error("gateway: a listener failed.", "Address", listener.Addr().String(), "Error", err.Error())
+	}
+}
+
+// Ready returns nil when the node can take requests, else what it lacks.
+func (node *Node) Ready() error {
+	switch {
+	case node.stopping.Load():
+		return errors.New("the node is shutting down")
+	case !node.configuration.Load().Known():
+		return errors.New("no configuration is known yet")
+	case !node.servers.Load().Known():
+		return errors.New("no list of servers is known yet")
+	}
+	return nil
+}
+
+func (node *Node) serveReadiness(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != node.platform.ReadinessPath {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if err := node.Ready(); err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+// budget returns the window of repeats of a service.
+func (node *Node) budget(service string) *retry.Window {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	window, ok := node.budgets[service]
+	if !ok {
+		bounds := node.settings.Bounds
+		window = retry.NewWindow(retry.Allowance{Ratio: bounds.RetryRatio, Least: bounds.RetryLeast, Span: bounds.RetryWindow}, node.peers.nodes, node.now)
+		node.budgets[service] = window
+	}
+	return window
+}
+
+// Reload takes changed settings. Addresses stay as they are until a restart.
+func (node *Node) Reload(settings Settings) {
+	node.logger.Info("gateway: the settings were read again.", "Changed", settings.Bounds != node.settings.Bounds)
+}
--- /dev/null
+++ b/internal/run/gateway/settings.go
@@ -0,0 +1,74 @@
+package gateway
+
+import "time"
+
+// Settings is what a gateway node is told of itself and its deployment.
+type Settings struct {
+	Name       string
+	DataCentre string
+	Region     string
+	Listen     Listen
+	// Seeds are peer addresses to begin with when the store does not answer.
+	Seeds []string
+	// Store is the address of the platform's store.
+	Store  string
+	Bounds Bounds
+	Limits Limits
+}
+
+// Listen holds the addresses, host:port, that the node serves at.
+type Listen struct {
+	// Caller is for callers, behind the platform's balancer.
+	Caller string
+	// Readiness is where the balancer asks whether the node takes connections.
+	Readiness string
+	// Operator serves the state dump and the metrics; empty for none.
+	Operator string
+	// Peer is for other nodes.
+	Peer string
+}
+
+// Limits bounds what the process may use.
+type Limits struct {
+	MemoryBytes int64
+}
+
+// Bounds are the deployment's figures.
+type Bounds struct {
+	// Grace is how long the process has after it was told to stop.
+	Grace time.Duration
+	// Stall is how long a group that lost a member goes on accepting calls.
+	Stall time.Duration
+	// LoadWindow and LoadBurst bound loads from the weight store.
+	LoadWindow time.Duration
+	LoadBurst  float64
+	// RetryRatio, RetryLeast and RetryWindow bound repeats, by all nodes
+	// together.
+	RetryRatio  float64
+	RetryLeast  float64
+	RetryWindow time.Duration
+}
+
+// Check returns what is missing or out of range, in words.
+func (settings *Settings) Check() []string {
+	mistakes := []string{}
+	required := []struct{ name, value string }{
+		{"Name", settings.Name}, {"DataCentre", settings.DataCentre}, {"Listen.Caller", settings.Listen.Caller},
+		{"Listen.Readiness", settings.Listen.Readiness}, {"Listen.Peer", settings.Listen.Peer}, {"Store", settings.Store},
+	}
+	for _, field := range required {
+		if field.value == "" {
+			mistakes = append(mistakes, field.name+" is missing")
+		}
+	}
+	positive := []struct {
+		name  string
+		value time.Duration
+	}{{"Bounds.Grace", settings.Bounds.Grace}, {"Bounds.Stall", settings.Bounds.Stall}, {"Bounds.RetryWindow", settings.Bounds.RetryWindow}}
+	for _, field := range positive {
+		if field.value <= 0 {
+			mistakes = append(mistakes, field.name+" must be above 0")
+		}
+	}
+	return mistakes
+}
--- /dev/null
+++ b/internal/run/gateway/stop.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"log"
+	"time"
+)
+
+const (
+	// noticeTime is how long the node goes on taking connections after it has
+	// said that it is not ready: the balancer asks once a second and believes
+	// the second refusal.
+	noticeTime = 2500 * time.Millisecond
+	// endMargin is kept back from the grace time for the process to end.
+	endMargin = 400 * time.Millisecond
+	// stopTick is how often the stopping node looks whether it is idle.
+	stopTick = 50 * time.Millisecond
+)
+
+// Stop ends the node gracefully: it says that it is not ready, goes on serving
+// until the balancer has noticed, finishes what it has, and ends.
+func (node *Node) Stop() {
+	began := node.now()
+	node.stopping.Store(true)
+	node.logger.Info("gateway: stopping.", "Name", node.settings.Name)
+	node.keeper.Outdated(node.keeper.Term())
+	node.peers.poke()
+	limit := node.settings.Bounds.Grace - endMargin
+	time.Sleep(min(noticeTime, limit))
+	left := limit - (node.now() - began)
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
+	defer cancel()
+	if err := node.caller.Shutdown(ctx); err != nil {
+		node.logger.Warn("gateway: requests were cut off at the end of the grace time.", "Error", err.Error())
+		node.caller.Close()
+	}
+	node.readiness.Close()
+	node.operator.Close()
+	node.former.Ask()
+	node.Ask()
+	node.peers.stop()
+	node.former.Stop()
+	node.Part.Stop()
+	node.logger.Info("gateway: stopped.", "Name", node.settings.Name, "Milliseconds", (node.now() - began).Milliseconds())
+}
+
+// silent drops what net/http has to say of connections that callers break.
+func silent() *log.Logger {
+	return log.New(io.Discard, "", 0)
+}
--- /dev/null
+++ b/internal/run/gateway/store.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/fleet/formation"
+	"hazelslip/internal/fleet/roster"
+	"hazelslip/internal/state/configuration"
+)
+
+// Store is the platform's store, as a node uses it. A position is a place in
+// one topic; -1 stands for knowing nothing.
+type Store struct {
+	// Configuration returns the newest version written at or after a position,
+	// waiting for one; an empty body says that there was none. A position of -1
+	// returns what is in force.
+	Configuration       func(ctx context.Context, from int64, wait time.Duration) (Version, error)
+	DecodeConfiguration func(body []byte) (*configuration.Configuration, error)
+	// Servers returns the records of the registry from a position on. Whole
+	// says that the records are all entries that there are.
+	Servers      func(ctx context.Context, from int64) (Listing, error)
+	DecodeServer func(body []byte) (*roster.Server, error)
+	// Claim appends a record that names the holder and returns its place.
+	Claim func(ctx context.Context, holder string) (int64, error)
+	// Register makes a node's peer address known, Nodes returns those of all.
+	Register func(ctx context.Context, address string) error
+	Nodes    func(ctx context.Context) ([]string, error)
+}
+
+// ErrExpired says that the records at a position are no longer kept; all must
+// be read again.
+var ErrExpired = errors.New("the store no longer keeps the records at this position")
+
+// Version is one answer about the configuration.
+type Version struct {
+	Body []byte
+	Next int64
+}
+
+// Listing is one answer about the registry.
+type Listing struct {
+	Records []roster.Record
+	Next    int64
+	Whole   bool
+}
+
+const (
+	// storeTimeout bounds a call to the store. It answers in a few
+	// milliseconds; one that is slow answers within a second or two.
+	storeTimeout     = 700 * time.Millisecond
+	storeTimeoutMost = 3 * time.Second
+	// storePause is waited after a failed call.
+	storePause     = 150 * time.Millisecond
+	storePauseMost = time.Second
+	// readerWait is how long the node that reads for all waits for a change in
+	// one call. A connection that went silent is given up soon after, well
+	// within the time in which a change must be in force.
+	readerWait = 800 * time.Millisecond
+	// otherWait is the same for the other nodes, which learn of changes from
+	// their peers first.
+	otherWait = 10 * time.Second
+	// listTick is how often the age of the list is looked at, and listEvery how
+	// old it may be at the node that reads it for all.
+	listTick  = 100 * time.Millisecond
+	listEvery = 400 * time.Millisecond
+	// listPatience is how old it may be at the others before they read it
+	// themselves, one after the other by listStep.
+	listPatience = 1100 * time.Millisecond
+	listStep     = 150 * time.Millisecond
+)
+
+// backoff doubles a pause or a timeout up to a limit.
+func backoff(span, most time.Duration) time.Duration {
+	return min(2*span, most)
+}
+
+// followConfiguration keeps the configuration up to date from the store.
+func (node *Node) followConfiguration() {
+	position := int64(-1)
+	timeout, pause := storeTimeout, storePause
+	for {
+		wait := otherWait
+		if node.peers.mine("configuration") {
+			wait = readerWait
+		}
+		if position < 0 {
+			wait = 0
+		}
+		ctx, cancel := node.Context(wait + timeout)
+		version, err := node.platform.Store.Configuration(ctx, position, wait)
+		cancel()
+		node.storeReads.Add(1)
+		if err != nil {
+			if errors.Is(err, ErrExpired) {
+				position = -1
+			}
+			node.storeFailed("configuration", err)
+			if !node.Sleep(pause) {
+				return
+			}
+			timeout, pause = backoff(timeout, storeTimeoutMost), backoff(pause, storePauseMost)
+			continue
+		}
+		node.storeAnswered("configuration")
+		timeout, pause = storeTimeout, storePause
+		if len(version.Body) > 0 {
+			node.offer(version.Body, "store")
+		}
+		position = version.Next
+		if len(version.Body) == 0 && position <= 0 && !node.Sleep(storePause) {
+			return
+		}
+		select {
+		case <-node.Stopping:
+			return
+		default:
+		}
+	}
+}
+
+// offer puts a version in force if it is newer.
+func (node *Node) offer(body []byte, source string) {
+	decoded, err := node.platform.Store.DecodeConfiguration(body)
+	if err != nil {
+		node.logger.Error("gateway: a configuration can't be read.", "Source", source, "Error", err.Error())
+		return
+	}
+	if !node.configuration.Offer(decoded) {
+		return
+	}
+	node.rawVersion.Store(&rawConfiguration{version: decoded.Version, body: body})
+	node.logger.Info("gateway: a configuration is in force.", "ConfigurationVersion", decoded.Version, "Source", source,
+		"Routes", len(decoded.Routes), "Services", len(decoded.Services), "Workspaces", len(decoded.Workspaces))
+	node.changed()
+	node.peers.poke()
+}
+
+// refreshServers reads the registry when this node's knowledge of it is older
+// than its part in reading allows.
+func (node *Node) refreshServers() {
+	if node.listAge() < node.listLimit() || !node.reading.CompareAndSwap(false, true) {
+		return
+	}
+	node.GoAs("list", func() {
+		defer node.reading.Store(false)
+		node.readServers()
+	})
+}
+
+func (node *Node) listAge() time.Duration {
+	snapshot := node.servers.Load()
+	if !snapshot.Known() {
+		return time.Hour
+	}
+	return node.now() - snapshot.ReadAt
+}
+
+func (node *Node) listLimit() time.Duration {
+	rank := node.peers.rank("list")
+	if rank == 0 {
+		return listEvery
+	}
+	return listPatience + time.Duration(rank)*listStep
+}
+
+func (node *Node) readServers() {
+	snapshot := node.servers.Load()
+	from := int64(-1)
+	if snapshot.Known() && !node.listExpired.Load() {
+		from = snapshot.End
+	}
+	asked := node.now()
+	ctx, cancel := node.Context(node.listTimeout())
+	defer cancel()
+	node.storeReads.Add(1)
+	listing, err := node.platform.Store.Servers(ctx, from)
+	if err != nil {
+		node.listExpired.Store(errors.Is(err, ErrExpired))
+		node.storeFailed("servers", err)
+		node.Sleep(storePause)
+		return
+	}
+	node.storeAnswered("servers")
+	node.listExpired.Store(false)
+	node.takeServers(listing, asked)
+}
+
+// listTimeout grows while the store is slow.
+func (node *Node) listTimeout() time.Duration {
+	return min(storeTimeoutMost, storeTimeout*time.Duration(1+node.failuresInRow.Load()))
+}
+
+// takeServers takes what the registry or a peer said.
+func (node *Node) takeServers(listing Listing, readAt time.Duration) {
+	for number := range listing.Records {
+		record := &listing.Records[number]
+		if len(record.Body) == 0 || record.Server != nil {
+			continue
+		}
+		server, err := node.platform.Store.DecodeServer(record.Body)
+		if err != nil {
+			node.logger.Error("gateway: a server's entry can't be read.", "Server", record.ID, "Error", err.Error())
+			continue
+		}
+		server.ID = record.ID
+		record.Server = server
+		node.keeper.Heard(formation.TermOf(server.Group.Epoch))
+	}
+	news := node.servers.Apply(listing.Records, listing.Next, readAt)
+	if listing.Whole {
+		named := map[string]bool{}
+		for _, record := range listing.Records {
+			named[record.ID] = true
+		}
+		node.servers.Retain(named, listing.Next)
+		news = true
+	}
+	if news {
+		node.changed()
+	}
+}
+
+// storeFailed notes that the store did not answer; the first time is logged.
+func (node *Node) storeFailed(call string, err error) {
+	node.storeFailures.Add(1)
+	node.failuresInRow.Add(1)
+	if node.storeAway.CompareAndSwap(false, true) {
+		node.logger.Warn("gateway: the store doesn't answer.", "Call", call, "Error", err.Error())
+	}
+}
+
+func (node *Node) storeAnswered(call string) {
+	node.failuresInRow.Store(0)
+	if node.storeAway.CompareAndSwap(true, false) {
+		node.logger.Info("gateway: the store answers again.", "Call", call)
+	}
+}
+
+// claim gets this node a place in the store's order of terms.
+func (node *Node) claim() (int64, error) {
+	ctx, cancel := node.Context(storeTimeout)
+	defer cancel()
+	return node.platform.Store.Claim(ctx, node.settings.Name)
+}
+
+// register makes this node known in the store and learns of the others. Later
+// ones are learnt of when they register, since each then asks all others.
+func (node *Node) register() {
+	pause := storePause
+	registered := false
+	for {
+		if !registered {
+			ctx, cancel := node.Context(storeTimeout)
+			registered = node.platform.Store.Register(ctx, node.settings.Listen.Peer) == nil
+			cancel()
+		}
+		ctx, cancel := node.Context(storeTimeout)
+		addresses, err := node.platform.Store.Nodes(ctx)
+		cancel()
+		if err == nil {
+			node.peers.learn(addresses)
+		}
+		if registered && err == nil && node.peers.nodes() > 1 {
+			pause = directoryEvery
+		}
+		if !node.Sleep(pause) {
+			return
+		}
+		pause = backoff(pause, storePauseMost)
+	}
+}
+
+// directoryEvery is how often the directory of nodes is read again. Nodes are
+// also learnt of from each other; this finds those whose introduction was lost.
+const directoryEvery = 15 * time.Second
--- /dev/null
+++ b/internal/serve/forward/call.go
@@ -0,0 +1,141 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/state/configuration"
+)
+
+func splitList(line string) []string {
+	names := strings.Split(line, ",")
+	for number := range names {
+		names[number] = strings.TrimSpace(names[number])
+	}
+	return names
+}
+
+const (
+	// hedgeAfter is how long a plain call that may run twice waits for its
+	// first server before it is sent to another. It is many times the usual
+	// work, so that a slow call isn't repeated, only a lost one.
+	hedgeAfter = 150 * time.Millisecond
+	// answerMost bounds a plain answer, which is kept whole before it is passed
+	// on.
+	answerMost = 8 << 20
+	// plainBeyond is how many calls may wait at a plain server.
+	plainBeyond = 6
+)
+
+// answer is a plain answer, whole.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// call serves a request whose answer is one piece. The answer is read whole
+// before any of it is passed on, so that one that breaks off is never seen by
+// the caller and can be asked for again.
+func (exchange *exchange) call() {
+	for exchange.left() > leastLeft && !exchange.gone() && exchange.mayRepeat() {
+		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
+			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: plainBeyond,
+		})
+		if verdict != dispatch.Chosen {
+			exchange.noTarget(verdict)
+			break
+		}
+		if answer := exchange.callOne(target); answer != nil {
+			exchange.deliver(answer)
+			return
+		}
+	}
+	exchange.end()
+}
+
+func (exchange *exchange) noTarget(verdict dispatch.Verdict) {
+	reason := "no server for " + exchange.pool()
+	if verdict == dispatch.Full {
+		reason = "all servers for " + exchange.pool() + " are full"
+	}
+	if exchange.cause != "" {
+		reason = exchange.cause + "; " + reason
+	}
+	exchange.cause = reason
+}
+
+// callOne sends the call to one server and returns its answer if that is to
+// be delivered.
+func (exchange *exchange) callOne(target *dispatch.Target) *answer {
+	patience := exchange.patience()
+	leg := exchange.attempt(target)
+	defer leg.close()
+	timer := time.AfterFunc(patience, leg.ender.end)
+	defer timer.Stop()
+	if leg.Reply == nil {
+		exchange.lateAnswer(target)
+		return nil
+	}
+	if leg.NotRun {
+		exchange.refused(leg)
+		return nil
+	}
+	body, err := io.ReadAll(io.LimitReader(leg, answerMost))
+	if err != nil {
+		exchange.ran()
+		exchange.cause = "the answer of " + target.ID + " broke off: " + err.Error()
+		exchange.exclude = append(exchange.exclude, target.ID)
+		return nil
+	}
+	found := &answer{status: leg.Status, header: leg.Header, body: body}
+	if leg.Status >= http.StatusInternalServerError && exchange.worthRepeating() {
+		exchange.ran()
+		exchange.cause = "server " + target.ID + " failed: " + strconv.Itoa(leg.Status)
+		exchange.exclude = append(exchange.exclude, target.ID)
+		exchange.fallback = found
+		return nil
+	}
+	return found
+}
+
+// lateAnswer keeps calls off a server that answered nothing in time: it may
+// have lost power, and the next call would be lost like this one.
+func (exchange *exchange) lateAnswer(target *dispatch.Target) {
+	if !exchange.gone() {
+		target.Avoid(avoidUnreachable)
+		exchange.forwarder.Pool.Drop(target.Address)
+	}
+}
+
+// worthRepeating says whether a failure that the server itself answered may be
+// tried elsewhere.
+func (exchange *exchange) worthRepeating() bool {
+	return exchange.route.Repeatable() && exchange.runs+1 < exchange.route.MaxAttempts &&
+		exchange.left() > 4*leastLeft
+}
+
+// patience is how long one server is waited for.
+func (exchange *exchange) patience() time.Duration {
+	left := exchange.left()
+	if exchange.route.Kind == configuration.Idempotent && exchange.runs+1 < exchange.route.MaxAttempts {
+		return min(left, max(hedgeAfter, exchange.route.Target*3/2))
+	}
+	return left
+}
+
+// deliver passes a whole answer on.
+func (exchange *exchange) deliver(found *answer) {
+	exchange.passHead(found.header)
+	exchange.writer.Header().Set("Content-Length", strconv.Itoa(len(found.body)))
+	exchange.writer.WriteHeader(found.status)
+	if _, err := exchange.writer.Write(found.body); err != nil {
+		exchange.cause = "the caller could not be written to: " + err.Error()
+	}
+	exchange.forwarder.Counts.Answered.Add(1)
+	exchange.log(found.status)
+}
--- /dev/null
+++ b/internal/serve/forward/forward.go
@@ -0,0 +1,559 @@
+// Package forward takes callers' requests, sends them to backend servers, and
+// returns the servers' answers unchanged.
+//
+// It promises that a request whose route may not be repeated is sent to a
+// second server only if the first provably did not run it, and that the
+// statuses 429 and 503 are said only of requests that did not run and never
+// will. A request that may have run ends with its server's answer, with 502 or
+// 504, or, in the middle of a stream, with a broken connection.
+//
+// A stream whose server falls silent or breaks goes on at another, from the
+// last whole event that the caller was given, within the one answer that the
+// caller already reads.
+//
+// # Usage
+//
+//	forwarder := forward.New(forward.Parts{Configuration: table, Board: board, ...})
+//	server := &http.Server{Handler: forwarder}
+package forward
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/peer/backendserver"
+	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/retry"
+	"hazelslip/internal/state/configuration"
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the path and query as the caller wrote them.
+	Target string
+	Path   string
+	Host   string
+	// Header is what is passed on.
+	Header http.Header
+	Body   []byte
+	// Key is the caller's key, never passed on.
+	Key string
+	// Model is empty for plain services.
+	Model string
+	// PromptTokens and AnswerTokens are the sizes that the caller states.
+	PromptTokens int
+	AnswerTokens int
+	// After is the last event that the caller has of an earlier answer, where
+	// Continues is set.
+	After     int64
+	Continues bool
+	// Left is how long the caller said it will wait; 0 if it didn't.
+	Left time.Duration
+}
+
+// Parts is what a Forwarder works with.
+type Parts struct {
+	Configuration *configuration.Table
+	Board         *dispatch.Board
+	Pool          *backendserver.Pool
+	// Decode reads a caller's request but for its body.
+	Decode func(request *http.Request) *Request
+	// DataCentre is this node's.
+	DataCentre string
+	// Budget returns the window of repeats of a service.
+	Budget func(service string) *retry.Window
+	// Stopping says that the node is shutting down.
+	Stopping func() bool
+	// Failed is told of a server that refused or broke a call of a group.
+	Failed func(target *dispatch.Target, culprit string)
+	Logger *slog.Logger
+	Now    clock.Now
+}
+
+// Counts are the forwarder's counters; they only grow.
+type Counts struct {
+	Requests atomic.Uint64
+	Answered atomic.Uint64
+	Refused  atomic.Uint64
+	Failed   atomic.Uint64
+	Left     atomic.Uint64
+	Repeats  atomic.Uint64
+	Resumed  atomic.Uint64
+}
+
+// Forwarder is an http.Handler.
+type Forwarder struct {
+	Parts
+	Counts Counts
+
+	buffers sync.Pool
+}
+
+// New returns a forwarder.
+func New(parts Parts) *Forwarder {
+	return &Forwarder{Parts: parts, buffers: sync.Pool{New: func() any { return new([copyBuffer]byte) }}}
+}
+
+const (
+	copyBuffer = 4 << 10
+	// bodyMost bounds a body while no configuration says how long it may be.
+	bodyMost = 4 << 20
+	// leastLeft is the least time in which an answer can still arrive.
+	leastLeft = 15 * time.Millisecond
+	// answerMargin is kept back from the caller's time for the answer's way.
+	answerMargin = 15 * time.Millisecond
+	// hopAllowance is taken off the time that a server is given.
+	hopAllowance = 5 * time.Millisecond
+)
+
+// exchange is one request on its way.
+type exchange struct {
+	forwarder *Forwarder
+	writer    http.ResponseWriter
+	inbound   *http.Request
+	request   *Request
+	snapshot  *configuration.Snapshot
+	route     *configuration.Route
+	service   string
+	workspace string
+	urgency   int
+	arrived   time.Duration
+	// deadline is when the answer must be complete.
+	deadline time.Duration
+	// attempts counts the calls sent, runs those that may have run.
+	attempts int
+	runs     int
+	exclude  []string
+	// mayHaveRun is set when a call left whose fate is not known.
+	mayHaveRun bool
+	budget     *retry.Window
+	// begun says that the head of the answer was written.
+	begun bool
+	// fallback is a failure that a server answered; it is delivered if no other
+	// server does better.
+	fallback *answer
+	last     dispatched
+	// cause tells in the log why the request ended as it did.
+	cause string
+}
+
+// dispatched is where the last call went, for the log.
+type dispatched struct {
+	server string
+	group  string
+	taken  int
+}
+
+// ServeHTTP serves one request.
+func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, inbound *http.Request) {
+	exchange := &exchange{
+		forwarder: forwarder, writer: writer, inbound: inbound,
+		request: forwarder.Decode(inbound), arrived: forwarder.Now(),
+	}
+	forwarder.Counts.Requests.Add(1)
+	if forwarder.Stopping() {
+		writer.Header().Set("Connection", "close")
+	}
+	if !exchange.admit() || !exchange.readBody() {
+		return
+	}
+	if exchange.route.Kind == configuration.Streaming {
+		exchange.stream()
+		return
+	}
+	exchange.call()
+}
+
+// admit finds the route, the workspace and the service of the request.
+func (exchange *exchange) admit() bool {
+	request := exchange.request
+	exchange.snapshot = exchange.forwarder.Configuration.Load()
+	if !exchange.snapshot.Known() {
+		exchange.refuse(retryUnknown, "no configuration is known yet")
+		return false
+	}
+	if request.ID == "" {
+		exchange.deny(http.StatusBadRequest, "the request has no ID")
+		return false
+	}
+	route, ok := exchange.snapshot.Match(request.Host, request.Path)
+	if !ok {
+		exchange.deny(http.StatusNotFound, "no route matches")
+		return false
+	}
+	exchange.route = route
+	exchange.urgency = route.Priority
+	if !exchange.identify() {
+		return false
+	}
+	exchange.service = pickService(route.Services, rand.Float64())
+	exchange.budget = exchange.forwarder.Budget(exchange.service)
+	exchange.budget.Request()
+	exchange.deadline = exchange.timeLimit()
+	return true
+}
+
+// identify finds the workspace that holds the caller's key. What the caller
+// itself says of its workspace is never looked at.
+func (exchange *exchange) identify() bool {
+	if exchange.route.Anonymous || len(exchange.snapshot.Configuration.Workspaces) == 0 {
+		return true
+	}
+	workspace, ok := exchange.snapshot.Workspace(exchange.request.Key)
+	if !ok {
+		exchange.deny(http.StatusUnauthorized, "the key is not known")
+		return false
+	}
+	exchange.workspace = workspace.Name
+	if workspace.HasPriority {
+		exchange.urgency = workspace.Priority
+	}
+	return true
+}
+
+func pickService(services []configuration.WeightedService, draw float64) string {
+	if len(services) == 0 {
+		return ""
+	}
+	sum := 0
+	for _, service := range services {
+		sum += service.Weight
+	}
+	at := int(draw * float64(sum))
+	for _, service := range services {
+		if at < service.Weight {
+			return service.Name
+		}
+		at -= service.Weight
+	}
+	return services[0].Name
+}
+
+// timeLimit is the earlier of the caller's deadline and the route's timeout.
+func (exchange *exchange) timeLimit() time.Duration {
+	limit := time.Duration(0)
+	if exchange.route.Timeout > 0 {
+		limit = exchange.arrived + exchange.route.Timeout
+	}
+	if exchange.request.Left > 0 {
+		own := exchange.arrived + exchange.request.Left - answerMargin
+		if limit == 0 || own < limit {
+			limit = own
+		}
+	}
+	if limit == 0 {
+		limit = exchange.arrived + unlimited
+	}
+	return limit
+}
+
+// unlimited bounds requests for which neither caller nor route says how long.
+const unlimited = 60 * time.Second
+
+func (exchange *exchange) readBody() bool {
+	most := exchange.snapshot.Configuration.Limits.MaxBodyBytes
+	if most <= 0 {
+		most = bodyMost
+	}
+	if exchange.inbound.ContentLength > most {
+		exchange.deny(http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	}
+	body, err := io.ReadAll(io.LimitReader(exchange.inbound.Body, most+1))
+	switch {
+	case err != nil:
+		exchange.cause = "the body could not be read: " + err.Error()
+		exchange.log(http.StatusBadRequest)
+		panic(http.ErrAbortHandler)
+	case int64(len(body)) > most:
+		exchange.deny(http.StatusRequestEntityTooLarge, "the body is too long")
+		return false
+	}
+	exchange.request.Body = body
+	return true
+}
+
+func (exchange *exchange) left() time.Duration {
+	return exchange.deadline - exchange.forwarder.Now()
+}
+
+// gone says whether the caller has closed its connection.
+func (exchange *exchange) gone() bool {
+	return exchange.inbound.Context().Err() != nil
+}
+
+// PoolName names the targets that can run a request: the groups of its model,
+// or the servers of a plain service.
+func PoolName(service, model string) string {
+	return service + "/" + model
+}
+
+func (exchange *exchange) pool() string {
+	service, ok := exchange.snapshot.Service(exchange.service)
+	if ok && service.Engine != nil {
+		return PoolName(exchange.service, exchange.request.Model)
+	}
+	return PoolName(exchange.service, "")
+}
+
+// mayRepeat says whether the request may go to a further server, and draws on
+// the budget for it.
+func (exchange *exchange) mayRepeat() bool {
+	if exchange.mayHaveRun && !exchange.route.Repeatable() {
+		exchange.cause += "; it may have run and must not run again"
+		return false
+	}
+	if exchange.attempts == 0 {
+		return true
+	}
+	if exchange.runs >= max(1, exchange.route.MaxAttempts) {
+		exchange.cause += "; it was sent as often as its route allows"
+		return false
+	}
+	if !exchange.budget.Take() {
+		exchange.cause += "; the budget of repeats is spent"
+		return false
+	}
+	exchange.forwarder.Counts.Repeats.Add(1)
+	return true
+}
+
+// newCall makes the call for one server.
+func (exchange *exchange) newCall(target *dispatch.Target) *backendserver.Call {
+	request := exchange.request
+	return &backendserver.Call{
+		ID: request.ID, Method: request.Method, Target: request.Target, Host: request.Host, Header: request.Header,
+		Body: request.Body, Address: target.Address, Server: target.ID, Workspace: exchange.workspace,
+		Left: exchange.left() - hopAllowance, Urgency: exchange.urgency,
+		After: request.After, Continues: request.Continues,
+	}
+}
+
+// Times after which a refused caller is asked to come again.
+const (
+	// retryUnknown is for a node that has just started.
+	retryUnknown = 300 * time.Millisecond
+	// retryFull is about the time in which places of a full group come free.
+	retryFull = 250 * time.Millisecond
+	// retryNone is about the time in which a lost group is replaced.
+	retryNone = 500 * time.Millisecond
+)
+
+// refuse answers that the request has not run and never will. Callers are told
+// to come again at times that are spread, so that they don't all return at
+// once.
+func (exchange *exchange) refuse(again time.Duration, cause string) {
+	exchange.forwarder.Counts.Refused.Add(1)
+	exchange.cause = cause
+	spread := time.Duration(float64(again) * (0.75 + rand.Float64()/2))
+	exchange.writer.Header().Set("Retry-After", strconv.FormatFloat(spread.Seconds(), 'f', 3, 64))
+	exchange.finish(http.StatusServiceUnavailable)
+}
+
+// deny answers a request that is wrong in itself.
+func (exchange *exchange) deny(status int, cause string) {
+	exchange.cause = cause
+	exchange.finish(status)
+}
+
+// fail answers that the request may have run.
+func (exchange *exchange) fail(status int) {
+	exchange.forwarder.Counts.Failed.Add(1)
+	exchange.finish(status)
+}
+
+func (exchange *exchange) finish(status int) {
+	exchange.writer.Header().Set("Content-Length", "0")
+	exchange.writer.WriteHeader(status)
+	exchange.log(status)
+}
+
+// end answers a request that no further server will get.
+func (exchange *exchange) end() {
+	switch {
+	case exchange.gone():
+		exchange.forwarder.Counts.Left.Add(1)
+		exchange.cause = "the caller left"
+		exchange.log(0)
+		panic(http.ErrAbortHandler)
+	case exchange.fallback != nil:
+		exchange.deliver(exchange.fallback)
+	case exchange.begun:
+		exchange.forwarder.Counts.Failed.Add(1)
+		exchange.log(http.StatusBadGateway)
+		panic(http.ErrAbortHandler)
+	case !exchange.mayHaveRun:
+		exchange.refuse(retryNone, exchange.cause)
+	case exchange.left() <= 0:
+		exchange.fail(http.StatusGatewayTimeout)
+	default:
+		exchange.fail(http.StatusBadGateway)
+	}
+}
+
+// log writes the one line of a request that ended.
+func (exchange *exchange) log(status int) {
+	level := slog.LevelInfo
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		level = slog.LevelWarn
+	}
+	logger := exchange.forwarder.Logger
+	if !logger.Enabled(exchange.inbound.Context(), level) {
+		return
+	}
+	route := ""
+	if exchange.route != nil {
+		route = exchange.route.Name
+	}
+	logger.LogAttrs(exchange.inbound.Context(), level, "forward: a request ended.",
+		slog.String("RequestID", exchange.request.ID), slog.String("Route", route),
+		slog.String("Workspace", exchange.workspace), slog.Int("Status", status),
+		slog.String("Cause", exchange.cause), slog.Int("Attempts", exchange.attempts),
+		slog.Bool("MayHaveRun", exchange.mayHaveRun), slog.String("Server", exchange.last.server),
+		slog.String("Group", exchange.last.group), slog.Int("Taken", exchange.last.taken),
+		slog.Int64("ConfigurationVersion", exchange.snapshotVersion()),
+		slog.Int64("Milliseconds", (exchange.forwarder.Now()-exchange.arrived).Milliseconds()))
+}
+
+func (exchange *exchange) snapshotVersion() int64 {
+	if exchange.snapshot == nil {
+		return 0
+	}
+	return exchange.snapshot.Configuration.Version
+}
+
+// leg is one call of a request to one server. Its holder closes it.
+type leg struct {
+	*backendserver.Reply
+	target *dispatch.Target
+	use    *dispatch.Use
+	ender  *ender
+	// forget takes the ender off the caller's connection.
+	forget func() bool
+}
+
+func (leg *leg) close() {
+	leg.forget()
+	if leg.Reply != nil {
+		leg.Reply.Close()
+	}
+	if leg.use != nil {
+		leg.use.End()
+	}
+}
+
+// ender ends a call from another goroutine, also one that is yet to be sent.
+type ender struct {
+	mu    sync.Mutex
+	do    func()
+	ended bool
+}
+
+func (ender *ender) set(do func()) {
+	ender.mu.Lock()
+	defer ender.mu.Unlock()
+	ender.do = do
+	if ender.ended {
+		do()
+	}
+}
+
+func (ender *ender) end() {
+	ender.mu.Lock()
+	defer ender.mu.Unlock()
+	ender.ended = true
+	if ender.do != nil {
+		ender.do()
+	}
+}
+
+// attempt sends the request to one target and reads the head of its answer.
+// A leg without a reply comes with the reason in the cause, and with
+// mayHaveRun set if the call may have run.
+func (exchange *exchange) attempt(target *dispatch.Target) *leg {
+	call := exchange.newCall(target)
+	exchange.attempts++
+	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
+	leg := &leg{target: target, ender: &ender{}}
+	leg.use = target.Begin(leg.ender.end)
+	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
+	call.Cancel = leg.ender.set
+	reply, err := exchange.forwarder.Pool.Send(call)
+	if err == nil {
+		leg.Reply = reply
+		return leg
+	}
+	exchange.cause = err.Error()
+	exchange.exclude = append(exchange.exclude, target.ID)
+	if errors.Is(err, backendserver.ErrNotSent) {
+		target.Avoid(avoidUnreachable)
+		exchange.forwarder.Failed(target, "")
+		return leg
+	}
+	exchange.ran()
+	return leg
+}
+
+// ran notes that a server may have run the request.
+func (exchange *exchange) ran() {
+	exchange.mayHaveRun = true
+	exchange.runs++
+}
+
+const (
+	// avoidUnreachable is how long a server that can't be connected to gets no
+	// calls.
+	avoidUnreachable = 700 * time.Millisecond
+	// avoidRefusing is how long a server that is full gets no calls.
+	avoidRefusing = 150 * time.Millisecond
+)
+
+// refused notes an answer by which the server did not run the call.
+func (exchange *exchange) refused(leg *leg) {
+	target, reply := leg.target, leg.Reply
+	exchange.cause = "server " + target.ID + " did not run it: " + strconv.Itoa(reply.Status)
+	exchange.exclude = append(exchange.exclude, target.ID)
+	if reply.WrongServer || reply.Culprit != "" {
+		target.Avoid(avoidUnreachable)
+		exchange.forwarder.Failed(target, reply.Culprit)
+		return
+	}
+	target.Avoid(avoidRefusing)
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length"}
+
+// StripHopByHop removes the headers that concern one connection only, with
+// those that the Connection header names.
+func StripHopByHop(header http.Header) {
+	for _, line := range header.Values("Connection") {
+		for _, name := range splitList(line) {
+			header.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
+// passHead copies the head of a server's answer.
+func (exchange *exchange) passHead(from http.Header) {
+	StripHopByHop(from)
+	header := exchange.writer.Header()
+	for name, values := range from {
+		header[name] = values
+	}
+}
--- /dev/null
+++ b/internal/serve/forward/stream.go
@@ -0,0 +1,197 @@
+package forward
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/policy/dispatch"
+)
+
+const (
+	// streamBeyond is how many streams may wait at a group whose places are all
+	// taken. A place of twenty comes free every few dozen milliseconds, so two
+	// waiting ones keep the group busy and hardly wait.
+	streamBeyond = 2
+	// resumeBeyond is the same for a stream that goes on elsewhere: its caller
+	// already reads, and what it has would be lost.
+	resumeBeyond = 6
+	// eventMost bounds one event.
+	eventMost = 1 << 20
+)
+
+// stream serves a request whose answer is a series of events.
+func (exchange *exchange) stream() {
+	for exchange.left() > leastLeft && !exchange.gone() && exchange.mayRepeat() {
+		beyond := streamBeyond
+		if exchange.mayHaveRun {
+			beyond = resumeBeyond
+		}
+		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
+			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond,
+		})
+		if verdict != dispatch.Chosen {
+			exchange.noTarget(verdict)
+			break
+		}
+		if exchange.streamOne(target) {
+			return
+		}
+	}
+	exchange.end()
+}
+
+// streamOne runs the stream, or the rest of it, at one group and says whether
+// the request has ended.
+func (exchange *exchange) streamOne(target *dispatch.Target) bool {
+	leg := exchange.attempt(target)
+	defer leg.close()
+	timer := time.AfterFunc(exchange.left(), leg.ender.end)
+	defer timer.Stop()
+	if leg.Reply == nil {
+		return false
+	}
+	switch {
+	case leg.NotRun:
+		exchange.refused(leg)
+		return false
+	case leg.Status != http.StatusOK:
+		return exchange.streamFailed(leg)
+	}
+	err := exchange.relay(leg)
+	if err == nil {
+		exchange.forwarder.Counts.Answered.Add(1)
+		exchange.log(http.StatusOK)
+		return true
+	}
+	exchange.ran()
+	exchange.cause = "the stream of " + target.ID + " broke off: " + err.Error()
+	if leg.use.Moved() {
+		exchange.cause = "group " + target.Group + " stood still"
+	}
+	exchange.exclude = append(exchange.exclude, target.ID)
+	return false
+}
+
+// streamFailed deals with a group that answered a failure of its own.
+func (exchange *exchange) streamFailed(leg *leg) bool {
+	body, err := io.ReadAll(io.LimitReader(leg, answerMost))
+	exchange.exclude = append(exchange.exclude, leg.target.ID)
+	exchange.cause = "server " + leg.target.ID + " answered " + strconv.Itoa(leg.Status)
+	if err != nil || exchange.begun {
+		exchange.ran()
+		return false
+	}
+	found := &answer{status: leg.Status, header: leg.Header, body: body}
+	if leg.Status >= http.StatusInternalServerError && exchange.worthRepeating() {
+		exchange.ran()
+		exchange.fallback = found
+		return false
+	}
+	exchange.deliver(found)
+	return true
+}
+
+// errGap means that a stream doesn't go on where it was left.
+var errGap = errors.New("an event is missing or comes twice")
+
+// relay passes the events of one leg on, whole ones only. It returns nil when
+// the stream is complete.
+func (exchange *exchange) relay(leg *leg) error {
+	if !exchange.begun {
+		exchange.passHead(leg.Header)
+	}
+	buffer, _ := exchange.forwarder.buffers.Get().(*[copyBuffer]byte)
+	defer exchange.forwarder.buffers.Put(buffer)
+	pending := []byte{}
+	for {
+		n, err := leg.Read(buffer[:])
+		pending = append(pending, buffer[:n]...)
+		whole := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
+		if whole >= len(eventEnd) {
+			if err := exchange.passEvents(leg, pending[:whole]); err != nil {
+				return err
+			}
+			pending = append(pending[:0], pending[whole:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return exchange.complete(leg, pending)
+		case err != nil:
+			return err
+		case len(pending) > eventMost:
+			return errors.New("an event is too long")
+		}
+	}
+}
+
+var eventEnd = []byte("\n\n")
+
+// complete ends the answer if its end is beyond doubt.
+func (exchange *exchange) complete(leg *leg, pending []byte) error {
+	switch {
+	case len(pending) > 0:
+		return errors.New("the last event is not whole")
+	case !exchange.begun:
+		return errors.New("there was no event")
+	case !leg.Framed():
+		return errors.New("its end can't be told from a broken connection")
+	}
+	return nil
+}
+
+// passEvents passes whole events on at once and notes the last one's ID.
+func (exchange *exchange) passEvents(leg *leg, events []byte) error {
+	last, err := lastEvent(events, exchange.request.After, exchange.request.Continues)
+	if err != nil {
+		return err
+	}
+	leg.use.Event()
+	if !exchange.begun {
+		exchange.begun = true
+		exchange.writer.WriteHeader(http.StatusOK)
+	}
+	if _, err := exchange.writer.Write(events); err != nil {
+		return errors.Wrap(err, "write to the caller")
+	}
+	if err := http.NewResponseController(exchange.writer).Flush(); err != nil {
+		return errors.Wrap(err, "write to the caller")
+	}
+	if last >= 0 {
+		exchange.request.After = last
+		exchange.request.Continues = true
+	}
+	return nil
+}
+
+var eventID = []byte("id:")
+
+// lastEvent returns the ID of the last of some whole events, -1 if none has
+// one. IDs must go up by one from the event before.
+func lastEvent(events []byte, after int64, continues bool) (int64, error) {
+	last := int64(-1)
+	if continues {
+		last = after
+	}
+	for len(events) > 0 {
+		line, rest, _ := bytes.Cut(events, []byte("\n"))
+		events = rest
+		value, found := bytes.CutPrefix(line, eventID)
+		if !found {
+			continue
+		}
+		id, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+		if err != nil {
+			return 0, errors.Wrap(err, "read the ID of an event")
+		}
+		if last >= 0 && id != last+1 {
+			return 0, errors.Wrapf(errGap, "event %d after %d", id, last)
+		}
+		last = id
+	}
+	return last, nil
+}
--- /dev/null
+++ b/internal/state/configuration/table.go
@@ -0,0 +1,104 @@
+package configuration
+
+import (
+	"sort"
+	"strings"
+	"sync/atomic"
+)
+
+// Snapshot is an index over one Configuration. It is never changed.
+type Snapshot struct {
+	Configuration *Configuration
+
+	byHost     map[string][]*Route
+	services   map[string]*Service
+	workspaces map[string]*Workspace
+}
+
+func index(configuration *Configuration) *Snapshot {
+	snapshot := &Snapshot{
+		Configuration: configuration,
+		byHost:        map[string][]*Route{},
+		services:      make(map[string]*Service, len(configuration.Services)),
+		workspaces:    make(map[string]*Workspace, len(configuration.Workspaces)),
+	}
+	for number := range configuration.Routes {
+		route := &configuration.Routes[number]
+		snapshot.byHost[route.Host] = append(snapshot.byHost[route.Host], route)
+	}
+	for _, routes := range snapshot.byHost {
+		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+	}
+	for number := range configuration.Services {
+		snapshot.services[configuration.Services[number].Name] = &configuration.Services[number]
+	}
+	for number := range configuration.Workspaces {
+		workspace := &configuration.Workspaces[number]
+		for _, key := range workspace.Keys {
+			snapshot.workspaces[key] = workspace
+		}
+	}
+	return snapshot
+}
+
+// Known says whether any version was ever taken.
+func (snapshot *Snapshot) Known() bool {
+	return snapshot.Configuration.Version > 0
+}
+
+// Match returns the route of a request: the longest prefix of its path among
+// the routes of its host. The path is without the query.
+func (snapshot *Snapshot) Match(host, path string) (*Route, bool) {
+	for _, route := range snapshot.byHost[host] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service of that name.
+func (snapshot *Snapshot) Service(name string) (*Service, bool) {
+	service, ok := snapshot.services[name]
+	return service, ok
+}
+
+// Workspace returns the workspace that holds the key.
+func (snapshot *Snapshot) Workspace(key string) (*Workspace, bool) {
+	workspace, ok := snapshot.workspaces[key]
+	return workspace, ok
+}
+
+// Table holds the newest version that this process has seen.
+type Table struct {
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// NewTable returns a table that knows no version.
+func NewTable() *Table {
+	table := &Table{}
+	table.snapshot.Store(index(&Configuration{}))
+	return table
+}
+
+// Load returns the newest version.
+func (table *Table) Load() *Snapshot {
+	return table.snapshot.Load()
+}
+
+// Offer puts a version in force if it is newer than what the table holds, and
+// says whether it did. A version from a stale read of the store or from a peer
+// that lags must not undo a newer one: a caller whose key was taken away would
+// be let in again.
+func (table *Table) Offer(configuration *Configuration) bool {
+	offered := index(configuration)
+	for {
+		held := table.snapshot.Load()
+		if configuration.Version <= held.Configuration.Version {
+			return false
+		}
+		if table.snapshot.CompareAndSwap(held, offered) {
+			return true
+		}
+	}
+}
