perf(formation): load without a window before the first request, few at once after

Cause: groups and spares were bounded by the window of loads also before traffic, and twenty stagings at once after it slowed each other down.

--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -235,11 +235,12 @@
 		if !former.reserve(step.Members, step.Model) {
 			continue
 		}
-		if step.Loads > 0 && !former.mayLoad(service, step.Loads) {
+		if step.Loads > 0 && !former.mayLoad(service, step.Loads, quiet) {
 			former.unreserve(step.Members)
 			continue
 		}
 		former.Go(func() {
+			defer former.gate.finish(step.Loads)
 			if step.Stage {
 				former.stage(term, step.Model, step.Members[0])
 				return
@@ -257,14 +258,28 @@
 	}
 }
 
-// loadsUsed is the part of the bound on loads that is used: a load that is
-// ordered late begins in another window than it was counted in.
-const loadsUsed = 0.75
+const (
+	// loadsUsed is the part of the bound on loads that is used: a load that is
+	// ordered late begins in another window than it was counted in.
+	loadsUsed = 0.75
+	// quietLoads is how many loads run at once, in multiples of what the weight
+	// store serves at full speed, while nothing was asked of the fleet yet. Some
+	// wait, so that the store is never idle; all at once would have no group
+	// ready before the last.
+	quietLoads = 2
+)
 
-func (former *Former) mayLoad(service Service, loads int) bool {
+// mayLoad says whether so many more loads may begin. Loads beyond what the
+// store serves at full speed slow each other down, so the most urgent go first
+// and the others wait their turn here.
+func (former *Former) mayLoad(service Service, loads int, quiet bool) bool {
+	atOnce := max(1, service.Engine.LoadsAtOnce)
+	if quiet {
+		return former.gate.begin(loads, quietLoads*atOnce)
+	}
 	window := former.Bounds.LoadWindow
 	most := int(service.Engine.LoadsPerSecond * window.Seconds() * former.Bounds.LoadBurst * loadsUsed)
-	return former.gate.take(loads, most, window)
+	return former.gate.take(loads, atOnce, most, window)
 }
 
 // domains sorts a service's servers: which are free, and which groups a domain
--- a/internal/fleet/formation/work.go
+++ b/internal/fleet/formation/work.go
@@ -1,7 +1,6 @@
 package formation
 
 import (
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -441,49 +440,3 @@
 func hasModel(staged []string, model string) bool {
 	return contains(staged, model)
 }
-
-// gate bounds loads from the weight store.
-type gate struct {
-	now func() time.Duration
-
-	mu      sync.Mutex
-	started []time.Duration
-	held    bool
-}
-
-// rest notes that this node gives no orders. Whoever gave them may have begun
-// loads just now; when this node takes over, it counts half of a window as
-// used.
-func (gate *gate) rest() {
-	gate.mu.Lock()
-	defer gate.mu.Unlock()
-	gate.held = false
-}
-
-// take counts loads, or reports false when they would be too many for any
-// window.
-func (gate *gate) take(loads, most int, window time.Duration) bool {
-	gate.mu.Lock()
-	defer gate.mu.Unlock()
-	now := gate.now()
-	if !gate.held {
-		gate.held = true
-		for range most / 2 {
-			gate.started = append(gate.started, now)
-		}
-	}
-	kept := gate.started[:0]
-	for _, at := range gate.started {
-		if now-at < window {
-			kept = append(kept, at)
-		}
-	}
-	gate.started = kept
-	if len(kept)+loads > most {
-		return false
-	}
-	for range loads {
-		gate.started = append(gate.started, now)
-	}
-	return true
-}
