fix(formation): leave a group alone of which nobody can be reached

Cause: the node that gives orders was cut off from a data centre, with refused connections. Now a group ends only once its head or another member has provably left it. An incomplete group is ended without asking whether the rest is whole, and news of a group can't go back in its life.

--- a/internal/fleet/formation/formation.go
+++ b/internal/fleet/formation/formation.go
@@ -14,8 +14,9 @@
 //   - a head is told to serve only after every member was seen ready under the
 //     group's name and epoch;
 //   - a member of a group that may still be serving is told to join another
-//     only after the group's head was seen to have left it, or after the head
-//     could not be reached for longer than a group that lost a member lives.
+//     only after the group's head was seen to have left it, or, if the head
+//     can't be reached, longer after another member left than a group that lost
+//     a member lives.
 //
 // A View is what every node knows of groups, whoever gives orders; a Former
 // gives the orders.
@@ -139,8 +140,6 @@
 type Fleet struct {
 	Report func(ctx context.Context, server *roster.Server) (Report, error)
 	Order  func(ctx context.Context, server *roster.Server, order Order) (Result, error)
-	// Dead says whether an error proves that the server's process has ended.
-	Dead func(err error) bool
 }
 
 // Bounds are the deployment's figures that a Former must keep.
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -42,6 +42,8 @@
 	// answerTime bounds one question or order. A server in the region answers
 	// within a few milliseconds; one that takes so long is dark.
 	answerTime = 150 * time.Millisecond
+	// listLag is how far the list's entries of one group may lie apart.
+	listLag = 1500 * time.Millisecond
 	// lostFor is how long a server that didn't answer is left alone.
 	lostFor = 2 * time.Second
 	// examineAgain is how long a group that was found whole isn't asked again.
@@ -134,7 +136,7 @@
 	services := former.Services()
 	listed := List(servers, services)
 	for _, group := range listed {
-		former.look(term, group, servers)
+		former.look(term, group)
 	}
 	for _, service := range services {
 		former.plan(term, service, servers, listed)
@@ -142,36 +144,35 @@
 }
 
 // look starts what one listed group needs.
-func (former *Former) look(term int64, group *Listed, servers *roster.Snapshot) {
+func (former *Former) look(term int64, group *Listed) {
 	if former.Free(group) || former.isBusy(group) {
 		return
 	}
 	switch {
 	case group.HeadState() == "":
 		// The list doesn't show the head: it is gone, or in no group any more.
-		if former.lasts(group.Name, time.Second) {
-			former.begin(group.Name, func() { former.orphan(term, group, servers) })
+		if former.lasts(group.Name, listLag) {
+			former.begin(group.Name, func() { former.orphan(term, group) })
 		}
 	case group.HeadState() == roster.Broken:
-		former.begin(group.Name, func() { former.end(term, group.Group, nil, Lost) })
+		former.begin(group.Name, func() { former.end(term, group.Group, nil) })
 	case !group.Complete():
-		// A member's entry was removed, or it is in another group. Lists lag, so
-		// this must last.
-		if former.lasts(group.Name, time.Second) {
-			former.begin(group.Name, func() { former.examine(term, group.Group) })
+		// A member's entry was removed, or it is in another group.
+		if former.lasts(group.Name, listLag) {
+			former.begin(group.Name, func() { former.end(term, group.Group, nil) })
 		}
 	case group.Draining():
 		former.begin(group.Name, func() { former.drain(term, group.Group) })
 	case group.HeadState() == roster.Ready && group.All(roster.Ready):
 		// All are ready and nobody opened it: the node that formed it ended.
-		if former.lasts(group.Name, time.Second) {
+		if former.lasts(group.Name, listLag) {
 			former.begin(group.Name, func() { former.open(term, group.Group) })
 		}
 	case group.HeadState() == roster.Open:
 		former.clear(group.Name)
 	default:
 		if former.lasts(group.Name, stuckAfter) {
-			former.begin(group.Name, func() { former.end(term, group.Group, nil, Lost) })
+			former.begin(group.Name, func() { former.end(term, group.Group, nil) })
 		}
 	}
 }
--- a/internal/fleet/formation/view.go
+++ b/internal/fleet/formation/view.go
@@ -53,45 +53,36 @@
 type View struct {
 	now clock.Now
 
-	mu       sync.Mutex
-	opened   map[string]heard
-	ended    map[string]heard
-	released map[string]bool
+	mu     sync.Mutex
+	opened map[string]heard
+	ended  map[string]heard
 }
 
 // NewView returns a view without news.
 func NewView(now clock.Now) *View {
-	return &View{now: now, opened: map[string]heard{}, ended: map[string]heard{}, released: map[string]bool{}}
+	return &View{now: now, opened: map[string]heard{}, ended: map[string]heard{}}
 }
 
+// stages puts the changes of a group in order.
+var stages = map[Change]int{Opened: 1, Retired: 2, Lost: 3, Released: 4}
+
 // Learn takes news and says whether it was new. News of one group may come in
-// any order and more than once; an end wins over an opening.
+// any order and more than once; what comes later in a group's life wins.
 func (view *View) Learn(news News) bool {
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	name := news.Group.Name
-	switch news.Change {
-	case Opened:
-		_, known := view.opened[name]
-		_, over := view.ended[name]
-		if known || over {
-			return false
-		}
-		view.opened[name] = heard{News: news, at: view.now()}
-		return true
-	case Released:
-		if view.released[name] {
-			return false
-		}
-		view.released[name] = true
-	case Retired, Lost:
-	default:
-		return false
-	}
 	held, known := view.ended[name]
-	if known && (held.Change == news.Change || news.Change == Retired) && news.Change != Released {
+	if !known {
+		held, known = view.opened[name]
+	}
+	if stages[news.Change] == 0 || (known && stages[news.Change] <= stages[held.Change]) {
 		return false
 	}
+	if news.Change == Opened {
+		view.opened[name] = heard{News: news, at: view.now()}
+		return true
+	}
 	view.ended[name] = heard{News: news, at: view.now()}
 	delete(view.opened, name)
 	return true
@@ -109,7 +100,7 @@
 func (view *View) Free(group string) bool {
 	view.mu.Lock()
 	defer view.mu.Unlock()
-	return view.released[group]
+	return view.ended[group].Change == Released
 }
 
 // Recent returns the news to pass on to peers.
@@ -124,7 +115,6 @@
 			recent = append(recent, held.News)
 		case now-held.at > endedKept:
 			delete(view.ended, name)
-			delete(view.released, name)
 		}
 	}
 	for _, held := range view.opened {
--- a/internal/fleet/formation/work.go
+++ b/internal/fleet/formation/work.go
@@ -76,8 +76,6 @@
 			return result, nil
 		case err == nil:
 			return result, nil
-		case former.Dead(err):
-			return Absent, nil
 		}
 		failure = err
 	}
@@ -95,10 +93,6 @@
 // group if one is not.
 func (former *Former) examine(term int64, group Group) {
 	dead := former.missing(group, group.Members)
-	if len(dead) > 0 {
-		// A packet may have been lost; the ones that failed are asked again.
-		dead = former.missing(group, dead)
-	}
 	if len(dead) == 0 {
 		former.mu.Lock()
 		former.examined[group.Name] = former.Now()
@@ -112,7 +106,7 @@
 	for _, id := range dead {
 		former.markLost(id)
 	}
-	former.end(term, group, dead, Lost)
+	former.end(term, group, dead)
 }
 
 // missing returns which of some members don't answer or are not in the group.
@@ -127,17 +121,66 @@
 	return missing
 }
 
-// end takes a group apart. Its members are free once its head has left it.
-func (former *Former) end(term int64, group Group, dead []string, change Change) {
-	former.Announce(News{Change: change, Group: group})
-	head, ok := former.Servers().Servers[group.Head()]
-	if ok && !contains(dead, head.ID) && former.leave(term, head, group) {
+// end takes a group apart. Its members are free once its head has left it. If
+// the head can't be reached, it may live on the far side of a partition and
+// serve: then the members that can be reached leave, at which the head stands
+// still, and after the stall bound it serves nobody. If no member can be
+// reached either, nothing is known and nothing done: the group may be whole,
+// and other nodes may reach it. A refused connection proves nothing, since a
+// partition may refuse too.
+func (former *Former) end(term int64, group Group, dead []string) {
+	if former.headLeaves(term, group, dead) {
+		former.Announce(News{Change: Lost, Group: group})
 		former.Announce(News{Change: Released, Group: group})
 		return
 	}
-	former.outwait(term, group, group.Head(), former.Servers())
+	if !former.memberLeaves(term, group, dead) {
+		former.Logger.Warn("former: no member of a group can be reached; it is left alone.", "Group", group.Name)
+		return
+	}
+	former.Announce(News{Change: Lost, Group: group})
+	former.Logger.Info("former: a head can't be reached; its members wait.", "Group", group.Name, "Head", group.Head())
+	former.outwait(term, group)
+}
+
+func (former *Former) headLeaves(term int64, group Group, dead []string) bool {
+	head, ok := former.Servers().Servers[group.Head()]
+	return ok && !contains(dead, head.ID) && former.leave(term, head, group)
+}
+
+// memberLeaves makes the members beside the head leave and says whether one of
+// them provably has.
+func (former *Former) memberLeaves(term int64, group Group, dead []string) bool {
+	left := false
+	for rank, id := range group.Members {
+		server, ok := former.Servers().Servers[id]
+		if rank == 0 || !ok || contains(dead, id) {
+			continue
+		}
+		left = former.leave(term, server, group) || left
+	}
+	return left
 }
 
+// outwait releases the members of a group whose head couldn't be reached, when
+// the head has left after all, or when it has stood still for so long that it
+// serves nobody.
+func (former *Former) outwait(term int64, group Group) {
+	until := former.Now() + former.Bounds.Stall + releaseMargin
+	for former.Now() < until {
+		if !former.Sleep(headAgain) || former.Term() != term {
+			return
+		}
+		if former.headLeaves(term, group, nil) {
+			break
+		}
+	}
+	former.Announce(News{Change: Released, Group: group})
+}
+
+// headAgain is how often a head that could not be reached is tried.
+const headAgain = 1200 * time.Millisecond
+
 // leave makes a server leave a group and says whether it provably has.
 func (former *Former) leave(term int64, server *roster.Server, group Group) bool {
 	result, err := former.give(server, Order{
@@ -158,36 +201,10 @@
 	}
 }
 
-// outwait releases the members of a group whose head can't be reached. The head
-// may live on the far side of a partition and serve. Once the others have left,
-// it stands still, and after the stall bound it serves nobody. Its own return
-// must not find its members in another group while it still would.
-func (former *Former) outwait(term int64, group Group, head string, servers *roster.Snapshot) {
-	for _, id := range group.Members {
-		server, ok := servers.Servers[id]
-		if !ok || id == head {
-			continue
-		}
-		if server.Group.Name == group.Name || former.View.Ended(group.Name) {
-			former.leave(term, server, group)
-		}
-	}
-	former.Logger.Info("former: a head can't be reached; its members wait.", "Group", group.Name, "Head", head)
-	if former.Sleep(former.Bounds.Stall + releaseMargin) {
-		former.Announce(News{Change: Released, Group: group})
-	}
-}
-
-// orphan deals with a listed group whose head the list doesn't show in it.
-func (former *Former) orphan(term int64, listed *Listed, servers *roster.Snapshot) {
-	group := listed.Group
-	for rank, server := range listed.ByRank {
-		if rank > 0 && server != nil {
-			former.leave(term, server, group)
-		}
-	}
-	former.Announce(News{Change: Lost, Group: group})
-	former.outwait(term, Group{Name: group.Name, Epoch: group.Epoch}, group.Head(), servers)
+// orphan deals with a listed group whose head the list doesn't show in it. The
+// head is gone, or has left, or is cut off from the registry and serves.
+func (former *Former) orphan(term int64, listed *Listed) {
+	former.end(term, listed.Group, nil)
 }
 
 // drain ends a group of which a member is leaving: no new calls, those it has
@@ -197,14 +214,14 @@
 	former.Announce(News{Change: Retired, Group: group})
 	head, ok := former.Servers().Servers[group.Head()]
 	if !ok {
-		former.end(term, group, nil, Lost)
+		former.end(term, group, nil)
 		return
 	}
 	result, err := former.give(head, Order{Kind: Close, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
 	if err == nil && result.Taken() {
 		former.awaitClosed(group)
 	}
-	former.end(term, group, nil, Lost)
+	former.end(term, group, nil)
 }
 
 // awaitClosed waits until a closing head has finished what it has.
@@ -238,7 +255,7 @@
 	}()
 	reports, ok := former.usable(members)
 	if !ok || !former.joinAll(term, group, reports) || !former.awaitReady(service, group, reports) {
-		former.abandon(group)
+		former.abandon(term, group)
 		return
 	}
 	former.open(term, group)
@@ -359,14 +376,13 @@
 	return waiting
 }
 
-// abandon gives up a group that was never opened, so that its members are free
-// at once: no head was told to serve, and a join that arrives late carries an
-// older epoch than the next.
-func (former *Former) abandon(group Group) {
+// abandon gives up a group that was never opened. Its head leaves it all the
+// same before its members are used: another node may see the group ready and
+// open it.
+func (former *Former) abandon(term int64, group Group) {
 	former.Counts.Abandoned.Add(1)
 	former.Logger.Warn("former: a group could not be formed.", "Group", group.Name, "Model", group.Model, "Members", group.Members)
-	former.Announce(News{Change: Lost, Group: group})
-	former.Announce(News{Change: Released, Group: group})
+	former.end(term, group, nil)
 }
 
 // open tells the head of a ready group to serve, and makes the group known
@@ -380,7 +396,7 @@
 	if err != nil || !result.Taken() {
 		// It may have been taken, so the head must have left before a member is
 		// used again.
-		former.end(term, group, nil, Lost)
+		former.end(term, group, nil)
 		return
 	}
 	former.Counts.Formed.Add(1)
