fix(forward): bear no server's headers on a failure of the node's own

Ruled out: the retry path, which begins no answer. Measured: the spec 'fails under the node's own name' fails before and passes after.

--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -102,9 +102,6 @@
 // relay passes the events of one leg on, whole ones only. It returns nil when
 // the stream is complete.
 func (exchange *exchange) relay(leg *leg) error {
-	if !exchange.begun {
-		exchange.passHead(leg.Header)
-	}
 	buffer, _ := exchange.forwarder.buffers.Get().(*[copyBuffer]byte)
 	defer exchange.forwarder.buffers.Put(buffer)
 	pending := []byte{}
@@ -152,6 +149,9 @@
 	}
 	leg.use.Event()
 	if !exchange.begun {
+		// Not before: a failure that is answered in its place must not bear the
+		// server's headers.
+		exchange.passHead(leg.Header)
 		exchange.begun = true
 		exchange.writer.WriteHeader(http.StatusOK)
 	}
