feat(forward): log when the first event came and the longest pause

Cause: half of the late streams could not be told apart: slow first events or pauses. At groups with few calls the first event takes as long as at full ones: all nodes rush to a group that was just opened.

--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -8,6 +8,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,7 +47,7 @@
 	term  int64
 	other []*node
 	// apart says that its news doesn't reach the others.
-	apart bool
+	apart atomic.Bool
 }
 
 func newNode(name string, world *backends.World, now clock.Now) *node {
@@ -102,7 +103,7 @@
 func (node *node) announce(news formation.News) {
 	node.view.Learn(news)
 	for _, other := range node.other {
-		if !node.apart && !other.apart {
+		if !node.apart.Load() && !other.apart.Load() {
 			other.view.Learn(news)
 		}
 	}
@@ -349,7 +350,7 @@
 	case 7:
 		node.setTerm(term)
 	case 8:
-		node.apart = !node.apart
+		node.apart.Store(!node.apart.Load())
 	case 9:
 		fleet.world.Drain(server.ID)
 	case 10:
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -145,10 +145,25 @@
 	// server does better.
 	fallback *answer
 	last     dispatched
+	pace     pace
 	// cause tells in the log why the request ended as it did.
 	cause string
 }
 
+// pace is how the events of a stream came, for the log.
+type pace struct {
+	first, latest, longest time.Duration
+}
+
+// event notes that events came at a time since the request arrived.
+func (pace *pace) event(at time.Duration) {
+	if pace.first == 0 {
+		pace.first, pace.latest = at, at
+	}
+	pace.longest = max(pace.longest, at-pace.latest)
+	pace.latest = at
+}
+
 // dispatched is where the last call went, for the log.
 type dispatched struct {
 	server string
@@ -424,6 +439,8 @@
 		slog.Bool("MayHaveRun", exchange.mayHaveRun), slog.String("Server", exchange.last.server),
 		slog.String("Group", exchange.last.group), slog.Int("Taken", exchange.last.taken),
 		slog.Int64("ConfigurationVersion", exchange.snapshotVersion()),
+		slog.Int64("FirstEventMilliseconds", exchange.pace.first.Milliseconds()),
+		slog.Int64("LongestPauseMilliseconds", exchange.pace.longest.Milliseconds()),
 		slog.Int64("Milliseconds", (exchange.forwarder.Now()-exchange.arrived).Milliseconds()))
 }
 
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -148,6 +148,7 @@
 		return err
 	}
 	leg.use.Event()
+	exchange.pace.event(exchange.forwarder.Now() - exchange.arrived)
 	if !exchange.begun {
 		// Not before: a failure that is answered in its place must not bear the
 		// server's headers.
