perf(dispatch): place by the predicted first event, not by taken places

Cause: all nodes sent to a group that was just opened until its count had caught up; its prompts queued, and their first events came as late as at full groups. Now a target's cost is the prompts that wait there to be read, what each call adds to a pass, and the wait for a place once all are taken; nodes exchange both counts every 100 ms. Ruled out: counts alone exchanged more often (not tried; a pass is no shorter).

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -1,12 +1,14 @@
 // Package dispatch chooses the server for a call and watches what becomes of
 // the calls that were sent.
 //
-// A Pool is a set of Targets that can do the same work: the heads of the groups
-// of one model, or the servers of a plain service. A call goes to the target
-// with the smallest part of its places taken, at random among those near it,
-// because all nodes see the same counts late and would rush to the same one.
-// What is taken is what this node has there and what its peers last said they
-// have.
+// A pool is a set of Targets that can do the same work: the heads of the groups
+// of one model, or the servers of a plain service. A call goes where its first
+// event should come soonest, at random among those nearly as good, because all
+// nodes see the same counts late and would rush to the same one. The count of
+// calls hardly matters until all places are taken: a group that was just opened
+// reads prompts no faster than a busy one, and a rush to it makes its first
+// events late. What is known of a target is what this node has there and what
+// its peers last said they have.
 //
 // A group whose member is lost accepts calls and stands still, and no error
 // shows it. All its streams falling silent together does: a target with running
@@ -44,6 +46,12 @@
 	// Pass is how long a group takes between two events of a stream when all
 	// its places are taken; 0 for a plain server.
 	Pass time.Duration
+	// PerToken is how long reading one token of a prompt takes, PerCall by how
+	// much each further call lengthens a pass, and Turnover how long it takes,
+	// with all places taken, until one comes free.
+	PerToken time.Duration
+	PerCall  time.Duration
+	Turnover time.Duration
 }
 
 // Target is a place that runs calls.
@@ -59,6 +67,10 @@
 	// mine and peers count the calls under way.
 	mine  atomic.Int32
 	peers atomic.Int32
+	// unread is the prompt tokens of this node's calls that have had no event.
+	unread atomic.Int64
+	// peersUnread is the same of the peers.
+	peersUnread atomic.Int64
 	// running counts the streams that have had their first event, progress is
 	// when something last came of any call.
 	running  atomic.Int32
@@ -77,6 +89,7 @@
 type Use struct {
 	load    *load
 	sent    time.Duration
+	tokens  int64
 	running bool
 	moved   atomic.Bool
 	// end stops the call from another goroutine.
@@ -163,26 +176,35 @@
 	return created
 }
 
+// Share is what one node has at a server: calls, and the prompt tokens of
+// those that have had no event.
+type Share struct {
+	Calls  int
+	Unread int
+}
+
 // PeerLoads takes what all peers together have at each server.
-func (board *Board) PeerLoads(running map[string]int) {
+func (board *Board) PeerLoads(shares map[string]Share) {
 	for _, filled := range *board.pools.Load() {
 		for _, target := range filled.targets {
-			target.peers.Store(int32(running[target.ID]))
+			share := shares[target.ID]
+			target.peers.Store(int32(share.Calls))
+			target.peersUnread.Store(int64(share.Unread))
 		}
 	}
 }
 
-// Running returns what this node has at each server, for its peers.
-func (board *Board) Running() map[string]int {
-	running := map[string]int{}
+// Shares returns what this node has at each server, for its peers.
+func (board *Board) Shares() map[string]Share {
+	shares := map[string]Share{}
 	for _, filled := range *board.pools.Load() {
 		for _, target := range filled.targets {
 			if mine := target.mine.Load(); mine > 0 {
-				running[target.ID] = int(mine)
+				shares[target.ID] = Share{Calls: int(mine), Unread: int(target.unread.Load())}
 			}
 		}
 	}
-	return running
+	return shares
 }
 
 // Taken is how many calls are under way at the target as far as is known.
@@ -190,12 +212,14 @@
 	return int(target.mine.Load() + target.peers.Load())
 }
 
-// Begin counts a call. The function given ends it from another goroutine.
-func (target *Target) Begin(end func()) *Use {
-	use := &Use{load: target.load, sent: target.now(), end: end}
+// Begin counts a call with a prompt of so many tokens. The function given ends
+// it from another goroutine.
+func (target *Target) Begin(tokens int, end func()) *Use {
+	use := &Use{load: target.load, sent: target.now(), tokens: int64(tokens), end: end}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.mine.Add(1)
+	target.unread.Add(use.tokens)
 	target.uses[use] = struct{}{}
 	return use
 }
@@ -207,6 +231,7 @@
 	if !use.running {
 		use.running = true
 		use.load.running.Add(1)
+		use.load.unread.Add(-use.tokens)
 	}
 }
 
@@ -222,7 +247,9 @@
 	load.mine.Add(-1)
 	if use.running {
 		load.running.Add(-1)
+		return
 	}
+	load.unread.Add(-use.tokens)
 }
 
 // Moved says whether the call was ended because its target was given up.
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -26,13 +26,15 @@
 )
 
 const (
-	// near is how much more of its places a target may have taken than the
-	// least taken one and still be chosen: a place or so of twenty. Less makes
-	// all nodes rush to one target between two exchanges of their counts.
-	near = 0.08
-	// abroad is how much more a target in another data centre seems taken:
-	// half a place of twenty, so that the next one is preferred among equals.
-	abroad = 0.03
+	// near is how much later than at the best target the first event may come
+	// at one that is chosen. It is about what a node can't know: a prompt that
+	// another node sent since it last spoke.
+	near = 15 * time.Millisecond
+	// abroad is what the way to another data centre and back counts, so that
+	// the next one is preferred among equals.
+	abroad = 4 * time.Millisecond
+	// never marks a target that can't be chosen.
+	never = time.Duration(-1)
 )
 
 // Pick chooses a target of a pool.
@@ -42,11 +44,11 @@
 		return nil, None
 	}
 	now := board.now()
-	best := -1.0
+	best := never
 	usable := 0
-	costs := make([]float64, len(filled.targets))
+	costs := make([]time.Duration, len(filled.targets))
 	for number, target := range filled.targets {
-		costs[number] = -1
+		costs[number] = never
 		if target.Avoided(now) || wish.excludes(target.ID) {
 			continue
 		}
@@ -55,14 +57,14 @@
 			continue
 		}
 		costs[number] = wish.cost(target)
-		if best < 0 || costs[number] < best {
+		if best == never || costs[number] < best {
 			best = costs[number]
 		}
 	}
 	switch {
 	case usable == 0:
 		return nil, None
-	case best < 0:
+	case best == never:
 		return nil, Full
 	}
 	return board.draw(filled.targets, costs, best+near), Chosen
@@ -77,8 +79,14 @@
 	return false
 }
 
-func (wish *Wish) cost(target *Target) float64 {
-	cost := float64(target.Taken()) / float64(max(1, target.Slots))
+// cost is how long the first event should take, beyond what it takes anywhere.
+func (wish *Wish) cost(target *Target) time.Duration {
+	taken := target.Taken()
+	unread := target.unread.Load() + target.peersUnread.Load()
+	cost := time.Duration(unread)*target.PerToken + time.Duration(taken)*target.PerCall
+	if beyond := taken - target.Slots + 1; beyond > 0 {
+		cost += time.Duration(beyond) * target.Turnover
+	}
 	if target.DataCentre != wish.DataCentre {
 		cost += abroad
 	}
@@ -86,16 +94,16 @@
 }
 
 // draw picks at random among the targets that cost at most so much.
-func (board *Board) draw(targets []*Target, costs []float64, most float64) *Target {
+func (board *Board) draw(targets []*Target, costs []time.Duration, most time.Duration) *Target {
 	count := 0
 	for _, cost := range costs {
-		if cost >= 0 && cost <= most {
+		if cost != never && cost <= most {
 			count++
 		}
 	}
 	chosen := board.random(count)
 	for number, cost := range costs {
-		if cost < 0 || cost > most {
+		if cost == never || cost > most {
 			continue
 		}
 		if chosen == 0 {
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -15,12 +15,13 @@
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/fleet/tenure"
 	peer "hazelslip/internal/peer/node"
+	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/wire/exchange"
 )
 
 const (
 	// standingEvery is how often a node exchanges standings with each peer.
-	standingEvery = 200 * time.Millisecond
+	standingEvery = 100 * time.Millisecond
 	// standingTimeout bounds one exchange.
 	standingTimeout = 500 * time.Millisecond
 	// aliveFor is how long a peer counts as alive after it was last heard: a
@@ -89,7 +90,7 @@
 func (peers *peers) start() {
 	peers.server.Start()
 	peers.learn(peers.node.settings.Seeds)
-	peers.Every(standingEvery/2, peers.refresh)
+	peers.Every(standingEvery, peers.refresh)
 }
 
 func (peers *peers) stop() {
@@ -253,7 +254,7 @@
 func (peers *peers) refresh() {
 	now := peers.node.now()
 	alive := []aliveSibling{}
-	running := map[string]int{}
+	shares := map[string]dispatch.Share{}
 	peers.mu.Lock()
 	for address, sibling := range peers.siblings {
 		incarnation, heard, standing := sibling.last()
@@ -266,14 +267,17 @@
 		}
 		if standing != nil && now-heard < aliveFor {
 			for _, load := range standing.Loads {
-				running[load.Server] += int(load.Running)
+				share := shares[load.Server]
+				share.Calls += int(load.Running)
+				share.Unread += int(load.Unread)
+				shares[load.Server] = share
 			}
 		}
 	}
 	peers.mu.Unlock()
 	sort.Slice(alive, func(i, j int) bool { return alive[i].incarnation < alive[j].incarnation })
 	peers.alive.Store(&alive)
-	peers.node.board.PeerLoads(running)
+	peers.node.board.PeerLoads(shares)
 }
 
 // nodes is how many nodes share the fleet's budgets, this one included.
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -65,7 +65,10 @@
 	specs := []dispatch.Spec{}
 	for _, server := range servers {
 		if !server.Draining {
-			specs = append(specs, dispatch.Spec{ID: server.ID, Address: server.Address, DataCentre: server.DataCentre, Slots: server.Slots})
+			specs = append(specs, dispatch.Spec{
+				ID: server.ID, Address: server.Address, DataCentre: server.DataCentre, Slots: server.Slots,
+				PerCall: plainPerCall, Turnover: plainPerCall,
+			})
 		}
 	}
 	return specs
@@ -84,6 +87,8 @@
 		return dispatch.Spec{
 			ID: head.ID, Address: head.Address, DataCentre: head.DataCentre, Group: group.Name,
 			Slots: service.Engine.Slots, Pass: passTime(service.Engine, model),
+			PerToken: perToken(service.Engine, model), PerCall: perCall(service.Engine, model),
+			Turnover: turnover(service.Engine, model),
 		}, true
 	}
 	return dispatch.Spec{}, false
@@ -96,6 +101,29 @@
 	return time.Duration(float64(max(1, engine.StepsPerPass)) * float64(step) * model.Pace)
 }
 
+// perToken is how long a group takes to read one token of a prompt.
+func perToken(engine *configuration.Engine, model configuration.Model) time.Duration {
+	if engine.PrefillPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / engine.PrefillPerSecond * model.Pace)
+}
+
+// perCall is by how much one more call lengthens a pass.
+func perCall(engine *configuration.Engine, model configuration.Model) time.Duration {
+	return time.Duration(float64(max(1, engine.StepsPerPass)) * float64(engine.SequenceTime) * model.Pace)
+}
+
+// turnover is how long it takes a full group until a place comes free.
+func turnover(engine *configuration.Engine, model configuration.Model) time.Duration {
+	passes := float64(engine.UsualAnswer) / float64(max(1, engine.StepsPerPass))
+	return time.Duration(passes * float64(passTime(engine, model)) / float64(max(1, engine.Slots)))
+}
+
+// plainPerCall is about what one call costs the next at a plain server: part of
+// the usual work of some 15 ms, since several run at once.
+const plainPerCall = 5 * time.Millisecond
+
 // engineServices returns the services of the version in force whose servers
 // form groups.
 func (node *Node) engineServices() []formation.Service {
@@ -214,8 +242,10 @@
 	if standing.ListKnown {
 		standing.ListAgeMs = uint32(min(time.Hour, node.listAge()).Milliseconds())
 	}
-	for server, running := range node.board.Running() {
-		standing.Loads = append(standing.Loads, &exchange.HeadLoad{Server: server, Running: uint32(running)})
+	for server, share := range node.board.Shares() {
+		standing.Loads = append(standing.Loads, &exchange.HeadLoad{
+			Server: server, Running: uint32(share.Calls), Unread: uint32(max(0, share.Unread)),
+		})
 	}
 	if silent := node.silentHeads.Load(); silent != nil {
 		standing.SilentHeads = *silent
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -504,7 +504,7 @@
 	exchange.attempts++
 	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
 	leg := &leg{target: target, ender: &ender{}}
-	leg.use = target.Begin(leg.ender.end)
+	leg.use = target.Begin(exchange.request.PromptTokens, leg.ender.end)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
 	call.Cancel = leg.ender.set
 	reply, err := exchange.forwarder.Pool.Send(call)
