fix(tenure): never take a term that was heard for one's own; outwait idle heads

Cause: while a node waited for the silent store's answer, a peer took over; the node then stored the highest term that it knew, the peer's, as its own. Names of groups now end in a draw as well. Found on the way: a head without calls doesn't notice that a member left and stays open; its members wait until the list shows otherwise. Ruled out: late orders; each is refused by the count of orders or the epoch.

--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -282,6 +282,29 @@
 	})
 }
 
+// The same, but the head has no calls: it doesn't notice that a member left, and
+// stays open. It still beats to the registry. Its members must not join another
+// group while the list shows it open.
+func TestMembersOfAnIdleUnreachableHeadWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(5, 1, 10, 1)
+		fleet.world.Idle = true
+		fleet.nodes[0].setTerm(4096)
+		time.Sleep(8 * time.Second)
+		group := headOf(fleet.nodes[0], "large")
+		fleet.world.Cut(group.Head(), fleet.nodes[0].name, true)
+		fleet.nodes[0].former.Suspect(group.Head(), group.Name)
+		time.Sleep(20 * time.Second)
+		expect.Expect(fleet.nodes[0].view.Free(group.Name)).To(gomega.BeFalse())
+		fleet.world.Cut(group.Head(), fleet.nodes[0].name, false)
+		time.Sleep(3 * time.Second)
+		expect.Expect(fleet.nodes[0].view.Free(group.Name)).To(gomega.BeTrue())
+		expect.Expect(fleet.world.Violations()).To(gomega.BeEmpty())
+		fleet.end()
+	})
+}
+
 // News of one group comes from several nodes and again and again. A group that
 // was released must not seem merely lost when older news of it arrives late.
 func TestLateNewsOfAGroupChangesNothing(t *testing.T) {
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -50,6 +51,8 @@
 	examineAgain = 500 * time.Millisecond
 	// termBits is how many epochs one term has.
 	termBits = 16
+	// nameDraws is how many ends a name may have.
+	nameDraws = 36 * 36 * 36
 )
 
 // Former gives the orders that form and mend groups.
@@ -108,7 +111,8 @@
 }
 
 // epoch returns the next epoch and a name for it. Epochs of a later term are
-// higher than all of earlier ones.
+// higher than all of earlier ones. The name ends in a draw: should two nodes
+// ever believe in one term, their groups must not be taken for each other's.
 func (former *Former) epoch(term int64) (int64, string) {
 	former.mu.Lock()
 	defer former.mu.Unlock()
@@ -117,7 +121,7 @@
 	}
 	former.counter++
 	epoch := term<<termBits | former.counter
-	return epoch, "g" + strconv.FormatInt(epoch, 36)
+	return epoch, "g" + strconv.FormatInt(epoch, 36) + strconv.FormatInt(rand.Int64N(nameDraws), 36)
 }
 
 // TermOf returns the term under which an epoch was given.
--- a/internal/fleet/formation/work.go
+++ b/internal/fleet/formation/work.go
@@ -164,10 +164,11 @@
 
 // outwait releases the members of a group whose head couldn't be reached, when
 // the head has left after all, or when it has stood still for so long that it
-// serves nobody.
+// serves nobody and the list doesn't show it serving: a head without calls may
+// not notice that a member left, and stay open for long.
 func (former *Former) outwait(term int64, group Group) {
 	until := former.Now() + former.Bounds.Stall + releaseMargin
-	for former.Now() < until {
+	for former.Now() < until || former.seemsOpen(group, until) {
 		if !former.Sleep(headAgain) || former.Term() != term {
 			return
 		}
@@ -178,6 +179,17 @@
 	former.Announce(News{Change: Released, Group: group})
 }
 
+// seemsOpen says whether a group's head may still be serving, by a list that
+// was read after the given time. An older list can't tell.
+func (former *Former) seemsOpen(group Group, since time.Duration) bool {
+	servers := former.Servers()
+	if servers.ReadAt < since {
+		return true
+	}
+	head, ok := servers.Servers[group.Head()]
+	return ok && head.Group.Name == group.Name && (head.Group.State == roster.Open || head.Group.State == roster.Closing)
+}
+
 // headAgain is how often a head that could not be reached is tried.
 const headAgain = 1200 * time.Millisecond
 
--- a/internal/fleet/tenure/tenure.go
+++ b/internal/fleet/tenure/tenure.go
@@ -121,8 +121,23 @@
 	if !keeper.due(held, peers, fit) {
 		return false
 	}
-	keeper.Heard(keeper.next())
-	keeper.term.Store(keeper.highest.Load())
+	return keeper.take(keeper.next())
+}
+
+// take makes a term this node's own, unless a higher one was heard of in the
+// meantime: asking the store may take a while, and another node may have taken
+// over. Two holders of one term could not be told apart by the servers.
+func (keeper *Keeper) take(term int64) bool {
+	for {
+		highest := keeper.highest.Load()
+		if term <= highest {
+			return false
+		}
+		if keeper.highest.CompareAndSwap(highest, term) {
+			break
+		}
+	}
+	keeper.term.Store(term)
 	return true
 }
 
@@ -157,12 +172,17 @@
 
 const duty = "orders"
 
-// next returns a term above all that are known.
+// next returns a term above all that were known when it was called.
 func (keeper *Keeper) next() int64 {
 	highest := keeper.highest.Load()
 	place, err := keeper.claim()
 	if err == nil && (place+1)*Block > highest {
 		return (place + 1) * Block
 	}
-	return highest + 1 + rand.Int64N(Block/8)
+	return highest + 1 + rand.Int64N(madeUp)
 }
+
+// madeUp is how far above the highest known a made-up term may lie. Two nodes
+// that can reach neither the store nor each other should not draw the same,
+// and a few changes of hands should fit below the store's next.
+const madeUp = Block / 4
--- a/internal/run/gateway/store.go
+++ b/internal/run/gateway/store.go
@@ -239,8 +239,18 @@
 	}
 }
 
+// errStoreAway says that the store wasn't asked, because it doesn't answer.
+var errStoreAway = errors.New("the store doesn't answer")
+
+// awayAfter is how many calls in a row must fail before the store isn't asked
+// for a term any more: waiting for it would leave the fleet without orders.
+const awayAfter = 2
+
 // claim gets this node a place in the store's order of terms.
 func (node *Node) claim() (int64, error) {
+	if node.failuresInRow.Load() >= awayAfter {
+		return 0, errStoreAway
+	}
 	ctx, cancel := node.Context(storeTimeout)
 	defer cancel()
 	return node.platform.Store.Claim(ctx, node.settings.Name)
