fix(sibling): exchange standings over plain connections, not yamux

Cause: a yamux stream that is being read when its session ends polls without a pause until another goroutine has closed it (stream.go, Read). A node has one question at a time for a peer, so there is nothing to multiplex: length-prefixed protobuf on one connection. Ruled out: a loop of our own; all of them wait or end in the dump.

--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -7,14 +7,12 @@
 	"sync/atomic"
 	"time"
 
-	"context"
-
 	"hazelslip/internal/common/lifecycle"
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/fleet/tenure"
-	peer "hazelslip/internal/peer/node"
+	"hazelslip/internal/peer/sibling"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/wire/exchange"
 )
@@ -36,9 +34,10 @@
 	forgetPeer  = 90 * time.Second
 )
 
-// sibling is another node.
-type sibling struct {
+// neighbour is another node.
+type neighbour struct {
 	address string
+	link    *sibling.Link
 	poke    chan struct{}
 	stop    chan struct{}
 
@@ -49,23 +48,23 @@
 	standing    *exchange.Standing
 }
 
-func (sibling *sibling) last() (uint64, time.Duration, *exchange.Standing) {
-	sibling.mu.Lock()
-	defer sibling.mu.Unlock()
-	return sibling.incarnation, sibling.heard, sibling.standing
+func (neighbour *neighbour) last() (uint64, time.Duration, *exchange.Standing) {
+	neighbour.mu.Lock()
+	defer neighbour.mu.Unlock()
+	return neighbour.incarnation, neighbour.heard, neighbour.standing
 }
 
 // peers exchanges standings with the other nodes.
 type peers struct {
 	*lifecycle.Part
 	node   *Node
-	client *peer.Client
-	server *peer.Server
+	server *sibling.Server
+	dial   sibling.Dial
 
-	mu       sync.Mutex
-	siblings map[string]*sibling
-	alive    atomic.Pointer[[]aliveSibling]
-	silent   map[string]time.Duration
+	mu         sync.Mutex
+	neighbours map[string]*neighbour
+	alive      atomic.Pointer[[]aliveSibling]
+	silent     map[string]time.Duration
 }
 
 // aliveSibling is a peer that was heard lately.
@@ -76,13 +75,12 @@
 }
 
 func newPeers(node *Node, listener net.Listener) *peers {
-	peers := &peers{Part: lifecycle.New("peers"), node: node, siblings: map[string]*sibling{}, silent: map[string]time.Duration{}}
-	options := []peer.Option{}
+	peers := &peers{Part: lifecycle.New("peers"), node: node, neighbours: map[string]*neighbour{}, silent: map[string]time.Duration{}}
+	peers.dial = (&net.Dialer{Timeout: standingTimeout}).DialContext
 	if node.dialPeer != nil {
-		options = append(options, peer.Dial(node.dialPeer))
+		peers.dial = node.dialPeer
 	}
-	peers.client = peer.NewClient(options...)
-	peers.server = peer.NewServer(listener, func(conn net.Conn) net.Conn { return conn }, peers.answer)
+	peers.server = sibling.NewServer(listener, peers.answer)
 	peers.alive.Store(&[]aliveSibling{})
 	return peers
 }
@@ -94,7 +92,11 @@
 }
 
 func (peers *peers) stop() {
-	peers.client.Close()
+	peers.mu.Lock()
+	for _, neighbour := range peers.neighbours {
+		neighbour.link.Close()
+	}
+	peers.mu.Unlock()
 	peers.Stop()
 	peers.server.Stop()
 }
@@ -104,30 +106,31 @@
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	for _, address := range addresses {
-		if address == "" || address == peers.node.settings.Listen.Peer || peers.siblings[address] != nil {
+		if address == "" || address == peers.node.settings.Listen.Peer || peers.neighbours[address] != nil {
 			continue
 		}
-		added := &sibling{address: address, poke: make(chan struct{}, 1), stop: make(chan struct{}), added: peers.node.now(), heard: -time.Hour}
-		peers.siblings[address] = added
+		added := &neighbour{address: address, link: sibling.NewLink(address, peers.dial), poke: make(chan struct{}, 1), stop: make(chan struct{}), added: peers.node.now(), heard: -time.Hour}
+		peers.neighbours[address] = added
 		peers.Go(func() { peers.talk(added) })
 	}
 }
 
 // talk exchanges standings with one peer until it is forgotten.
-func (peers *peers) talk(sibling *sibling) {
+func (peers *peers) talk(neighbour *neighbour) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
 		select {
 		case <-peers.Stopping:
 			return
-		case <-sibling.stop:
+		case <-neighbour.stop:
+			neighbour.link.Close()
 			return
-		case <-sibling.poke:
+		case <-neighbour.poke:
 		case <-timer.C:
 		}
 		pause := standingEvery
-		if !peers.exchange(sibling) {
+		if !peers.exchange(neighbour) {
 			pause = silentPause
 		}
 		timer.Reset(pause)
@@ -138,29 +141,27 @@
 func (peers *peers) poke() {
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
-	for _, sibling := range peers.siblings {
+	for _, neighbour := range peers.neighbours {
 		select {
-		case sibling.poke <- struct{}{}:
+		case neighbour.poke <- struct{}{}:
 		default:
 		}
 	}
 }
 
-func (peers *peers) exchange(sibling *sibling) bool {
-	ctx, cancel := peers.Context(standingTimeout)
-	defer cancel()
+func (peers *peers) exchange(neighbour *neighbour) bool {
 	sent := peers.node.now()
-	reply, err := peers.client.Ask(ctx, sibling.address, &exchange.Request{
+	reply, err := neighbour.link.Ask(&exchange.Request{
 		Incarnation: peers.node.Incarnation,
-		Kind:        &exchange.Request_Standing{Standing: peers.node.standing(peers.wantsList(sibling))},
-	})
+		Kind:        &exchange.Request_Standing{Standing: peers.node.standing(peers.wantsList(neighbour))},
+	}, standingTimeout)
 	if err != nil || reply.GetStanding() == nil {
 		return false
 	}
 	answer := reply.GetStanding()
 	peers.heard(reply.Incarnation, answer.Standing)
 	if len(answer.Configuration) > 0 {
-		peers.node.offer(answer.Configuration, sibling.address)
+		peers.node.offer(answer.Configuration, neighbour.address)
 	}
 	peers.takeList(answer, sent)
 	return true
@@ -168,7 +169,7 @@
 
 // wantsList says whether a peer should send its list of servers: only the one
 // whose list is the newest, so that it doesn't come from all.
-func (peers *peers) wantsList(asked *sibling) bool {
+func (peers *peers) wantsList(asked *neighbour) bool {
 	_, heard, standing := asked.last()
 	if standing == nil {
 		return true
@@ -202,7 +203,7 @@
 
 // answer answers a peer's standing with this node's, and with what the peer
 // lacks.
-func (peers *peers) answer(_ context.Context, request *exchange.Request) *exchange.Reply {
+func (peers *peers) answer(request *exchange.Request) *exchange.Reply {
 	asked := request.GetStanding()
 	if asked == nil {
 		return &exchange.Reply{Failure: "this node only exchanges standings", Incarnation: peers.node.Incarnation}
@@ -232,7 +233,7 @@
 		return
 	}
 	peers.mu.Lock()
-	found := peers.siblings[standing.Address]
+	found := peers.neighbours[standing.Address]
 	peers.mu.Unlock()
 	if found != nil {
 		found.mu.Lock()
@@ -256,14 +257,14 @@
 	alive := []aliveSibling{}
 	shares := map[string]dispatch.Share{}
 	peers.mu.Lock()
-	for address, sibling := range peers.siblings {
-		incarnation, heard, standing := sibling.last()
+	for address, neighbour := range peers.neighbours {
+		incarnation, heard, standing := neighbour.last()
 		switch {
 		case standing != nil && now-heard < aliveFor && !standing.Stopping:
 			alive = append(alive, aliveSibling{incarnation: incarnation, address: address, standing: standing})
-		case now-max(heard, sibling.added) > forgetPeer:
-			close(sibling.stop)
-			delete(peers.siblings, address)
+		case now-max(heard, neighbour.added) > forgetPeer:
+			close(neighbour.stop)
+			delete(peers.neighbours, address)
 		}
 		if standing != nil && now-heard < aliveFor {
 			for _, load := range standing.Loads {
@@ -286,8 +287,8 @@
 	count := 1
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
-	for _, sibling := range peers.siblings {
-		if _, heard, _ := sibling.last(); now-heard < countedFor {
+	for _, neighbour := range peers.neighbours {
+		if _, heard, _ := neighbour.last(); now-heard < countedFor {
 			count++
 		}
 	}
