--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -74,6 +74,8 @@
 	examined map[string]time.Duration
 	// since is when a group was first seen in a state that should pass.
 	since map[string]time.Duration
+	// told is when the plan of a service was last logged.
+	told map[string]time.Duration
 	// haves counts the groups of each service and model, as of the last round.
 	haves   map[string]int
 	counter int64
@@ -99,7 +101,7 @@
 	former := &Former{
 		Part: lifecycle.New("former"), Parts: parts,
 		busy: map[string]string{}, lost: map[string]time.Duration{}, forming: map[string]Group{},
-		working: map[string]bool{}, examined: map[string]time.Duration{}, since: map[string]time.Duration{},
+		working: map[string]bool{}, told: map[string]time.Duration{}, examined: map[string]time.Duration{}, since: map[string]time.Duration{},
 	}
 	former.gate.now = parts.Now
 	return former
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -1,8 +1,10 @@
 package formation
 
 import (
+	"log/slog"
 	"math"
 	"sort"
+	"time"
 
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/state/configuration"
@@ -43,22 +45,31 @@
 
 // Plan decides what to do with free servers.
 //
-// A group is formed of the model that lacks most of what it should have, where
-// enough free servers of one domain have it staged. Servers that wait are
-// staged with what their domain is most likely to need next: the model of its
-// own groups, the larger first, since the loss of one member of a large group
-// strands the most servers. While nothing was asked of the fleet yet
-// (fromStore), groups are also formed of servers that must load first: loads
-// cost little then, and joining loads without a further start.
+// Groups are formed of the model that lacks most of what it should have, where
+// enough free servers of one domain have it staged. It answers fleets that lose
+// members one by one every few seconds: a group without a spare of its domain
+// waits for a load of many seconds, and the larger the group, the more servers
+// wait with it. So most groups come first, then a staged spare for each model
+// in each domain, then the other groups, and last groups beyond what is wanted
+// where servers would be idle all the same.
+//
+// While nothing was asked of the fleet yet (fromStore), groups are also formed
+// of servers that must load first: loads cost little then, and joining loads
+// without a further start.
 func Plan(domains []Domain, demands []Demand, fromStore bool) []Step {
 	planner := &planner{domains: domains, demands: demands, fromStore: fromStore}
-	for planner.formOne() {
-		continue
-	}
-	planner.stageAll()
+	planner.formAll(mostGroups)
+	planner.stageSpares()
+	planner.formAll(1)
+	planner.stageRest()
+	planner.formIdle()
 	return planner.steps
 }
 
+// mostGroups is the part of the groups wanted that is formed before spares are
+// staged.
+const mostGroups = 0.75
+
 type planner struct {
 	domains   []Domain
 	demands   []Demand
@@ -66,27 +77,61 @@
 	steps     []Step
 }
 
+// formAll forms groups until each model has a part of what is wanted of it, or
+// no domain has the servers.
+func (planner *planner) formAll(part float64) {
+	for planner.formOne(part) {
+		continue
+	}
+}
+
 // formOne plans one group and says whether it did.
-func (planner *planner) formOne() bool {
+func (planner *planner) formOne(part float64) bool {
 	for _, demand := range planner.byNeed() {
-		if float64(demand.Have)+formSlack > demand.Want {
+		if float64(demand.Have)+formSlack > demand.Want*part {
 			continue
 		}
-		domain, members, loads := planner.place(demand)
-		if domain == nil {
-			continue
+		if domain, loads := planner.place(demand, 0); domain != nil {
+			planner.form(domain, demand, loads)
+			return true
 		}
-		demand.Have++
-		domain.Groups[demand.Name]++
-		domain.take(members)
-		planner.steps = append(planner.steps, Step{Model: demand.Name, Members: members, Loads: loads})
-		return true
 	}
 	return false
 }
 
-// formSlack is how much of a group may be too much: wants are fractions.
-const formSlack = 0.5
+func (planner *planner) form(domain *Domain, demand *Demand, loads int) {
+	members := domain.choose(demand.Model)
+	demand.Have++
+	domain.Groups[demand.Name]++
+	domain.take(members)
+	planner.steps = append(planner.steps, Step{Model: demand.Name, Members: members, Loads: loads})
+}
+
+// formIdle forms groups beyond what is wanted where a domain has staged servers
+// to spare and still keeps some.
+func (planner *planner) formIdle() {
+	if planner.fromStore {
+		return
+	}
+	for formed := true; formed; {
+		formed = false
+		for _, demand := range planner.byNeed() {
+			if domain, _ := planner.place(demand, idleKept); domain != nil {
+				planner.form(domain, demand, 0)
+				formed = true
+				break
+			}
+		}
+	}
+}
+
+const (
+	// formSlack is how much of a group may be too much: wants are fractions.
+	formSlack = 0.5
+	// idleKept is how many free servers a domain keeps when a group beyond what
+	// is wanted is formed there.
+	idleKept = 1
+)
 
 // byNeed returns the demands, the one that lacks most first.
 func (planner *planner) byNeed() []*Demand {
@@ -105,27 +150,23 @@
 	return float64(demand.Have) / demand.Want
 }
 
-// place finds the domain with the most servers that are ready for the model.
-func (planner *planner) place(demand *Demand) (*Domain, []string, int) {
+// place finds the domain with the most servers that are ready for the model
+// and more than kept besides, and how many of them must load.
+func (planner *planner) place(demand *Demand, kept int) (*Domain, int) {
 	var best *Domain
 	bestStaged, bestFree := -1, -1
 	for number := range planner.domains {
 		domain := &planner.domains[number]
-		staged := domain.staged(demand.Name)
-		if len(domain.Spares) < demand.Size || (staged < demand.Size && !planner.fromStore) {
+		staged := min(domain.staged(demand.Name), demand.Size)
+		free := len(domain.Spares)
+		if free < demand.Size+kept || (staged < demand.Size && !planner.fromStore) {
 			continue
 		}
-		free := len(domain.Spares)
-		if min(staged, demand.Size) > min(bestStaged, demand.Size) || (min(staged, demand.Size) == min(bestStaged, demand.Size) && free > bestFree) {
+		if staged > bestStaged || (staged == bestStaged && free > bestFree) {
 			best, bestStaged, bestFree = domain, staged, free
 		}
 	}
-	if best == nil {
-		return nil, nil, 0
-	}
-	members := best.choose(demand.Model)
-	loads := max(0, demand.Size-bestStaged)
-	return best, members, loads
+	return best, max(0, demand.Size-bestStaged)
 }
 
 func (domain *Domain) staged(model string) int {
@@ -170,20 +211,45 @@
 	domain.Spares = kept
 }
 
-// stageAll plans what servers that wait should have staged.
-func (planner *planner) stageAll() {
+// stageSpares plans one staged spare for each model of each domain, the largest
+// models first.
+func (planner *planner) stageSpares() {
+	bySize := planner.byNeed()
+	sort.SliceStable(bySize, func(i, j int) bool { return bySize[i].Size > bySize[j].Size })
+	for _, demand := range bySize {
+		for number := range planner.domains {
+			domain := &planner.domains[number]
+			if domain.Groups[demand.Name] > 0 && domain.staged(demand.Name) == 0 {
+				planner.stage(domain, demand.Name)
+			}
+		}
+	}
+}
+
+// stage plans to stage a model on a free server of a domain that has nothing
+// staged, which then waits as a spare.
+func (planner *planner) stage(domain *Domain, model string) {
+	for _, spare := range domain.Spares {
+		if len(spare.Staged) == 0 {
+			planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
+			domain.take([]string{spare.ID})
+			return
+		}
+	}
+}
+
+// stageRest plans what the other servers that wait should have staged.
+func (planner *planner) stageRest() {
 	for number := range planner.domains {
 		domain := &planner.domains[number]
-		for _, spare := range domain.Spares {
+		for _, spare := range append([]Spare{}, domain.Spares...) {
 			if len(spare.Staged) > 0 {
 				continue
 			}
-			model := planner.wantStaged(domain)
-			if model == "" {
-				continue
+			if model := planner.wantStaged(domain); model != "" {
+				planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
+				domain.note(spare.ID, model)
 			}
-			planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
-			domain.note(spare.ID, model)
 		}
 	}
 }
@@ -231,6 +297,7 @@
 	domains, usable := former.domains(service, servers, listed)
 	demands := former.demands(service, usable)
 	quiet := former.Quiet()
+	former.tell(service, domains, demands, usable)
 	for _, step := range Plan(domains, demands, quiet) {
 		if !former.reserve(step.Members, step.Model) {
 			continue
@@ -250,6 +317,29 @@
 	}
 }
 
+// tellEvery is how often what the planner sees is logged.
+const tellEvery = 2 * time.Second
+
+// tell logs what the planner sees, at most every other second.
+func (former *Former) tell(service Service, domains []Domain, demands []Demand, usable int) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	now := former.Now()
+	if now-former.told[service.Name] < tellEvery && former.told[service.Name] != 0 {
+		return
+	}
+	former.told[service.Name] = now
+	attributes := []any{"Service", service.Name, "Usable", usable, "Busy", len(former.busy), "Ending", len(former.working)}
+	for _, demand := range demands {
+		staged := 0
+		for number := range domains {
+			staged += domains[number].staged(demand.Name)
+		}
+		attributes = append(attributes, slog.Group(demand.Name, "Have", demand.Have, "Want", math.Round(demand.Want*10)/10, "StagedSpares", staged))
+	}
+	former.Logger.Info("former: the plan.", attributes...)
+}
+
 func (former *Former) unreserve(ids []string) {
 	former.mu.Lock()
 	defer former.mu.Unlock()
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -128,12 +128,18 @@
 	route     *configuration.Route
 	service   string
 	workspace string
-	urgency   int
-	arrived   time.Duration
+	// priority ranks the request by its route or workspace.
+	priority int
+	// late says that the caller has asked before, and that the answer can't be
+	// in time any more.
+	late    bool
+	arrived time.Duration
 	// deadline is when the answer must be complete.
 	deadline time.Duration
-	// attempts counts the calls sent, runs those that may have run.
+	// attempts counts the calls begun, arrivals those that left this node, and
+	// runs those that may have run.
 	attempts int
+	arrivals int
 	runs     int
 	exclude  []string
 	// mayHaveRun is set when a call left whose fate is not known.
@@ -209,10 +215,11 @@
 		return false
 	}
 	exchange.route = route
-	exchange.urgency = route.Priority
+	exchange.priority = route.Priority
 	if !exchange.identify() {
 		return false
 	}
+	exchange.late = route.Timeout > 0 && exchange.request.Left > 0 && route.Timeout-exchange.request.Left > route.Target
 	exchange.service = pickService(route.Services, rand.Float64())
 	exchange.budget = exchange.forwarder.Budget(exchange.service)
 	exchange.budget.Request()
@@ -233,7 +240,7 @@
 	}
 	exchange.workspace = workspace.Name
 	if workspace.HasPriority {
-		exchange.urgency = workspace.Priority
+		exchange.priority = workspace.Priority
 	}
 	return true
 }
@@ -330,7 +337,8 @@
 		exchange.cause += "; it may have run and must not run again"
 		return false
 	}
-	if exchange.attempts == 0 {
+	if exchange.arrivals == 0 {
+		// Nothing has reached a server yet, so this is no repeat.
 		return true
 	}
 	if exchange.runs >= max(1, exchange.route.MaxAttempts) {
@@ -351,11 +359,34 @@
 	return &backendserver.Call{
 		ID: request.ID, Method: request.Method, Target: request.Target, Host: request.Host, Header: request.Header,
 		Body: request.Body, Address: target.Address, Server: target.ID, Workspace: exchange.workspace,
-		Left: exchange.left() - hopAllowance, Urgency: exchange.urgency,
+		Left: exchange.left() - hopAllowance, Urgency: exchange.urgency(),
 		After: request.After, Continues: request.Continues,
 	}
 }
 
+// The ranks within one priority. An answer that callers already read goes
+// first: each pause in it counts, and stopping it loses what it has. One that
+// can still be in time goes before one that can't.
+const (
+	rankBegun = iota
+	rankFresh
+	rankLate
+	ranks
+)
+
+// urgency ranks the request at the server: by priority, then by what waiting
+// costs.
+func (exchange *exchange) urgency() int {
+	rank := rankFresh
+	switch {
+	case exchange.begun:
+		rank = rankBegun
+	case exchange.late:
+		rank = rankLate
+	}
+	return ranks*exchange.priority + rank
+}
+
 // Times after which a refused caller is asked to come again.
 const (
 	// retryUnknown is for a node that has just started.
@@ -509,6 +540,7 @@
 	call.Cancel = leg.ender.set
 	reply, err := exchange.forwarder.Pool.Send(call)
 	if err == nil {
+		exchange.arrivals++
 		leg.Reply = reply
 		return leg
 	}
@@ -519,6 +551,7 @@
 		exchange.forwarder.Failed(target, "")
 		return leg
 	}
+	exchange.arrivals++
 	exchange.ran()
 	return leg
 }
