feat(standin): the platform, in memory and on loopback, with whole-node tests

The stand-in has the store with its topics, the registry, backend servers with groups, orders and streams, and faults; whole nodes run against it in virtual time.

--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,7 @@
 ROUNDS ?= 200
 soak: ## Long random runs with a free seed, which is printed.
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "HAZELSLIP_SEED=$$seed"; \
-	HAZELSLIP_SEED=$$seed HAZELSLIP_ROUNDS=$(ROUNDS) go test -count=1 -timeout 2h -run 'Random' ./internal/state/booking ./internal/run/node
+	HAZELSLIP_SEED=$$seed HAZELSLIP_ROUNDS=$(ROUNDS) go test -count=1 -timeout 2h -run 'Random' ./internal/state/booking ./internal/run/node ./platform/standin ./internal/fleet/formation
 
 FUZZTIME ?= 30s
 FUZZ := ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -52,6 +52,8 @@
 	DecodeCaller func(request *http.Request) *forward.Request
 	// ReadinessPath is where the balancer asks.
 	ReadinessPath string
+	// Close ends idle connections to the platform.
+	Close func()
 }
 
 // Node is an entry node.
@@ -64,7 +66,7 @@
 	logger   *slog.Logger
 	now      clock.Now
 	listen   func(address string) (net.Listener, error)
-	dialPeer func(ctx context.Context, network, address string) (net.Conn, error)
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 
 	configuration *configuration.Table
 	rawVersion    atomic.Pointer[rawConfiguration]
@@ -122,9 +124,9 @@
 	return func(node *Node) { node.now = now }
 }
 
-// Network sets how the node listens and how it connects to its peers.
+// Network sets how the node listens and how it connects to others.
 func Network(listen func(address string) (net.Listener, error), dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
-	return func(node *Node) { node.listen, node.dialPeer = listen, dial }
+	return func(node *Node) { node.listen, node.dial = listen, dial }
 }
 
 func listenTCP(address string) (net.Listener, error) {
@@ -145,13 +147,23 @@
 	}
 	node.view = formation.NewView(node.now)
 	node.board = dispatch.New(dispatch.Clock(node.now))
-	node.pool = backendserver.New(platform.Codec)
+	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
 	node.former = formation.New(node.formerParts())
 	node.forwarder = forward.New(node.forwarderParts())
 	return node, node.open()
 }
 
+// poolOptions makes the pool connect as the node does, where that is set.
+func (node *Node) poolOptions() []backendserver.Option {
+	if node.dial == nil {
+		return nil
+	}
+	return []backendserver.Option{backendserver.Dial(func(address string) (net.Conn, error) {
+		return node.dial(context.Background(), "tcp", address)
+	})}
+}
+
 func (node *Node) formerParts() formation.Parts {
 	return formation.Parts{
 		Fleet: node.platform.Fleet, View: node.view, Servers: node.servers.Load, Services: node.engineServices,
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -77,8 +77,8 @@
 func newPeers(node *Node, listener net.Listener) *peers {
 	peers := &peers{Part: lifecycle.New("peers"), node: node, neighbours: map[string]*neighbour{}, silent: map[string]time.Duration{}}
 	peers.dial = (&net.Dialer{Timeout: standingTimeout}).DialContext
-	if node.dialPeer != nil {
-		peers.dial = node.dialPeer
+	if node.dial != nil {
+		peers.dial = node.dial
 	}
 	peers.server = sibling.NewServer(listener, peers.answer)
 	peers.alive.Store(&[]aliveSibling{})
--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -42,6 +42,10 @@
 	node.peers.stop()
 	node.former.Stop()
 	node.Part.Stop()
+	node.pool.Sweep(func(string) bool { return false })
+	if node.platform.Close != nil {
+		node.platform.Close()
+	}
 	node.logger.Info("gateway: stopped.", "Name", node.settings.Name, "Milliseconds", (node.now() - began).Milliseconds())
 }
 
--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -359,6 +359,42 @@
 	}
 }
 
+// Standing is what a head can do with calls.
+type Standing int
+
+// The standings of a head.
+const (
+	// Serving: it runs calls.
+	Serving Standing = iota
+	// Still: it accepts calls, and nothing moves.
+	Still
+	// Shut: it refuses calls.
+	Shut
+	// Gone: it doesn't answer.
+	Gone
+)
+
+// Head returns what a server does with calls of a group's model.
+func (world *World) Head(id string) Standing {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	found, ok := world.servers[id]
+	if !ok || found.dead {
+		return Gone
+	}
+	world.settle(found)
+	group := &found.group
+	switch {
+	case group.rank != 0 || group.state != roster.Open:
+		return Shut
+	case world.now() < group.openAt+world.engine.FormTime:
+		return Shut
+	case !world.whole(group):
+		return Still
+	}
+	return Serving
+}
+
 // Servers returns the list of servers as the registry would show it.
 func (world *World) Servers(service string) []*roster.Server {
 	world.mu.Lock()
