--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -434,12 +434,14 @@
 		exchange.cause = "the caller left"
 		exchange.log(0)
 		panic(http.ErrAbortHandler)
-	case exchange.fallback != nil:
-		exchange.deliver(exchange.fallback)
 	case exchange.begun:
+		// An answer that was begun can only be cut, so that it doesn't look
+		// complete.
 		exchange.forwarder.Counts.Failed.Add(1)
 		exchange.log(http.StatusBadGateway)
 		panic(http.ErrAbortHandler)
+	case exchange.fallback != nil:
+		exchange.deliver(exchange.fallback)
 	case !exchange.mayHaveRun:
 		exchange.refuse(retryNone, exchange.cause)
 	case exchange.left() <= 0:
