feat(gateway): outcomes, histograms, logs that hold nobody up, demo on the platform's face

Cause: a request's log line told its cause in words only, counters had no routes, and a stalled reader of the output would have blocked requests.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -7,20 +7,25 @@
 
 	"hazelslip/internal/run/demo"
 	"hazelslip/internal/run/node"
+	"hazelslip/platform/standin"
 )
 
 type demoCommand struct {
 	BasePort int    `default:"7000" help:"First port; everything listens at fixed offsets from it."`
+	Platform bool   `help:"Run nodes of the users' platform before a stand-in of it."`
 	LogLevel string `default:"warn" enum:"debug,info,warn,error" help:"Least level of the logs: ${enum}."`
 }
 
 // Help gives an example.
 func (command *demoCommand) Help() string {
-	return "Example:\n  hazelslip demo --base-port 7000\n\nIt prints addresses and example calls, and stops gracefully on an interrupt."
+	return "Example:\n  hazelslip demo --base-port 7000\n  hazelslip demo --platform\n\nIt prints addresses and example calls, and stops gracefully on an interrupt."
 }
 
 // Run runs the deployment until it is told to stop.
 func (command *demoCommand) Run(streams *streams) error {
+	if command.Platform {
+		return command.runPlatform(streams)
+	}
 	stop := interrupted()
 	world, err := demo.NewWorld(demo.BasePort(command.BasePort))
 	if err != nil {
@@ -47,6 +52,41 @@
 	return nil
 }
 
+// runPlatform runs three nodes before a stand-in of the platform.
+func (command *demoCommand) runPlatform(streams *streams) error {
+	stop := interrupted()
+	offsets := map[string]int{"store": 0, "caller": 10, "readiness": 20, "operator": 30, "peer": 40, "server": 100}
+	deployment := standin.New(
+		standin.Shape{Nodes: 3, Domains: 3, Servers: 8, Ledgers: 2, Seed: 1},
+		standin.Addresses(func(place string, number int) string {
+			return fmt.Sprintf("127.0.0.1:%d", command.BasePort+offsets[place]+number)
+		}),
+		standin.Logger(newLogger(streams.Err, command.LogLevel)),
+	)
+	if err := deployment.Start(); err != nil {
+		return err
+	}
+	defer deployment.Stop()
+	for _, settings := range deployment.Settings {
+		_, _ = fmt.Fprintf(streams.Out, "node: callers http://%s  operators http://%s\n", settings.Listen.Caller, settings.Listen.Operator)
+	}
+	first := deployment.Settings[0].Listen
+	_, _ = fmt.Fprintf(streams.Out, platformExamples, first.Caller, first.Caller, first.Operator, first.Operator)
+	<-stop
+	_, _ = fmt.Fprintln(streams.Out, "stopping")
+	return nil
+}
+
+const platformExamples = `
+Groups form within some seconds. Then try:
+  curl -N http://%s/draft/1 -H 'Host: demo.example' -H 'Api-Key: demo-key' -H 'X-Hazelslip-Attempt-Id: a1' \
+    -H 'X-Hazelslip-Model-Id: small' -H 'X-Hazelslip-Token-Usage: 900,100' -d 'Draft the visit report.'
+  curl -i http://%s/book/1 -H 'Host: demo.example' -H 'Api-Key: demo-key' -H 'X-Hazelslip-Attempt-Id: b1' -d 'Tuesday 9:00'
+  curl http://%s/state
+  curl http://%s/debug/vars
+Stop with an interrupt.
+`
+
 func stopAll(nodes []*node.Node) {
 	stops := conc.NewWaitGroup()
 	for _, running := range nodes {
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -7,6 +7,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"hazelslip/internal/common/logging"
 	"hazelslip/internal/run/gateway"
 	"hazelslip/platform"
 )
@@ -42,7 +43,10 @@
 	if settings.Limits.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryBytes) * memoryPart))
 	}
-	logger := newJSONLogger(streams.Out, command.LogLevel)
+	sink := logging.New(streams.Out)
+	sink.Start()
+	defer sink.Stop()
+	logger := slog.New(sink.Handler(logLevel(command.LogLevel)))
 	node, err := gateway.New(settings, platform.New(settings.Store).Platform(), gateway.Logger(logger))
 	if err != nil {
 		return err
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -147,19 +147,16 @@
 }
 
 func newLogger(out io.Writer, level string) *slog.Logger {
-	var parsed slog.Level
-	if err := parsed.UnmarshalText([]byte(level)); err != nil {
-		parsed = slog.LevelInfo
-	}
-	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: parsed}))
+	return slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: logLevel(level)}))
 }
 
-func newJSONLogger(out io.Writer, level string) *slog.Logger {
+// logLevel reads a level; kong has checked that it is one.
+func logLevel(level string) slog.Level {
 	var parsed slog.Level
 	if err := parsed.UnmarshalText([]byte(level)); err != nil {
 		parsed = slog.LevelInfo
 	}
-	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed}))
+	return parsed
 }
 
 func printJSON(out io.Writer, value any) error {
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -78,6 +78,7 @@
 	pool          *backendserver.Pool
 	forwarder     *forward.Forwarder
 	peers         *peers
+	measures      *measures
 	services      atomic.Pointer[engineServices]
 	silentHeads   atomic.Pointer[[]*exchange.SilentHead]
 	startedAt     time.Duration
@@ -139,7 +140,7 @@
 		Part: lifecycle.New("gateway"), Incarnation: rand.Uint64() | 1, settings: settings, platform: platform,
 		logger: slog.New(slog.DiscardHandler), now: clock.Boot, listen: listenTCP,
 		configuration: configuration.NewTable(), servers: roster.New(), budgets: map[string]*retry.Window{},
-		dirty: make(chan struct{}, 1),
+		dirty: make(chan struct{}, 1), measures: newMeasures(),
 	}
 	node.services.Store(&engineServices{version: -1})
 	for _, option := range options {
@@ -180,7 +181,7 @@
 	return forward.Parts{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Stopping: node.stopping.Load,
-		Failed: node.callFailed, Logger: node.logger, Now: node.now,
+		Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
 
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -9,6 +9,7 @@
 	"hazelslip/internal/common/jsonhttp"
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/policy/retry"
+	"hazelslip/internal/serve/forward"
 )
 
 // State is the dump of a node's state.
@@ -35,7 +36,7 @@
 		ConfigurationVersion: node.configuration.Load().Configuration.Version, ListEnd: servers.End,
 		ListAgeMilliseconds: node.listAge().Milliseconds(), Servers: len(servers.Servers),
 		Serving: node.view.Serving(servers, node.engineServices()), Former: node.former.State(),
-		Budgets: map[string]retry.WindowState{},
+		Budgets: node.budgetStates(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -43,20 +44,44 @@
 	for _, other := range *node.peers.alive.Load() {
 		state.Peers = append(state.Peers, other.standing.Name)
 	}
-	node.mu.Lock()
-	defer node.mu.Unlock()
-	for service, window := range node.budgets {
-		state.Budgets[service] = window.State()
-	}
 	return state
 }
 
-// metrics are the node's counters.
-func (node *Node) metrics() map[string]uint64 {
-	counts, formed, calls := &node.forwarder.Counts, &node.former.Counts, &node.pool.Counts
+// Metrics are the node's counters, which only grow, and its latencies.
+type Metrics struct {
+	// Outcomes counts requests by route and by how they ended.
+	Outcomes map[string]map[forward.Outcome]uint64
+	// Latencies are in milliseconds.
+	Latencies map[string]Quantiles
+	Counters  map[string]uint64
+	// Ages are in milliseconds; -1 for what was never known.
+	Ages map[string]int64
+	// Term is under which this node gives orders, 0 if it doesn't.
+	Term    int64
+	Budgets map[string]retry.WindowState
+	Serving map[string]int
+}
+
+// Metrics returns the node's metrics.
+func (node *Node) Metrics() Metrics {
+	metrics := Metrics{
+		Outcomes: node.measures.byRoute(), Latencies: node.measures.latencies(), Counters: node.counters(),
+		Ages: map[string]int64{"ServerList": -1}, Term: node.keeper.Term(), Budgets: node.budgetStates(), Serving: map[string]int{},
+	}
+	servers := node.servers.Load()
+	if servers.Known() {
+		metrics.Ages["ServerList"] = node.listAge().Milliseconds()
+	}
+	for _, group := range node.view.Serving(servers, node.engineServices()) {
+		metrics.Serving[group.Model]++
+	}
+	return metrics
+}
+
+func (node *Node) counters() map[string]uint64 {
+	formed, calls := &node.former.Counts, &node.pool.Counts
 	return map[string]uint64{
-		"Requests": counts.Requests.Load(), "Answered": counts.Answered.Load(), "Refused": counts.Refused.Load(),
-		"Failed": counts.Failed.Load(), "CallersLeft": counts.Left.Load(), "Repeats": counts.Repeats.Load(),
+		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
 		"Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
@@ -67,10 +92,20 @@
 	}
 }
 
+func (node *Node) budgetStates() map[string]retry.WindowState {
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	states := map[string]retry.WindowState{}
+	for service, window := range node.budgets {
+		states[service] = window.State()
+	}
+	return states
+}
+
 func (node *Node) operatorHandler() http.Handler {
 	router := httprouter.New()
 	router.GET("/debug/vars", func(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		jsonhttp.Write(writer, node.metrics())
+		jsonhttp.Write(writer, node.Metrics())
 	})
 	router.GET("/state", func(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		jsonhttp.Write(writer, node.State())
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -58,11 +59,14 @@
 	exchange.end()
 }
 
+// noTarget notes why no server was chosen, after what was tried before.
 func (exchange *exchange) noTarget(verdict dispatch.Verdict) {
-	reason := "no server for " + exchange.pool()
+	exchange.outcome = NoServer
 	if verdict == dispatch.Full {
-		reason = "all servers for " + exchange.pool() + " are full"
+		exchange.outcome = Full
 	}
+	occupancy := exchange.forwarder.Board.Occupancy(exchange.pool())
+	reason := fmt.Sprintf("pool %s has %d of %d places taken at %d targets", exchange.pool(), occupancy.Taken, occupancy.Places, occupancy.Targets)
 	if exchange.cause != "" {
 		reason = exchange.cause + "; " + reason
 	}
@@ -136,6 +140,6 @@
 	if _, err := exchange.writer.Write(found.body); err != nil {
 		exchange.cause = "the caller could not be written to: " + err.Error()
 	}
-	exchange.forwarder.Counts.Answered.Add(1)
+	exchange.outcome = ServerFailed
 	exchange.log(found.status)
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -76,6 +76,8 @@
 	Budget func(service string) *retry.Window
 	// Stopping says that the node is shutting down.
 	Stopping func() bool
+	// Ended is told of each request that ended.
+	Ended func(summary Summary)
 	// Failed is told of a server that refused or broke a call of a group.
 	Failed func(target *dispatch.Target, culprit string)
 	Logger *slog.Logger
@@ -85,12 +87,48 @@
 // Counts are the forwarder's counters; they only grow.
 type Counts struct {
 	Requests atomic.Uint64
-	Answered atomic.Uint64
-	Refused  atomic.Uint64
-	Failed   atomic.Uint64
-	Left     atomic.Uint64
 	Repeats  atomic.Uint64
-	Resumed  atomic.Uint64
+}
+
+// Outcome says how a request ended, for logs and counters.
+type Outcome string
+
+// The outcomes of requests.
+const (
+	Answered Outcome = "Answered"
+	// NoConfiguration: this node has just started.
+	NoConfiguration Outcome = "NoConfiguration"
+	Malformed       Outcome = "Malformed"
+	NoRoute         Outcome = "NoRoute"
+	UnknownKey      Outcome = "UnknownKey"
+	// NoServer: no group of the model, or no server of the service, is known to
+	// serve. Full: all have as many calls as they may.
+	NoServer Outcome = "NoServer"
+	Full     Outcome = "Full"
+	// Broken: the connection or the stream broke, and nothing more was tried.
+	Broken Outcome = "Broken"
+	// MustNotRepeat, AttemptsSpent and BudgetSpent say why nothing more was
+	// tried after a failure.
+	MustNotRepeat Outcome = "MustNotRepeat"
+	AttemptsSpent Outcome = "AttemptsSpent"
+	BudgetSpent   Outcome = "BudgetSpent"
+	// TimeUp: the caller's deadline or the route's timeout has passed.
+	TimeUp     Outcome = "TimeUp"
+	CallerLeft Outcome = "CallerLeft"
+	// ServerFailed: the server's own failure was passed on.
+	ServerFailed Outcome = "ServerFailed"
+)
+
+// Summary is a request that ended.
+type Summary struct {
+	Route        string
+	Kind         configuration.Kind
+	Status       int
+	Outcome      Outcome
+	Attempts     int
+	FirstEvent   time.Duration
+	LongestPause time.Duration
+	Took         time.Duration
 }
 
 // Forwarder is an http.Handler.
@@ -152,8 +190,9 @@
 	fallback *answer
 	last     dispatched
 	pace     pace
-	// cause tells in the log why the request ended as it did.
-	cause string
+	// outcome and cause tell why the request ended as it did.
+	outcome Outcome
+	cause   string
 }
 
 // pace is how the events of a stream came, for the log.
@@ -202,16 +241,16 @@
 	request := exchange.request
 	exchange.snapshot = exchange.forwarder.Configuration.Load()
 	if !exchange.snapshot.Known() {
-		exchange.refuse(retryUnknown, "no configuration is known yet")
+		exchange.refuse(NoConfiguration, retryUnknown, "no configuration is known yet")
 		return false
 	}
 	if request.ID == "" {
-		exchange.deny(http.StatusBadRequest, "the request has no ID")
+		exchange.deny(http.StatusBadRequest, Malformed, "the request has no ID")
 		return false
 	}
 	route, ok := exchange.snapshot.Match(request.Host, request.Path)
 	if !ok {
-		exchange.deny(http.StatusNotFound, "no route matches")
+		exchange.deny(http.StatusNotFound, NoRoute, "no route matches")
 		return false
 	}
 	exchange.route = route
@@ -235,7 +274,7 @@
 	}
 	workspace, ok := exchange.snapshot.Workspace(exchange.request.Key)
 	if !ok {
-		exchange.deny(http.StatusUnauthorized, "the key is not known")
+		exchange.deny(http.StatusUnauthorized, UnknownKey, "the key is not known")
 		return false
 	}
 	exchange.workspace = workspace.Name
@@ -290,17 +329,18 @@
 		most = bodyMost
 	}
 	if exchange.inbound.ContentLength > most {
-		exchange.deny(http.StatusRequestEntityTooLarge, "the body is too long")
+		exchange.deny(http.StatusRequestEntityTooLarge, Malformed, "the body is too long")
 		return false
 	}
 	body, err := io.ReadAll(io.LimitReader(exchange.inbound.Body, most+1))
 	switch {
 	case err != nil:
+		exchange.outcome = CallerLeft
 		exchange.cause = "the body could not be read: " + err.Error()
 		exchange.log(http.StatusBadRequest)
 		panic(http.ErrAbortHandler)
 	case int64(len(body)) > most:
-		exchange.deny(http.StatusRequestEntityTooLarge, "the body is too long")
+		exchange.deny(http.StatusRequestEntityTooLarge, Malformed, "the body is too long")
 		return false
 	}
 	exchange.request.Body = body
@@ -334,7 +374,7 @@
 // the budget for it.
 func (exchange *exchange) mayRepeat() bool {
 	if exchange.mayHaveRun && !exchange.route.Repeatable() {
-		exchange.cause += "; it may have run and must not run again"
+		exchange.outcome = MustNotRepeat
 		return false
 	}
 	if exchange.arrivals == 0 {
@@ -342,11 +382,11 @@
 		return true
 	}
 	if exchange.runs >= max(1, exchange.route.MaxAttempts) {
-		exchange.cause += "; it was sent as often as its route allows"
+		exchange.outcome = AttemptsSpent
 		return false
 	}
 	if !exchange.budget.Take() {
-		exchange.cause += "; the budget of repeats is spent"
+		exchange.outcome = BudgetSpent
 		return false
 	}
 	exchange.forwarder.Counts.Repeats.Add(1)
@@ -400,23 +440,21 @@
 // refuse answers that the request has not run and never will. Callers are told
 // to come again at times that are spread, so that they don't all return at
 // once.
-func (exchange *exchange) refuse(again time.Duration, cause string) {
-	exchange.forwarder.Counts.Refused.Add(1)
-	exchange.cause = cause
+func (exchange *exchange) refuse(outcome Outcome, again time.Duration, cause string) {
+	exchange.outcome, exchange.cause = outcome, cause
 	spread := time.Duration(float64(again) * (0.75 + rand.Float64()/2))
 	exchange.writer.Header().Set("Retry-After", strconv.FormatFloat(spread.Seconds(), 'f', 3, 64))
 	exchange.finish(http.StatusServiceUnavailable)
 }
 
 // deny answers a request that is wrong in itself.
-func (exchange *exchange) deny(status int, cause string) {
-	exchange.cause = cause
+func (exchange *exchange) deny(status int, outcome Outcome, cause string) {
+	exchange.outcome, exchange.cause = outcome, cause
 	exchange.finish(status)
 }
 
 // fail answers that the request may have run.
 func (exchange *exchange) fail(status int) {
-	exchange.forwarder.Counts.Failed.Add(1)
 	exchange.finish(status)
 }
 
@@ -430,51 +468,65 @@
 func (exchange *exchange) end() {
 	switch {
 	case exchange.gone():
-		exchange.forwarder.Counts.Left.Add(1)
-		exchange.cause = "the caller left"
+		exchange.outcome = CallerLeft
 		exchange.log(0)
 		panic(http.ErrAbortHandler)
 	case exchange.begun:
 		// An answer that was begun can only be cut, so that it doesn't look
 		// complete.
-		exchange.forwarder.Counts.Failed.Add(1)
 		exchange.log(http.StatusBadGateway)
 		panic(http.ErrAbortHandler)
 	case exchange.fallback != nil:
 		exchange.deliver(exchange.fallback)
 	case !exchange.mayHaveRun:
-		exchange.refuse(retryNone, exchange.cause)
-	case exchange.left() <= 0:
+		if exchange.outcome == "" {
+			exchange.outcome = TimeUp
+		}
+		exchange.refuse(exchange.outcome, retryNone, exchange.cause)
+	case exchange.left() <= leastLeft:
+		exchange.outcome = TimeUp
 		exchange.fail(http.StatusGatewayTimeout)
 	default:
 		exchange.fail(http.StatusBadGateway)
 	}
 }
 
-// log writes the one line of a request that ended.
+// log writes the one line of a request that ended, and counts it.
 func (exchange *exchange) log(status int) {
 	level := slog.LevelInfo
 	if status < http.StatusOK || status >= http.StatusMultipleChoices {
 		level = slog.LevelWarn
 	}
-	logger := exchange.forwarder.Logger
-	if !logger.Enabled(exchange.inbound.Context(), level) {
-		return
+	if exchange.outcome == "" {
+		exchange.outcome = Broken
 	}
-	route := ""
-	if exchange.route != nil {
-		route = exchange.route.Name
+	if status == http.StatusOK {
+		exchange.outcome = Answered
 	}
-	logger.LogAttrs(exchange.inbound.Context(), level, "forward: a request ended.",
-		slog.String("RequestID", exchange.request.ID), slog.String("Route", route),
+	summary := exchange.summary(status)
+	exchange.forwarder.Ended(summary)
+	exchange.forwarder.Logger.LogAttrs(exchange.inbound.Context(), level, "forward: a request ended.",
+		slog.String("RequestID", exchange.request.ID), slog.String("Route", summary.Route),
 		slog.String("Workspace", exchange.workspace), slog.Int("Status", status),
-		slog.String("Cause", exchange.cause), slog.Int("Attempts", exchange.attempts),
-		slog.Bool("MayHaveRun", exchange.mayHaveRun), slog.String("Server", exchange.last.server),
-		slog.String("Group", exchange.last.group), slog.Int("Taken", exchange.last.taken),
+		slog.String("Outcome", string(exchange.outcome)), slog.String("Cause", exchange.cause),
+		slog.Int("Attempts", exchange.attempts), slog.Bool("MayHaveRun", exchange.mayHaveRun),
+		slog.String("Server", exchange.last.server), slog.String("Group", exchange.last.group), slog.Int("Taken", exchange.last.taken),
 		slog.Int64("ConfigurationVersion", exchange.snapshotVersion()),
-		slog.Int64("FirstEventMilliseconds", exchange.pace.first.Milliseconds()),
-		slog.Int64("LongestPauseMilliseconds", exchange.pace.longest.Milliseconds()),
-		slog.Int64("Milliseconds", (exchange.forwarder.Now()-exchange.arrived).Milliseconds()))
+		slog.Int64("FirstEventMilliseconds", summary.FirstEvent.Milliseconds()),
+		slog.Int64("LongestPauseMilliseconds", summary.LongestPause.Milliseconds()),
+		slog.Int64("Milliseconds", summary.Took.Milliseconds()))
+}
+
+func (exchange *exchange) summary(status int) Summary {
+	summary := Summary{
+		Status: status, Outcome: exchange.outcome, Attempts: exchange.attempts,
+		FirstEvent: exchange.pace.first, LongestPause: exchange.pace.longest,
+		Took: exchange.forwarder.Now() - exchange.arrived,
+	}
+	if exchange.route != nil {
+		summary.Route, summary.Kind = exchange.route.Name, exchange.route.Kind
+	}
+	return summary
 }
 
 func (exchange *exchange) snapshotVersion() int64 {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -64,7 +64,6 @@
 	}
 	err := exchange.relay(leg)
 	if err == nil {
-		exchange.forwarder.Counts.Answered.Add(1)
 		exchange.log(http.StatusOK)
 		return true
 	}
