--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 
 FUZZTIME ?= 30s
 FUZZ := ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
-	./internal/state/stream:FuzzFolds ./internal/state/booking:FuzzTicketIssuer ./internal/run/settings:FuzzParse
+	./internal/state/stream:FuzzFolds ./internal/state/booking:FuzzTicketIssuer ./internal/run/settings:FuzzParse \
+	./platform:FuzzDecodeRecords ./platform:FuzzDecodeEntries ./platform:FuzzParseSettings
 fuzz: ## Fuzz everything that decodes bytes from outside.
 	@set -e; for target in $(FUZZ); do \
 		go test -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZTIME) "$${target%%:*}"; \
