--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -327,7 +327,7 @@
 	rapid.Check(t, func(property *rapid.T) {
 		seed := rapid.Uint64().Draw(property, "seed")
 		steps := rapid.SliceOfN(rapid.IntRange(0, 9999), 10, 30).Draw(property, "steps")
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			fleet := newFleet(seed, 2, 10, 2)
 			term := int64(4096)
 			fleet.nodes[0].setTerm(term)
--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -224,7 +224,8 @@
 func (pool *Pool) read(connection *conn, call *Call) (*Reply, error) {
 	asked := &http.Request{Method: call.Method}
 	for stray := 0; ; {
-		response, err := http.ReadResponse(connection.reader, asked)
+		// Reply.Close ends the body, or the connection is closed on an error.
+		response, err := http.ReadResponse(connection.reader, asked) //nolint:bodyclose // see above
 		if err != nil {
 			return nil, err
 		}
--- a/internal/run/gateway/settings.go
+++ b/internal/run/gateway/settings.go
@@ -53,8 +53,12 @@
 func (settings *Settings) Check() []string {
 	mistakes := []string{}
 	required := []struct{ name, value string }{
-		{"Name", settings.Name}, {"DataCentre", settings.DataCentre}, {"Listen.Caller", settings.Listen.Caller},
-		{"Listen.Readiness", settings.Listen.Readiness}, {"Listen.Peer", settings.Listen.Peer}, {"Store", settings.Store},
+		{"Name", settings.Name},
+		{"DataCentre", settings.DataCentre},
+		{"Listen.Caller", settings.Listen.Caller},
+		{"Listen.Readiness", settings.Listen.Readiness},
+		{"Listen.Peer", settings.Listen.Peer},
+		{"Store", settings.Store},
 	}
 	for _, field := range required {
 		if field.value == "" {
--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -14,8 +14,6 @@
 	noticeTime = 2500 * time.Millisecond
 	// endMargin is kept back from the grace time for the process to end.
 	endMargin = 400 * time.Millisecond
-	// stopTick is how often the stopping node looks whether it is idle.
-	stopTick = 50 * time.Millisecond
 )
 
 // Stop ends the node gracefully: it says that it is not ready, goes on serving
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -78,7 +78,7 @@
 func (exchange *exchange) callOne(target *dispatch.Target) *answer {
 	patience := exchange.patience()
 	leg := exchange.attempt(target)
-	defer leg.close()
+	defer leg.end()
 	timer := time.AfterFunc(patience, leg.ender.end)
 	defer timer.Stop()
 	if leg.Reply == nil {
--- /dev/null
+++ b/internal/serve/forward/leg.go
@@ -0,0 +1,140 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/peer/backendserver"
+	"hazelslip/internal/policy/dispatch"
+)
+
+// leg is one call of a request to one server. Its holder closes it.
+type leg struct {
+	*backendserver.Reply
+	target *dispatch.Target
+	use    *dispatch.Use
+	ender  *ender
+	// forget takes the ender off the caller's connection.
+	forget func() bool
+}
+
+func (leg *leg) end() {
+	leg.forget()
+	if leg.Reply != nil {
+		leg.Close()
+	}
+	if leg.use != nil {
+		leg.use.End()
+	}
+}
+
+// ender ends a call from another goroutine, also one that is yet to be sent.
+type ender struct {
+	mu    sync.Mutex
+	do    func()
+	ended bool
+}
+
+func (ender *ender) set(do func()) {
+	ender.mu.Lock()
+	defer ender.mu.Unlock()
+	ender.do = do
+	if ender.ended {
+		do()
+	}
+}
+
+func (ender *ender) end() {
+	ender.mu.Lock()
+	defer ender.mu.Unlock()
+	ender.ended = true
+	if ender.do != nil {
+		ender.do()
+	}
+}
+
+// attempt sends the request to one target and reads the head of its answer.
+// A leg without a reply comes with the reason in the cause, and with
+// mayHaveRun set if the call may have run.
+func (exchange *exchange) attempt(target *dispatch.Target) *leg {
+	call := exchange.newCall(target)
+	exchange.attempts++
+	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
+	leg := &leg{target: target, ender: &ender{}}
+	leg.use = target.Begin(exchange.request.PromptTokens, leg.ender.end)
+	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
+	call.Cancel = leg.ender.set
+	reply, err := exchange.forwarder.Pool.Send(call)
+	if err == nil {
+		exchange.arrivals++
+		leg.Reply = reply
+		return leg
+	}
+	exchange.cause = err.Error()
+	exchange.exclude = append(exchange.exclude, target.ID)
+	if errors.Is(err, backendserver.ErrNotSent) {
+		target.Avoid(avoidUnreachable)
+		exchange.forwarder.Failed(target, "")
+		return leg
+	}
+	exchange.arrivals++
+	exchange.ran()
+	return leg
+}
+
+// ran notes that a server may have run the request.
+func (exchange *exchange) ran() {
+	exchange.mayHaveRun = true
+	exchange.runs++
+}
+
+const (
+	// avoidUnreachable is how long a server that can't be connected to gets no
+	// calls.
+	avoidUnreachable = 700 * time.Millisecond
+	// avoidRefusing is how long a server that is full gets no calls.
+	avoidRefusing = 150 * time.Millisecond
+)
+
+// refused notes an answer by which the server did not run the call.
+func (exchange *exchange) refused(leg *leg) {
+	target, reply := leg.target, leg.Reply
+	exchange.cause = "server " + target.ID + " did not run it: " + strconv.Itoa(reply.Status)
+	exchange.exclude = append(exchange.exclude, target.ID)
+	if reply.WrongServer || reply.Culprit != "" {
+		target.Avoid(avoidUnreachable)
+		exchange.forwarder.Failed(target, reply.Culprit)
+		return
+	}
+	target.Avoid(avoidRefusing)
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade", "Content-Length"}
+
+// StripHopByHop removes the headers that concern one connection only, with
+// those that the Connection header names.
+func StripHopByHop(header http.Header) {
+	for _, line := range header.Values("Connection") {
+		for _, name := range splitList(line) {
+			header.Del(name)
+		}
+	}
+	for _, name := range hopByHop {
+		header.Del(name)
+	}
+}
+
+// passHead copies the head of a server's answer.
+func (exchange *exchange) passHead(from http.Header) {
+	StripHopByHop(from)
+	header := exchange.writer.Header()
+	for name, values := range from {
+		header[name] = values
+	}
+}
--- /dev/null
+++ b/internal/serve/forward/refuse.go
@@ -0,0 +1,71 @@
+package forward
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Times after which a refused caller is asked to come again.
+const (
+	// retryUnknown is for a node that has just started.
+	retryUnknown = 300 * time.Millisecond
+	// retryNone is about the time in which places come free, or a lost group is
+	// replaced.
+	retryNone = 500 * time.Millisecond
+)
+
+// refuse answers that the request has not run and never will. Callers are told
+// to come again at times that are spread, so that they don't all return at
+// once.
+func (exchange *exchange) refuse(outcome Outcome, again time.Duration, cause string) {
+	exchange.outcome, exchange.cause = outcome, cause
+	spread := time.Duration(float64(again) * (0.75 + rand.Float64()/2))
+	exchange.writer.Header().Set("Retry-After", strconv.FormatFloat(spread.Seconds(), 'f', 3, 64))
+	exchange.finish(http.StatusServiceUnavailable)
+}
+
+// deny answers a request that is wrong in itself.
+func (exchange *exchange) deny(status int, outcome Outcome, cause string) {
+	exchange.outcome, exchange.cause = outcome, cause
+	exchange.finish(status)
+}
+
+// fail answers that the request may have run.
+func (exchange *exchange) fail(status int) {
+	exchange.finish(status)
+}
+
+func (exchange *exchange) finish(status int) {
+	exchange.writer.Header().Set("Content-Length", "0")
+	exchange.writer.WriteHeader(status)
+	exchange.log(status)
+}
+
+// end answers a request that no further server will get.
+func (exchange *exchange) end() {
+	switch {
+	case exchange.gone():
+		exchange.outcome = CallerLeft
+		exchange.log(0)
+		panic(http.ErrAbortHandler)
+	case exchange.begun:
+		// An answer that was begun can only be cut, so that it doesn't look
+		// complete.
+		exchange.log(http.StatusBadGateway)
+		panic(http.ErrAbortHandler)
+	case exchange.fallback != nil:
+		exchange.deliver(exchange.fallback)
+	case !exchange.mayHaveRun:
+		if exchange.outcome == "" {
+			exchange.outcome = TimeUp
+		}
+		exchange.refuse(exchange.outcome, retryNone, exchange.cause)
+	case exchange.left() <= leastLeft:
+		exchange.outcome = TimeUp
+		exchange.fail(http.StatusGatewayTimeout)
+	default:
+		exchange.fail(http.StatusBadGateway)
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -49,7 +49,7 @@
 // the request has ended.
 func (exchange *exchange) streamOne(target *dispatch.Target) bool {
 	leg := exchange.attempt(target)
-	defer leg.close()
+	defer leg.end()
 	timer := time.AfterFunc(exchange.left(), leg.ender.end)
 	defer timer.Stop()
 	if leg.Reply == nil {
