perf(forward): wait a moment for a place, come back later, let four wait at a group

Cause: at peak load requests were refused within a millisecond although a place comes free every few; and callers returned after half a second to the same full groups and were refused for good.

--- /dev/null
+++ b/internal/serve/forward/pick_test.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/state/configuration"
+)
+
+// full is an exchange for a model whose only group has all its places taken.
+func full() (*exchange, *dispatch.Board) {
+	now := clock.Virtual()
+	board := dispatch.New(dispatch.Clock(now))
+	board.Update(map[string][]dispatch.Spec{PoolName("drafts", "large"): {{ID: "a", Group: "g", Slots: 8, Pass: 40 * time.Millisecond}}})
+	board.PeerLoads(map[string]dispatch.Share{"a": {Calls: 8 + streamBeyond}})
+	table := configuration.NewTable()
+	table.Offer(&configuration.Configuration{Version: 1, Services: []configuration.Service{{Name: "drafts", Engine: &configuration.Engine{}}}})
+	return &exchange{
+		forwarder: &Forwarder{Parts: Parts{Board: board, Now: now}}, inbound: httptest.NewRequest("POST", "/", nil),
+		request: &Request{Model: "large"}, snapshot: table.Load(), service: "drafts",
+		route: &configuration.Route{Target: 300 * time.Millisecond}, deadline: now() + 6*time.Second,
+	}, board
+}
+
+// At peak load a place comes free every few milliseconds, and the counts of
+// other nodes lag. A fresh stream waits a fraction of its target for one; if none
+// comes it is refused while its caller has lost next to nothing.
+func TestFreshStreamWaitsAMomentForAPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		exchange, board := full()
+		began := time.Now()
+		_, verdict := exchange.pick(streamBeyond)
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Full))
+		expect.Expect(time.Since(began)).To(gomega.BeNumerically("<=", 300*time.Millisecond/8))
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			board.PeerLoads(map[string]dispatch.Share{"a": {Calls: 3}})
+		}()
+		_, verdict = exchange.pick(streamBeyond)
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Chosen))
+	})
+}
+
+// Without any group that serves there is nothing to wait for.
+func TestStreamWithoutAGroupIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		exchange, board := full()
+		board.Update(map[string][]dispatch.Spec{})
+		began := time.Now()
+		_, verdict := exchange.pick(streamBeyond)
+		expect.Expect(verdict).To(gomega.Equal(dispatch.None))
+		expect.Expect(time.Since(began)).To(gomega.BeZero())
+	})
+}
+
+// A stream midway has lost its group, and the others are full or not there yet.
+// What its caller has read would be lost, so it waits longer, but less than the
+// gap after which callers give up.
+func TestBegunStreamWaitsLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		exchange, board := full()
+		exchange.begun = true
+		board.Update(map[string][]dispatch.Spec{})
+		began := time.Now()
+		_, verdict := exchange.pick(resumeBeyond)
+		expect.Expect(verdict).To(gomega.Equal(dispatch.None))
+		expect.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically(">", 800*time.Millisecond), gomega.BeNumerically("<", 2*time.Second)))
+	})
+}
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -11,9 +11,10 @@
 const (
 	// retryUnknown is for a node that has just started.
 	retryUnknown = 300 * time.Millisecond
-	// retryNone is about the time in which places come free, or a lost group is
-	// replaced.
-	retryNone = 500 * time.Millisecond
+	// retryNone is longer than a lost group takes to be replaced by a staged
+	// spare, and most of what a caller's deadline lets it wait. A caller that
+	// returns sooner finds the same full groups and is refused for good.
+	retryNone = 1300 * time.Millisecond
 )
 
 // refuse answers that the request has not run and never will. Callers are told
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -14,9 +14,10 @@
 
 const (
 	// streamBeyond is how many streams may wait at a group whose places are all
-	// taken. A place of twenty comes free every few dozen milliseconds, so two
-	// waiting ones keep the group busy and hardly wait.
-	streamBeyond = 2
+	// taken. A place of seventeen comes free every 50 to 90 ms, so four wait less
+	// than their target at a group that is only just full, and keep it busy while
+	// the nodes' counts lag.
+	streamBeyond = 4
 	// resumeBeyond is the same for a stream that goes on elsewhere: its caller
 	// already reads, and what it has would be lost.
 	resumeBeyond = 6
@@ -31,9 +32,7 @@
 		if exchange.mayHaveRun {
 			beyond = resumeBeyond
 		}
-		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
-			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond,
-		})
+		target, verdict := exchange.pick(beyond)
 		if verdict != dispatch.Chosen {
 			exchange.noTarget(verdict)
 			break
@@ -45,6 +44,37 @@
 	exchange.end()
 }
 
+const (
+	// waitShare is the part of its target that a stream may wait here for a
+	// place. A place of a full pool comes free every few milliseconds; whoever
+	// waits longer would rather be told at once.
+	waitShare = 0.12
+	// waitResumed is how long a stream that was begun may wait: its caller gives
+	// up a stream only after seconds.
+	waitResumed = 900 * time.Millisecond
+	// waitStep is how often a place is looked for.
+	waitStep = 8 * time.Millisecond
+)
+
+// pick chooses a group, and waits a little for a place if all are full.
+func (exchange *exchange) pick(beyond int) (*dispatch.Target, dispatch.Verdict) {
+	wait := time.Duration(waitShare * float64(exchange.route.Target))
+	if exchange.begun {
+		wait = waitResumed
+	}
+	until := exchange.forwarder.Now() + wait
+	for {
+		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
+			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond,
+		})
+		enough := verdict == dispatch.Chosen || (verdict == dispatch.None && !exchange.begun)
+		if enough || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() {
+			return target, verdict
+		}
+		time.Sleep(waitStep)
+	}
+}
+
 // streamOne runs the stream, or the rest of it, at one group and says whether
 // the request has ended.
 func (exchange *exchange) streamOne(target *dispatch.Target) bool {
