--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -18,14 +18,18 @@
 )
 
 const (
-	// standingEvery is how often a node exchanges standings with each peer.
+	// standingEvery is how often a node exchanges standings with each peer, in
+	// a fleet of up to standingNodes. In a larger one it does so less often, so
+	// that what a node spends on it stays the same.
 	standingEvery = 100 * time.Millisecond
+	standingNodes = 10
 	// standingTimeout bounds one exchange.
 	standingTimeout = 500 * time.Millisecond
 	// aliveFor is how long a peer counts as alive after it was last heard: a
 	// few lost exchanges, and short enough that its duties move on within a
-	// second.
-	aliveFor = 750 * time.Millisecond
+	// second. In a large fleet it is aliveExchanges of its longer intervals.
+	aliveFor       = 750 * time.Millisecond
+	aliveExchanges = 4
 	// countedFor is how long a peer counts among the nodes that share budgets.
 	countedFor = 15 * time.Second
 	// silentPause is the pause between tries to reach a silent peer, and
@@ -129,7 +133,7 @@
 		case <-neighbour.poke:
 		case <-timer.C:
 		}
-		pause := standingEvery
+		pause := peers.interval()
 		if !peers.exchange(neighbour) {
 			pause = silentPause
 		}
@@ -137,6 +141,11 @@
 	}
 }
 
+// interval is how often standings are exchanged with each peer.
+func (peers *peers) interval() time.Duration {
+	return standingEvery * time.Duration(max(1, len(*peers.alive.Load())/standingNodes))
+}
+
 // poke exchanges standings with all peers at once, after something happened.
 func (peers *peers) poke() {
 	peers.mu.Lock()
@@ -254,19 +263,20 @@
 // refresh works out who is alive and what they all have at each server.
 func (peers *peers) refresh() {
 	now := peers.node.now()
+	span := max(aliveFor, aliveExchanges*peers.interval())
 	alive := []aliveSibling{}
 	shares := map[string]dispatch.Share{}
 	peers.mu.Lock()
 	for address, neighbour := range peers.neighbours {
 		incarnation, heard, standing := neighbour.last()
 		switch {
-		case standing != nil && now-heard < aliveFor && !standing.Stopping:
+		case standing != nil && now-heard < span && !standing.Stopping:
 			alive = append(alive, aliveSibling{incarnation: incarnation, address: address, standing: standing})
 		case now-max(heard, neighbour.added) > forgetPeer:
 			close(neighbour.stop)
 			delete(peers.neighbours, address)
 		}
-		if standing != nil && now-heard < aliveFor {
+		if standing != nil && now-heard < span {
 			for _, load := range standing.Loads {
 				share := shares[load.Server]
 				share.Calls += int(load.Running)
--- a/internal/serve/forward/pick_test.go
+++ b/internal/serve/forward/pick_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
@@ -22,7 +23,7 @@
 	table := configuration.NewTable()
 	table.Offer(&configuration.Configuration{Version: 1, Services: []configuration.Service{{Name: "drafts", Engine: &configuration.Engine{}}}})
 	return &exchange{
-		forwarder: &Forwarder{Parts: Parts{Board: board, Now: now}}, inbound: httptest.NewRequest("POST", "/", nil),
+		forwarder: &Forwarder{Parts: Parts{Board: board, Now: now}}, inbound: httptest.NewRequest(http.MethodPost, "/", nil),
 		request: &Request{Model: "large"}, snapshot: table.Load(), service: "drafts",
 		route: &configuration.Route{Target: 300 * time.Millisecond}, deadline: now() + 6*time.Second,
 	}, board
