fix(formation): form no groups of servers that are only being staged

Cause: a server that was planned to be staged counted as staged in the same round, so groups were formed of it at once; their joins loaded past the gate of loads. 60 loads began within a second when 60 empty servers came (30 allowed).

--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"hazelslip/internal/fleet/roster"
@@ -25,7 +26,7 @@
 	quiet := former.Quiet()
 	former.tell(service, domains, demands, usable)
 	for _, step := range Plan(domains, demands, quiet) {
-		if !former.reserve(step.Members, step.Model) {
+		if !former.reserve(step.Members, step.purpose()) {
 			continue
 		}
 		if step.Loads > 0 && !former.mayLoad(service, step.Loads, quiet) {
@@ -114,9 +115,12 @@
 		usable++
 		domain, ok := byName[server.FabricDomain]
 		if !ok {
-			domain = &Domain{Name: server.FabricDomain, Groups: map[string]int{}}
+			domain = &Domain{Name: server.FabricDomain, Groups: map[string]int{}, Loading: map[string]int{}}
 			byName[server.FabricDomain] = domain
 		}
+		if model, staging := strings.CutPrefix(former.busy[server.ID], stagePurpose); staging {
+			domain.Loading[model]++
+		}
 		if former.freeLocked(server, inNews) {
 			domain.Spares = append(domain.Spares, Spare{ID: server.ID, Staged: server.Staged})
 		}
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -46,6 +46,8 @@
 	mu    sync.Mutex
 	term  int64
 	other []*node
+	// slow is how long an order to join takes on its way.
+	slow atomic.Int64
 	// apart says that its news doesn't reach the others.
 	apart atomic.Bool
 }
@@ -64,6 +66,9 @@
 			},
 			Order: func(_ context.Context, server *roster.Server, order formation.Order) (formation.Result, error) {
 				time.Sleep(time.Millisecond)
+				if order.Kind == formation.Join {
+					time.Sleep(time.Duration(created.slow.Load()))
+				}
 				return world.Order(name, server.ID, order)
 			},
 		},
@@ -318,6 +323,52 @@
 	expect.Expect(view.Free("g1")).To(gomega.BeTrue())
 }
 
+// Two nodes believe that they give orders. One asks free servers, and its
+// orders to join take long; meanwhile the other, under a lower number, forms a
+// group of the same servers and opens it. The late orders come under a higher
+// number; only the count of orders that they expect keeps them from taking the
+// servers out of the serving group.
+func TestLateOrdersOfASecondHolderAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(6, 1, 10, 2)
+		first, second := fleet.nodes[0], fleet.nodes[1]
+		first.apart.Store(true)
+		second.slow.Store(int64(2600 * time.Millisecond))
+		time.Sleep(2 * time.Second)
+		second.setTerm(8192)
+		time.Sleep(200 * time.Millisecond)
+		first.setTerm(4096)
+		time.Sleep(12 * time.Second)
+		expect.Expect(fleet.world.Whole()["large"]).To(gomega.BeNumerically(">=", 1))
+		expect.Expect(fleet.world.Violations()).To(gomega.BeEmpty())
+		fleet.end()
+	})
+}
+
+// Many empty servers come at once, and the right to give orders changes hands
+// while they load. Loads must stay within what the weight store allows in any
+// window, counted over all nodes.
+func TestLoadsStayWithinTheWeightStoresBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(7, 2, 10, 2)
+		fleet.nodes[0].setTerm(4096)
+		time.Sleep(5 * time.Second)
+		for number := range 60 {
+			fleet.world.Add(fmt.Sprintf("new-%02d", number), "domain-"+strconv.Itoa(number%6), "east")
+		}
+		for term := int64(2); term < 14; term++ {
+			time.Sleep(3 * time.Second)
+			fleet.nodes[(term+1)%2].setTerm(0)
+			fleet.nodes[term%2].setTerm(term * 4096)
+		}
+		expect.Expect(fleet.world.Loads()).To(gomega.BeNumerically(">", 20))
+		expect.Expect(fleet.world.LoadsWithin(5 * time.Second)).To(gomega.BeNumerically("<=", 30))
+		fleet.end()
+	})
+}
+
 // Servers die, are cut off from one node or the other, lose answers and carry
 // orders out up to twelve seconds late; the right to give orders changes hands
 // in the middle of things, and at times both nodes believe that they have it.
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -19,6 +19,16 @@
 	Name   string
 	Spares []Spare
 	Groups map[string]int
+	// Loading counts the servers that are having a model staged. They are no
+	// spares yet: a group formed of them would load in their join, past the
+	// bound on loads.
+	Loading map[string]int
+}
+
+// load takes a server out of the spares to have a model staged.
+func (domain *Domain) load(id, model string) {
+	domain.take([]string{id})
+	domain.Loading[model]++
 }
 
 // Demand is what is wanted of one model.
@@ -40,6 +50,17 @@
 	Loads int
 }
 
+// stagePurpose begins the purpose of servers that are having a model staged.
+const stagePurpose = "Stage "
+
+// purpose says what the members are reserved for.
+func (step *Step) purpose() string {
+	if step.Stage {
+		return stagePurpose + step.Model
+	}
+	return step.Model
+}
+
 // Plan decides what to do with free servers.
 //
 // Groups are formed of the model that lacks most of what it should have, where
@@ -216,7 +237,7 @@
 	for _, demand := range bySize {
 		for number := range planner.domains {
 			domain := &planner.domains[number]
-			if domain.Groups[demand.Name] > 0 && domain.staged(demand.Name) == 0 {
+			if domain.Groups[demand.Name] > 0 && domain.staged(demand.Name)+domain.Loading[demand.Name] == 0 {
 				planner.stage(domain, demand.Name)
 			}
 		}
@@ -229,7 +250,7 @@
 	for _, spare := range domain.Spares {
 		if len(spare.Staged) == 0 {
 			planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
-			domain.take([]string{spare.ID})
+			domain.load(spare.ID, model)
 			return
 		}
 	}
@@ -245,31 +266,23 @@
 			}
 			if model := planner.wantStaged(domain); model != "" {
 				planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
-				domain.note(spare.ID, model)
+				domain.load(spare.ID, model)
 			}
 		}
 	}
 }
 
-func (domain *Domain) note(id, model string) {
-	for number := range domain.Spares {
-		if domain.Spares[number].ID == id {
-			domain.Spares[number].Staged = []string{model}
-		}
-	}
-}
-
 // wantStaged returns the model of which a domain's waiting servers should have
 // one more: the one that completes the most of a lacking group first.
 func (planner *planner) wantStaged(domain *Domain) string {
 	best, bestScore := "", -1.0
 	for _, demand := range planner.byNeed() {
-		staged := domain.staged(demand.Name)
+		staged := domain.staged(demand.Name) + domain.Loading[demand.Name]
 		score := 0.0
 		if domain.Groups[demand.Name] > 0 && staged == 0 {
 			score += float64(demand.Size)
 		}
-		if demand.share() < 1 && staged < demand.Size && len(domain.Spares) >= demand.Size {
+		if demand.share() < 1 && staged < demand.Size && len(domain.Spares)+domain.Loading[demand.Name] >= demand.Size {
 			score += 1 + float64(staged)
 		}
 		score += 1 / float64(1+staged)
--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -86,7 +86,7 @@
 	ready      map[string]map[string]bool
 	violations []string
 	draw       *rand.Rand
-	loads      int
+	loads      []time.Duration
 }
 
 // New returns a world without servers. All its chance comes from the seed.
@@ -143,7 +143,24 @@
 func (world *World) Loads() int {
 	world.mu.Lock()
 	defer world.mu.Unlock()
-	return world.loads
+	return len(world.loads)
+}
+
+// LoadsWithin is the most loads that began in any window of a span.
+func (world *World) LoadsWithin(span time.Duration) int {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	most := 0
+	for first := range world.loads {
+		count := 0
+		for _, at := range world.loads[first:] {
+			if at-world.loads[first] < span {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
 }
 
 func (world *World) reach(caller, id string) (*server, error) {
@@ -261,7 +278,7 @@
 		return world.join(found, order)
 	case formation.Stage:
 		found.orders++
-		world.loads++
+		world.loads = append(world.loads, world.now())
 		found.staged = []string{order.Model}
 		return formation.Begun
 	}
@@ -339,7 +356,7 @@
 	case len(found.staged) > 0 && found.staged[0] == name:
 		return model.WarmupTime
 	}
-	world.loads++
+	world.loads = append(world.loads, world.now())
 	return model.LoadTime
 }
 
