perf(formation): small groups lend servers to large ones

A member of a small group now has the large model staged beside its work, and the group ends when it completes a large one.

--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -26,6 +26,10 @@
 	quiet := former.Quiet()
 	former.tell(service, domains, demands, usable)
 	for _, step := range Plan(domains, demands, quiet) {
+		if step.Retire {
+			former.begin(step.Group.Name, func() { former.lend(term, step) })
+			continue
+		}
 		if !former.reserve(step.Members, step.purpose()) {
 			continue
 		}
@@ -122,10 +126,11 @@
 			domain.Loading[model]++
 		}
 		if former.freeLocked(server, inNews) {
-			domain.Spares = append(domain.Spares, Spare{ID: server.ID, Staged: server.Staged})
+			domain.Spares = append(domain.Spares, spareOf(server))
 		}
 	}
 	former.countGroupsLocked(service, servers, listed, byName)
+	former.lendersLocked(service, servers, byName)
 	domains := make([]Domain, 0, len(byName))
 	for _, domain := range byName {
 		domains = append(domains, *domain)
@@ -134,6 +139,31 @@
 	return domains, usable
 }
 
+func spareOf(server *roster.Server) Spare {
+	return Spare{ID: server.ID, Staged: server.Staged, Last: server.Model}
+}
+
+// lendersLocked notes the serving groups of each domain that nothing is being
+// done to.
+func (former *Former) lendersLocked(service Service, servers *roster.Snapshot, byName map[string]*Domain) {
+	for _, group := range former.View.Serving(servers, []Service{service}) {
+		lender := Lender{Group: group, Size: len(group.Members)}
+		var domain *Domain
+		for _, id := range group.Members {
+			server, ok := servers.Servers[id]
+			if !ok || server.Draining || former.busy[id] != "" || former.working[group.Name] {
+				domain = nil
+				break
+			}
+			domain = byName[server.FabricDomain]
+			lender.Members = append(lender.Members, spareOf(server))
+		}
+		if domain != nil && len(lender.Members) > 1 {
+			domain.Lenders = append(domain.Lenders, lender)
+		}
+	}
+}
+
 // freeLocked says whether a server may be given something to do. The list lags
 // behind what was ordered; what news says of a server goes before it, and the
 // server itself is asked before it gets an order.
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -94,6 +94,7 @@
 	Orders    atomic.Uint64
 	Reports   atomic.Uint64
 	WholeSeen atomic.Uint64
+	Lent      atomic.Uint64
 }
 
 // New returns a former that is yet to be started.
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -7,18 +7,27 @@
 	"hazelslip/internal/state/configuration"
 )
 
-// Spare is a free server, as the planner sees it.
+// Spare is a server, as the planner sees it.
 type Spare struct {
-	ID     string
+	ID string
+	// Staged are the models on its host, Last is the one that it last ran, which
+	// it starts again without them.
 	Staged []string
+	Last   string
+}
+
+// has says whether a server joins a group of the model without a load.
+func (spare *Spare) has(model string) bool {
+	return spare.Last == model || contains(spare.Staged, model)
 }
 
 // Domain is the free servers of one fabric domain and the groups that it has,
 // by model.
 type Domain struct {
-	Name   string
-	Spares []Spare
-	Groups map[string]int
+	Name    string
+	Spares  []Spare
+	Groups  map[string]int
+	Lenders []Lender
 	// Loading counts the servers that are having a model staged. They are no
 	// spares yet: a group formed of them would load in their join, past the
 	// bound on loads.
@@ -40,10 +49,13 @@
 	Want float64
 }
 
-// Step is one thing to do: to form a group of Members, or to stage Model on
-// the one of Members where Stage is set.
+// Step is one thing to do: to form a group of Members; to stage Model on the one
+// of Members, where Stage is set; or to end Group for the sake of Model, where
+// Retire is set.
 type Step struct {
 	Stage   bool
+	Retire  bool
+	Group   Group
 	Model   string
 	Members []string
 	// Loads is how many of the members need the weights from the store.
@@ -81,6 +93,7 @@
 	planner.formAll(1)
 	planner.stageRest()
 	planner.formIdle()
+	planner.lendAll()
 	return planner.steps
 }
 
@@ -190,7 +203,7 @@
 func (domain *Domain) staged(model string) int {
 	count := 0
 	for _, spare := range domain.Spares {
-		if contains(spare.Staged, model) {
+		if spare.has(model) {
 			count++
 		}
 	}
@@ -202,7 +215,7 @@
 func (domain *Domain) choose(model configuration.Model) []string {
 	rank := func(spare Spare) int {
 		switch {
-		case contains(spare.Staged, model.Name):
+		case spare.has(model.Name):
 			return 0
 		case len(spare.Staged) == 0:
 			return 1
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -236,6 +236,13 @@
 	former.end(term, group, nil)
 }
 
+// lend ends a small group whose server completes a large one.
+func (former *Former) lend(term int64, step Step) {
+	former.Counts.Lent.Add(1)
+	former.Logger.Info("former: a group lends its servers.", "Group", step.Group.Name, "From", step.Group.Model, "To", step.Model)
+	former.drain(term, step.Group)
+}
+
 // awaitClosed waits until a closing head has finished what it has.
 func (former *Former) awaitClosed(group Group) {
 	deadline := former.Now() + closeMost
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -84,7 +84,7 @@
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
-		"Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
+		"GroupsLent": formed.Lent.Load(), "Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
 		"ConnectionsDialled": calls.Dialled.Load(), "ConnectionsReused": calls.Reused.Load(),
 		"ConnectionsFailed": calls.DialFailed.Load(), "ConnectionsDiscarded": calls.Discarded.Load(),
 		"StrayAnswers": calls.StrayAnswer.Load(), "StoreReads": node.storeReads.Load(), "StoreFailures": node.storeFailures.Load(),
