fix(forward): bound the wait for the head of an answer

Connecting took up to 0.4 s of a deadline of 0.6 s. Ruled out: the cut node's own link; it answered the other requests all the while. Measured: the spec of a silent server fails before (no answer within 8 s) and passes after.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -70,6 +70,15 @@
 	Cancel func(end func())
 }
 
+// dialTime is how long connecting may take: not all of what the caller has
+// left, so that another server can still be tried.
+func (call *Call) dialTime() time.Duration {
+	if call.Left <= 0 {
+		return dialTimeout
+	}
+	return min(dialTimeout, call.Left/dialPart)
+}
+
 // Verdict is what the head of an answer says.
 type Verdict struct {
 	// NotRun means that the server did not run the call and never will.
@@ -99,6 +108,9 @@
 	// milliseconds; a lost first packet comes again only after a second, by
 	// which time another server has answered.
 	dialTimeout = 400 * time.Millisecond
+	// dialPart is the part of the caller's time that connecting may take, as a
+	// divisor.
+	dialPart = 3
 	// userTimeout ends a connection whose sent bytes are not acknowledged: a
 	// host that lost power answers nothing.
 	userTimeout = 3 * time.Second
@@ -130,7 +142,7 @@
 // Pool sends calls.
 type Pool struct {
 	codec  Codec
-	dial   func(address string) (net.Conn, error)
+	dial   Dialler
 	Counts Counts
 
 	mu   sync.Mutex
@@ -149,8 +161,11 @@
 // Option changes how a Pool is built.
 type Option func(*Pool)
 
+// Dialler connects to an address within a time.
+type Dialler func(address string, within time.Duration) (net.Conn, error)
+
 // Dial makes the pool connect through the given function.
-func Dial(dial func(address string) (net.Conn, error)) Option {
+func Dial(dial Dialler) Option {
 	return func(pool *Pool) { pool.dial = dial }
 }
 
@@ -181,7 +196,7 @@
 
 // Send sends a call and reads the head of its answer.
 func (pool *Pool) Send(call *Call) (*Reply, error) {
-	connection, err := pool.connection(call.Address)
+	connection, err := pool.connection(call.Address, call.dialTime())
 	if err != nil {
 		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
 	}
@@ -302,7 +317,7 @@
 	pool.idle[address] = append(pool.idle[address], connection)
 }
 
-func (pool *Pool) connection(address string) (*conn, error) {
+func (pool *Pool) connection(address string, within time.Duration) (*conn, error) {
 	for {
 		connection := pool.take(address)
 		if connection == nil {
@@ -316,7 +331,7 @@
 		connection.Close()
 	}
 	pool.Counts.Dialled.Add(1)
-	dialled, err := pool.dial(address)
+	dialled, err := pool.dial(address, within)
 	if err != nil {
 		pool.Counts.DialFailed.Add(1)
 		return nil, err
--- a/internal/peer/backendserver/socket.go
+++ b/internal/peer/backendserver/socket.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sys/unix"
 )
 
-func dialTCP(address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1}
+func dialTCP(address string, within time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: within, KeepAlive: -1}
 	connection, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -160,8 +160,10 @@
 	if node.dial == nil {
 		return nil
 	}
-	return []backendserver.Option{backendserver.Dial(func(address string) (net.Conn, error) {
-		return node.dial(context.Background(), "tcp", address)
+	return []backendserver.Option{backendserver.Dial(func(address string, within time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		return node.dial(ctx, "tcp", address)
 	})}
 }
 
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -76,11 +76,8 @@
 // callOne sends the call to one server and returns its answer if that is to
 // be delivered.
 func (exchange *exchange) callOne(target *dispatch.Target) *answer {
-	patience := exchange.patience()
-	leg := exchange.attempt(target)
+	leg := exchange.attempt(target, exchange.patience())
 	defer leg.end()
-	timer := time.AfterFunc(patience, leg.ender.end)
-	defer timer.Stop()
 	if leg.Reply == nil {
 		exchange.lateAnswer(target)
 		return nil
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -19,11 +19,14 @@
 	target *dispatch.Target
 	use    *dispatch.Use
 	ender  *ender
-	// forget takes the ender off the caller's connection.
-	forget func() bool
+	// forget takes the ender off the caller's connection, patience ends the call
+	// when it has taken too long.
+	forget   func() bool
+	patience *time.Timer
 }
 
 func (leg *leg) end() {
+	leg.patience.Stop()
 	leg.forget()
 	if leg.Reply != nil {
 		leg.Close()
@@ -58,15 +61,17 @@
 	}
 }
 
-// attempt sends the request to one target and reads the head of its answer.
-// A leg without a reply comes with the reason in the cause, and with
+// attempt sends the request to one target and reads the head of its answer. The
+// call ends when it has taken as long as given, also while its head is awaited:
+// a server that lost power says nothing at all. A leg without a reply comes with the reason in the cause, and with
 // mayHaveRun set if the call may have run.
-func (exchange *exchange) attempt(target *dispatch.Target) *leg {
+func (exchange *exchange) attempt(target *dispatch.Target, within time.Duration) *leg {
 	call := exchange.newCall(target)
 	exchange.attempts++
 	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
 	leg := &leg{target: target, ender: &ender{}}
 	leg.use = target.Begin(exchange.request.PromptTokens, leg.ender.end)
+	leg.patience = time.AfterFunc(within, leg.ender.end)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
 	call.Cancel = leg.ender.set
 	reply, err := exchange.forwarder.Pool.Send(call)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -78,10 +78,8 @@
 // streamOne runs the stream, or the rest of it, at one group and says whether
 // the request has ended.
 func (exchange *exchange) streamOne(target *dispatch.Target) bool {
-	leg := exchange.attempt(target)
+	leg := exchange.attempt(target, exchange.left())
 	defer leg.end()
-	timer := time.AfterFunc(exchange.left(), leg.ender.end)
-	defer timer.Stop()
 	if leg.Reply == nil {
 		return false
 	}
