fix(dispatch): leave calls without a first event at a crowded group

Now such a group is avoided and its calls stay for 1.6 s; a group found to be lost is left at once as before. Test: calls of a crowded group stay.

--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -124,6 +124,27 @@
 	})
 }
 
+// At peak load a group's calls wait over a second for their first events. Taken
+// from it they used up their attempts and failed, while the group was whole. They
+// stay, new calls are kept away, and only callers' patience bounds the wait.
+func TestCallsOfACrowdedGroupStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"), head("b"))
+		target := pick(board)
+		moved := false
+		use := target.Begin(100, func() { moved = true })
+		time.Sleep(1200 * time.Millisecond)
+		expect.Expect(board.Watch()).To(gomega.HaveLen(1))
+		expect.Expect(moved).To(gomega.BeFalse())
+		expect.Expect(pick(board).ID).NotTo(gomega.Equal(target.ID))
+		time.Sleep(500 * time.Millisecond)
+		board.Watch()
+		expect.Expect(moved).To(gomega.BeTrue())
+		use.End()
+	})
+}
+
 // The node that mends groups says that one is lost; its calls move at once, and
 // a later group with the same head starts afresh.
 func TestLostGroupIsLeftAtOnce(t *testing.T) {
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -149,6 +149,10 @@
 	// unansweredLeast is how long the first events of calls may take together
 	// at a group where no stream of this node runs.
 	unansweredLeast = 900 * time.Millisecond
+	// unansweredMost is how long such calls stay all the same. A crowded group is
+	// slow, not lost; a call that is taken from it has used one of its attempts
+	// and waits anew elsewhere. Callers give up after two seconds.
+	unansweredMost = 1600 * time.Millisecond
 	// movePatience is how much longer the streams stay, for the members to be
 	// asked whether one is lost.
 	movePatience = 200 * time.Millisecond
@@ -172,13 +176,13 @@
 	silent := []Silent{}
 	for _, filled := range *board.pools.Load() {
 		for _, target := range filled.targets {
-			span, limit := target.silence(now)
-			if span < limit {
+			span, avoid, move := target.silence(now)
+			if span < avoid {
 				continue
 			}
 			target.Avoid(avoidSilent)
 			found := Silent{Head: target.ID, Group: target.Group, For: span, Calls: int(target.mine.Load())}
-			if span >= limit+movePatience {
+			if span >= move {
 				target.move()
 			}
 			silent = append(silent, found)
@@ -187,16 +191,17 @@
 	return silent
 }
 
-// silence returns for how long nothing came of the calls at a group, and how
-// long that may be.
-func (target *Target) silence(now time.Duration) (time.Duration, time.Duration) {
+// silence returns for how long nothing came of the calls at a group, how long
+// that may be before it is avoided, and before its calls move.
+func (target *Target) silence(now time.Duration) (span, avoid, move time.Duration) {
 	if target.Group == "" || target.mine.Load() == 0 {
-		return 0, time.Hour
+		return 0, time.Hour, time.Hour
 	}
 	if target.running.Load() > 0 {
-		return now - time.Duration(target.progress.Load()), max(silentLeast, silentPasses*target.Pass)
+		avoid = max(silentLeast, silentPasses*target.Pass)
+		return now - time.Duration(target.progress.Load()), avoid, avoid + movePatience
 	}
-	return now - max(target.oldest(now), time.Duration(target.progress.Load())), unansweredLeast
+	return now - max(target.oldest(now), time.Duration(target.progress.Load())), unansweredLeast, unansweredMost
 }
 
 // oldest returns when the call that has waited longest was sent.
