fix(forward): a late end leaves the next call on its connection alone

Cause: a leg gave its connection back to the pool before its ender let go of it; an end that came late, from a group given up in the same moment, set a deadline in the past on a connection that already carried another caller's call. Ruled out: put clears the deadline, but only before the late end.

--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -288,7 +288,9 @@
 	return window
 }
 
-// Reload takes changed settings. Addresses stay as they are until a restart.
+// Reload is told that the settings were read again. What changed in them takes
+// effect when the node is started again, which the log says.
 func (node *Node) Reload(settings Settings) {
-	node.logger.Info("gateway: the settings were read again.", "Changed", settings.Bounds != node.settings.Bounds)
+	changed := settings.Bounds != node.settings.Bounds || settings.Listen != node.settings.Listen || settings.Limits != node.settings.Limits
+	node.logger.Info("gateway: the settings were read again; changes take effect at the next start.", "Changed", changed)
 }
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -13,7 +13,7 @@
 	"hazelslip/internal/policy/dispatch"
 )
 
-// leg is one call of a request to one server. Its holder closes it.
+// leg is one call of a request to one server. Its holder ends it.
 type leg struct {
 	*backendserver.Reply
 	target *dispatch.Target
@@ -25,9 +25,13 @@
 	patience *time.Timer
 }
 
+// end gives the connection back. The ender lets go of it first: the connection
+// may carry the next call at once, which an end that comes late, from a timer
+// or from a group that is given up, would cut off.
 func (leg *leg) end() {
 	leg.patience.Stop()
 	leg.forget()
+	leg.ender.release()
 	if leg.Reply != nil {
 		leg.Close()
 	}
@@ -52,6 +56,14 @@
 	}
 }
 
+// release makes the ender do nothing from now on. When it returns, no end is
+// under way.
+func (ender *ender) release() {
+	ender.mu.Lock()
+	defer ender.mu.Unlock()
+	ender.do = nil
+}
+
 func (ender *ender) end() {
 	ender.mu.Lock()
 	defer ender.mu.Unlock()
@@ -63,8 +75,9 @@
 
 // attempt sends the request to one target and reads the head of its answer. The
 // call ends when it has taken as long as given, also while its head is awaited:
-// a server that lost power says nothing at all. A leg without a reply comes with the reason in the cause, and with
-// mayHaveRun set if the call may have run.
+// a server that lost power says nothing at all. A leg without a reply comes
+// with the reason in the cause, and with mayHaveRun set if the call may have
+// run.
 func (exchange *exchange) attempt(target *dispatch.Target, within time.Duration) *leg {
 	call := exchange.newCall(target)
 	exchange.attempts++
