--- a/scripts/platform-path.sh
+++ b/scripts/platform-path.sh
@@ -6,7 +6,9 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-base=${BASE_PORT:-33000}
+# Below the ports that the system gives to outgoing connections: one of those
+# may hold any port above, and the demo then can't listen.
+base=${BASE_PORT:-29000}
 program=bin/hazelslip
 work=$(mktemp -d)
 $program demo --platform --base-port "$base" >"$work/out" 2>"$work/err" &
@@ -19,7 +21,12 @@
 trap cleanup EXIT
 
 say() { echo "platform path: $*"; }
-fail() { say "FAILED: $*"; exit 1; }
+fail() {
+  say "FAILED: $*"
+  say "the demo said:"
+  tail -n 20 "$work/err"
+  exit 1
+}
 
 caller="http://127.0.0.1:$((base + 10))"
 second="http://127.0.0.1:$((base + 11))"
@@ -34,6 +41,7 @@
 for node in "$caller" "$second"; do
   for try in $(seq 150); do
     if [ "$(draft "$node" "a-$try" 2>/dev/null | grep -c '^data: piece')" = 20 ]; then break; fi
+    kill -0 "$demo" 2>/dev/null || fail "the demo ended"
     [ "$try" != 150 ] || fail "no whole stream through $node"
     sleep 0.2
   done
