refactor: less code for the same behaviour

Ruled out: joining peer/sibling and peer/node (accept and keep are alike, what they keep is not); that waits for the own interface to move.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -70,23 +70,12 @@
 	for _, settings := range deployment.Settings {
 		_, _ = fmt.Fprintf(streams.Out, "node: callers http://%s  operators http://%s\n", settings.Listen.Caller, settings.Listen.Operator)
 	}
-	first := deployment.Settings[0].Listen
-	_, _ = fmt.Fprintf(streams.Out, platformExamples, first.Caller, first.Caller, first.Operator, first.Operator)
+	_, _ = fmt.Fprint(streams.Out, deployment.Examples())
 	<-stop
 	_, _ = fmt.Fprintln(streams.Out, "stopping")
 	return nil
 }
 
-const platformExamples = `
-Groups form within some seconds. Then try:
-  curl -N http://%s/draft/1 -H 'Host: demo.example' -H 'Api-Key: demo-key' -H 'X-Hazelslip-Attempt-Id: a1' \
-    -H 'X-Hazelslip-Model-Id: small' -H 'X-Hazelslip-Token-Usage: 900,100' -d 'Draft the visit report.'
-  curl -i http://%s/book/1 -H 'Host: demo.example' -H 'Api-Key: demo-key' -H 'X-Hazelslip-Attempt-Id: b1' -d 'Tuesday 9:00'
-  curl http://%s/state
-  curl http://%s/debug/vars
-Stop with an interrupt.
-`
-
 func stopAll(nodes []*node.Node) {
 	stops := conc.NewWaitGroup()
 	for _, running := range nodes {
--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -34,7 +34,7 @@
 			continue
 		}
 		if step.Loads > 0 && !former.mayLoad(service, step.Loads, quiet) {
-			former.unreserve(step.Members)
+			former.release(step.Members)
 			continue
 		}
 		former.Go(func() {
@@ -71,14 +71,6 @@
 	former.Logger.Info("former: the plan.", attributes...)
 }
 
-func (former *Former) unreserve(ids []string) {
-	former.mu.Lock()
-	defer former.mu.Unlock()
-	for _, id := range ids {
-		delete(former.busy, id)
-	}
-}
-
 const (
 	// loadsUsed is the part of the bound on loads that is used: a load that is
 	// ordered late begins in another window than it was counted in.
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -92,7 +93,7 @@
 	pause := firstLook
 	expected := model.WarmupTime
 	for _, answer := range reports {
-		if !hasModel(answer.report.Staged, group.Model) {
+		if !slices.Contains(answer.report.Staged, group.Model) {
 			expected = model.LoadTime
 		}
 	}
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -152,19 +152,15 @@
 
 // look starts what one listed group needs.
 func (former *Former) look(term int64, group *Listed) {
-	if former.Free(group) || former.isBusy(group) {
+	if former.View.Free(group.Name) || former.isBusy(group) {
 		return
 	}
 	switch {
-	case group.HeadState() == "":
-		// The list doesn't show the head: it is gone, or in no group any more.
-		if former.lasts(group.Name, listLag) {
-			former.begin(group.Name, func() { former.orphan(term, group) })
-		}
 	case group.HeadState() == roster.Broken:
 		former.begin(group.Name, func() { former.end(term, group.Group, nil) })
-	case !group.Complete():
-		// A member's entry was removed, or it is in another group.
+	case group.HeadState() == "" || !group.Complete():
+		// The list doesn't show a member in the group: it is gone, or has left, or
+		// is cut off from the registry and serves.
 		if former.lasts(group.Name, listLag) {
 			former.begin(group.Name, func() { former.end(term, group.Group, nil) })
 		}
@@ -188,11 +184,6 @@
 // apart: more than a load from the weight store takes.
 const stuckAfter = 40 * time.Second
 
-// Free says whether the members of a listed group may join others.
-func (former *Former) Free(group *Listed) bool {
-	return former.View.Free(group.Name)
-}
-
 func (former *Former) isBusy(group *Listed) bool {
 	former.mu.Lock()
 	defer former.mu.Unlock()
--- a/internal/fleet/formation/lend.go
+++ b/internal/fleet/formation/lend.go
@@ -1,6 +1,8 @@
 package formation
 
-import "sort"
+import (
+	"slices"
+)
 
 // Lender is a serving group of a domain. A member of a small group can have a
 // larger model staged on its host while it serves, and so be a spare of it that
@@ -20,7 +22,7 @@
 func (lender *Lender) shadows(model string) int {
 	count := 0
 	for _, member := range lender.Members {
-		if contains(member.Staged, model) {
+		if slices.Contains(member.Staged, model) {
 			count++
 		}
 	}
@@ -48,9 +50,7 @@
 	if planner.fromStore {
 		return
 	}
-	demands := planner.byNeed()
-	sort.SliceStable(demands, func(i, j int) bool { return demands[i].Size > demands[j].Size })
-	for _, demand := range demands {
+	for _, demand := range planner.bySize() {
 		for number := range planner.domains {
 			domain := &planner.domains[number]
 			if !planner.lend(domain, demand) {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 
 	"hazelslip/internal/state/configuration"
@@ -18,7 +19,7 @@
 
 // has says whether a server joins a group of the model without a load.
 func (spare *Spare) has(model string) bool {
-	return spare.Last == model || contains(spare.Staged, model)
+	return spare.Last == model || slices.Contains(spare.Staged, model)
 }
 
 // Domain is the free servers of one fabric domain and the groups that it has,
@@ -164,6 +165,14 @@
 	idleKept = 1
 )
 
+// bySize returns the demands, the largest model first, and of one size the one
+// that lacks most.
+func (planner *planner) bySize() []*Demand {
+	demands := planner.byNeed()
+	sort.SliceStable(demands, func(i, j int) bool { return demands[i].Size > demands[j].Size })
+	return demands
+}
+
 // byNeed returns the demands, the one that lacks most first.
 func (planner *planner) byNeed() []*Demand {
 	demands := make([]*Demand, 0, len(planner.demands))
@@ -235,7 +244,7 @@
 func (domain *Domain) take(members []string) {
 	kept := domain.Spares[:0]
 	for _, spare := range domain.Spares {
-		if !contains(members, spare.ID) {
+		if !slices.Contains(members, spare.ID) {
 			kept = append(kept, spare)
 		}
 	}
@@ -245,9 +254,7 @@
 // stageSpares plans one staged spare for each model of each domain, the largest
 // models first.
 func (planner *planner) stageSpares() {
-	bySize := planner.byNeed()
-	sort.SliceStable(bySize, func(i, j int) bool { return bySize[i].Size > bySize[j].Size })
-	for _, demand := range bySize {
+	for _, demand := range planner.bySize() {
 		for number := range planner.domains {
 			domain := &planner.domains[number]
 			if domain.Groups[demand.Name] > 0 && domain.staged(demand.Name)+domain.Loading[demand.Name] == 0 {
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -145,7 +146,7 @@
 
 func (former *Former) headLeaves(term int64, group Group, dead []string) bool {
 	head, ok := former.Servers().Servers[group.Head()]
-	return ok && !contains(dead, head.ID) && former.leave(term, head, group)
+	return ok && !slices.Contains(dead, head.ID) && former.leave(term, head, group)
 }
 
 // memberLeaves makes the members beside the head leave and says whether one of
@@ -154,7 +155,7 @@
 	left := false
 	for rank, id := range group.Members {
 		server, ok := former.Servers().Servers[id]
-		if rank == 0 || !ok || contains(dead, id) {
+		if rank == 0 || !ok || slices.Contains(dead, id) {
 			continue
 		}
 		left = former.leave(term, server, group) || left
@@ -213,12 +214,6 @@
 	}
 }
 
-// orphan deals with a listed group whose head the list doesn't show in it. The
-// head is gone, or has left, or is cut off from the registry and serves.
-func (former *Former) orphan(term int64, listed *Listed) {
-	former.end(term, listed.Group, nil)
-}
-
 // drain ends a group of which a member is leaving: no new calls, those it has
 // are finished, then its members are free.
 func (former *Former) drain(term int64, group Group) {
@@ -258,16 +253,3 @@
 // closeLook is how often a closing head is asked. A stream takes a second or
 // two to end.
 const closeLook = 400 * time.Millisecond
-
-func contains(ids []string, id string) bool {
-	for _, held := range ids {
-		if held == id {
-			return true
-		}
-	}
-	return false
-}
-
-func hasModel(staged []string, model string) bool {
-	return contains(staged, model)
-}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -16,6 +16,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -62,12 +63,7 @@
 
 // HasStaged says whether the model's weights lie on the server's host.
 func (server *Server) HasStaged(model string) bool {
-	for _, staged := range server.Staged {
-		if staged == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(server.Staged, model)
 }
 
 // Record is one change of the list. Server is nil when the entry was removed.
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -99,7 +99,6 @@
 // pool is the targets that can do the same work.
 type pool struct {
 	targets []*Target
-	places  int
 }
 
 // Board holds the pools.
@@ -154,7 +153,6 @@
 			target := &Target{Spec: spec, load: board.load(loadKey(spec))}
 			used[loadKey(spec)] = target.load
 			filled.targets = append(filled.targets, target)
-			filled.places += spec.Slots
 		}
 		next[name] = filled
 	}
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Wish is what a choice depends on.
 type Wish struct {
@@ -49,7 +52,7 @@
 	costs := make([]time.Duration, len(filled.targets))
 	for number, target := range filled.targets {
 		costs[number] = never
-		if target.Avoided(now) || wish.excludes(target.ID) {
+		if target.Avoided(now) || slices.Contains(wish.Exclude, target.ID) {
 			continue
 		}
 		usable++
@@ -70,15 +73,6 @@
 	return board.draw(filled.targets, costs, best+near), Chosen
 }
 
-func (wish *Wish) excludes(id string) bool {
-	for _, excluded := range wish.Exclude {
-		if excluded == id {
-			return true
-		}
-	}
-	return false
-}
-
 // cost is how long the first event should take, beyond what it takes anywhere.
 func (wish *Wish) cost(target *Target) time.Duration {
 	taken := target.Taken()
