fix(dispatch): watch the calls of groups that left the list

Cause: when the list of servers drops a member before the silence of its group is noticed, the group leaves the pool. Watch and Lose walked the pools, so the calls that waited there were neither watched nor moved and held until their deadline; nodes told the former of the silence, which looked for the group among those listed whole and didn't find it. A stream that was moved could besides land at a second group that had lost a member at the same moment and had no streams to show it.

Ruled out: draws of nodes (the failing runs differ only in which group a call waited at), the stand-in's timing.

Change: the board keeps targets that are in no pool any more while calls are under way there; the former remembers groups as they were last whole; a moved stream goes to a group seen going on.

--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -70,6 +70,9 @@
 	forming map[string]Group
 	// working are the groups that are being examined, ended or opened.
 	working map[string]bool
+	// whole are the groups that the list showed complete, by name, as of the
+	// last round that did.
+	whole map[string]Group
 	// examined is when a group was last found whole.
 	examined map[string]time.Duration
 	// since is when a group was first seen in a state that should pass.
@@ -103,6 +106,7 @@
 		Part: lifecycle.New("former"), Parts: parts,
 		busy: map[string]string{}, lost: map[string]time.Duration{}, forming: map[string]Group{},
 		working: map[string]bool{}, told: map[string]time.Duration{}, examined: map[string]time.Duration{}, since: map[string]time.Duration{},
+		whole: map[string]Group{},
 	}
 	former.gate.now = parts.Now
 	return former
@@ -142,6 +146,7 @@
 	}
 	services := former.Services()
 	listed := List(servers, services)
+	former.remember(listed)
 	for _, group := range listed {
 		former.look(term, group)
 	}
@@ -150,6 +155,22 @@
 	}
 }
 
+// remember notes the members of complete groups, and forgets the groups that
+// the list doesn't show any more.
+func (former *Former) remember(listed []*Listed) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	whole := make(map[string]Group, len(listed))
+	for _, group := range listed {
+		if group.Complete() {
+			whole[group.Name] = group.Group
+		} else if held, ok := former.whole[group.Name]; ok {
+			whole[group.Name] = held
+		}
+	}
+	former.whole = whole
+}
+
 // look starts what one listed group needs.
 func (former *Former) look(term int64, group *Listed) {
 	if former.View.Free(group.Name) || former.isBusy(group) {
@@ -252,7 +273,9 @@
 	former.begin(group, func() { former.examine(term, found) })
 }
 
-// find returns a group by its name, from news or from the list.
+// find returns a group by its name, from news or from the list. A group that the
+// list shows no longer whole is found as it was: a member whose entry has gone
+// is the likeliest reason for its silence.
 func (former *Former) find(name string) (Group, bool) {
 	for _, group := range former.View.Serving(former.Servers(), former.Services()) {
 		if group.Name == name {
@@ -264,7 +287,10 @@
 			return listed.Group, true
 		}
 	}
-	return Group{}, false
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	group, ok := former.whole[name]
+	return group, ok
 }
 
 // reserve marks servers as concerned by an order, all or none.
--- /dev/null
+++ b/internal/fleet/formation/silent_test.go
@@ -0,0 +1,39 @@
+package formation_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/fleet/formation"
+)
+
+// A member dies and its entry is gone from the list before a node tells that
+// the group's streams stand still. Whoever gives orders knew the group by the
+// list alone, didn't find it there whole, and left its streams to the list's
+// own slower look.
+func TestSilentGroupIsExaminedThoughTheListDroppedAMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 2, 10, 1)
+		node := fleet.nodes[0]
+		node.setTerm(4096)
+		time.Sleep(8 * time.Second)
+		group := headOf(node, "large")
+		fleet.world.Kill(group.Members[1])
+		// The list is read every 0.8 s and shows what was a reading earlier.
+		for node.list.Load().Servers[group.Members[1]] != nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		node.former.Suspect(group.Head(), group.Name)
+		time.Sleep(200 * time.Millisecond)
+		expect.Expect(node.view.Ended(group.Name)).To(gomega.BeTrue())
+		for _, serving := range node.view.Serving(node.list.Load(), []formation.Service{{Name: service, Engine: engine()}}) {
+			expect.Expect(serving.Name).NotTo(gomega.Equal(group.Name))
+		}
+		expect.Expect(fleet.world.Violations()).To(gomega.BeEmpty())
+		fleet.end()
+	})
+}
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -58,6 +58,9 @@
 type Target struct {
 	Spec
 	*load
+	// goneAt is when the target was first in no pool, 0 while it is in one; the
+	// board's lock guards it.
+	goneAt time.Duration
 }
 
 // load is what this node knows of a target from its own calls. It outlives the
@@ -101,14 +104,25 @@
 	targets []*Target
 }
 
+// layout is all targets at a moment. It is replaced whole.
+type layout struct {
+	pools map[string]*pool
+	// all are the targets of all pools, and those that are in none any more
+	// while calls are under way there. A group that lost a member leaves the
+	// list of servers, often before its silence is noticed: its calls would
+	// wait for nothing until their deadline if nobody watched them.
+	all []*Target
+}
+
 // Board holds the pools.
 type Board struct {
-	pools  atomic.Pointer[map[string]*pool]
+	layout atomic.Pointer[layout]
 	random func(n int) int
 	now    clock.Now
 
-	mu    sync.Mutex
-	loads map[string]*load
+	mu sync.Mutex
+	// known are the targets by loadKey.
+	known map[string]*Target
 }
 
 // Option changes how a Board is built.
@@ -126,8 +140,8 @@
 
 // New returns a board with no targets.
 func New(options ...Option) *Board {
-	board := &Board{random: rand.IntN, now: clock.Boot, loads: map[string]*load{}}
-	board.pools.Store(&map[string]*pool{})
+	board := &Board{random: rand.IntN, now: clock.Boot, known: map[string]*Target{}}
+	board.layout.Store(&layout{})
 	for _, option := range options {
 		option(board)
 	}
@@ -140,38 +154,56 @@
 	return spec.ID + "/" + spec.Group
 }
 
-// Update replaces the pools. Loads of targets that are gone are kept while
-// calls are under way there.
+// Update replaces the pools. Targets that are gone are kept while calls are
+// under way there.
 func (board *Board) Update(pools map[string][]Spec) {
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	next := make(map[string]*pool, len(pools))
-	used := map[string]*load{}
+	next := &layout{pools: make(map[string]*pool, len(pools))}
+	listed := map[string]*Target{}
 	for name, specs := range pools {
 		filled := &pool{}
 		for _, spec := range specs {
 			target := &Target{Spec: spec, load: board.load(loadKey(spec))}
-			used[loadKey(spec)] = target.load
+			listed[loadKey(spec)] = target
 			filled.targets = append(filled.targets, target)
 		}
-		next[name] = filled
+		next.pools[name] = filled
+		next.all = append(next.all, filled.targets...)
 	}
-	for key, held := range board.loads {
-		if used[key] == nil && held.mine.Load() > 0 {
-			used[key] = held
+	for key, target := range board.known {
+		if listed[key] == nil && board.stays(target) {
+			listed[key] = target
+			next.all = append(next.all, target)
 		}
 	}
-	board.loads = used
-	board.pools.Store(&next)
+	board.known = listed
+	board.layout.Store(next)
+}
+
+// goneKept is how long a target that is in no pool any more is kept without
+// calls: one may have been chosen for it just before and not have begun.
+const goneKept = time.Second
+
+// stays says whether a target that is in no pool any more is kept.
+func (board *Board) stays(target *Target) bool {
+	now := board.now()
+	if target.goneAt == 0 {
+		target.goneAt = now
+	}
+	return target.mine.Load() > 0 || now-target.goneAt < goneKept
 }
 
 func (board *Board) load(key string) *load {
-	if held, ok := board.loads[key]; ok {
-		return held
+	if target, ok := board.known[key]; ok {
+		return target.load
 	}
-	created := &load{now: board.now, uses: map[*Use]struct{}{}}
-	board.loads[key] = created
-	return created
+	return &load{now: board.now, uses: map[*Use]struct{}{}}
+}
+
+func (board *Board) pool(name string) (*pool, bool) {
+	filled, ok := board.layout.Load().pools[name]
+	return filled, ok
 }
 
 // Share is what one node has at a server: calls, and the prompt tokens of
@@ -183,23 +215,22 @@
 
 // PeerLoads takes what all peers together have at each server.
 func (board *Board) PeerLoads(shares map[string]Share) {
-	for _, filled := range *board.pools.Load() {
-		for _, target := range filled.targets {
-			share := shares[target.ID]
-			target.peers.Store(int32(share.Calls))
-			target.peersUnread.Store(int64(share.Unread))
-		}
+	for _, target := range board.layout.Load().all {
+		share := shares[target.ID]
+		target.peers.Store(int32(share.Calls))
+		target.peersUnread.Store(int64(share.Unread))
 	}
 }
 
 // Shares returns what this node has at each server, for its peers.
 func (board *Board) Shares() map[string]Share {
 	shares := map[string]Share{}
-	for _, filled := range *board.pools.Load() {
-		for _, target := range filled.targets {
-			if mine := target.mine.Load(); mine > 0 {
-				shares[target.ID] = Share{Calls: int(mine), Unread: int(target.unread.Load())}
-			}
+	for _, target := range board.layout.Load().all {
+		if mine := target.mine.Load(); mine > 0 {
+			share := shares[target.ID]
+			share.Calls += int(mine)
+			share.Unread += int(target.unread.Load())
+			shares[target.ID] = share
 		}
 	}
 	return shares
@@ -280,11 +311,9 @@
 // returns how many calls there were.
 func (board *Board) Lose(group string) int {
 	moved := 0
-	for _, filled := range *board.pools.Load() {
-		for _, target := range filled.targets {
-			if target.Group == group && !target.lost.Swap(true) {
-				moved += target.move()
-			}
+	for _, target := range board.layout.Load().all {
+		if target.Group == group && !target.lost.Swap(true) {
+			moved += target.move()
 		}
 	}
 	return moved
--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -181,3 +181,65 @@
 		expect.Expect(board.Shares()).To(gomega.BeEmpty())
 	})
 }
+
+// A caller waits until its deadline for a stream that nobody will go on with: a
+// member of its group is lost, and before the group's silence is noticed, the
+// list of servers shows the group incomplete. The group leaves the pool, and
+// its calls with it left the watch, so that they were neither moved nor ended.
+func TestCallsOfGroupThatLeftThePoolAreWatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"))
+		target := pick(board)
+		ended := 0
+		use := target.Begin(1000, func() { ended++ })
+		use.Event()
+		board.Update(map[string][]dispatch.Spec{})
+		time.Sleep(2 * time.Second)
+		silent := board.Watch()
+		expect.Expect(silent).To(gomega.HaveLen(1))
+		expect.Expect(silent[0].Group).To(gomega.Equal("g-a"))
+		expect.Expect(ended).To(gomega.Equal(1))
+		use.End()
+		expect.Expect(board.Watch()).To(gomega.BeEmpty())
+	})
+}
+
+// The same, and the node that mends groups finds the loss first: its news must
+// reach the calls of a group that the list no longer shows.
+func TestCallsOfGroupThatLeftThePoolAreMovedByNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"))
+		target := pick(board)
+		ended := 0
+		target.Begin(1000, func() { ended++ })
+		board.Update(map[string][]dispatch.Spec{})
+		expect.Expect(board.Lose("g-a")).To(gomega.Equal(1))
+		expect.Expect(ended).To(gomega.Equal(1))
+	})
+}
+
+// Two groups lose a member at once. The streams of the one were moved to the
+// other, which had none of its own to show that it stood still, and used up
+// their last attempt there. A moved stream goes where events are seen to come.
+func TestMovedStreamGoesToAGroupSeenGoingOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"), head("b"), head("c"))
+		for target := pick(board); ; target = pick(board) {
+			if target.ID == "b" {
+				fill(board, target, 6)
+				break
+			}
+		}
+		for range 20 {
+			target, _ := board.Pick(pool, dispatch.Wish{Beyond: 4, Proven: true})
+			expect.Expect(target.ID).To(gomega.Equal("b"))
+		}
+		time.Sleep(time.Second)
+		target, verdict := board.Pick(pool, dispatch.Wish{Beyond: 4, Proven: true, Exclude: []string{"b"}})
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Chosen))
+		expect.Expect(target.ID).NotTo(gomega.Equal("b"))
+	})
+}
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -14,6 +14,11 @@
 	// Beyond is how many calls more than its slots a target may have. They
 	// wait at the server, which takes the most urgent first.
 	Beyond int
+	// Proven asks for a group whose streams this node has just seen going on,
+	// if there is one with a place. A stream that was moved has mostly one more
+	// attempt: servers are lost several at a time, and an idle group beside the
+	// lost one says nothing of itself until a call has waited there for long.
+	Proven bool
 }
 
 // Verdict says why no target was chosen.
@@ -42,7 +47,7 @@
 
 // Pick chooses a target of a pool.
 func (board *Board) Pick(name string, wish Wish) (*Target, Verdict) {
-	filled, ok := (*board.pools.Load())[name]
+	filled, ok := board.pool(name)
 	if !ok || len(filled.targets) == 0 {
 		return nil, None
 	}
@@ -60,6 +65,9 @@
 			continue
 		}
 		costs[number] = wish.cost(target)
+		if wish.Proven && !target.proven(now) {
+			costs[number] += unproven
+		}
 		if best == never || costs[number] < best {
 			best = costs[number]
 		}
@@ -73,6 +81,20 @@
 	return board.draw(filled.targets, costs, best+near), Chosen
 }
 
+const (
+	// provenPasses is within how many passes a group's last event must have come
+	// for it to be known whole.
+	provenPasses = 2
+	// unproven is what a group counts of which nothing is known: longer than the
+	// reading of a long prompt, shorter than a caller waits for a full group.
+	unproven = 400 * time.Millisecond
+)
+
+// proven says whether an event of the target's streams came just now.
+func (target *Target) proven(now time.Duration) bool {
+	return target.running.Load() > 0 && now-time.Duration(target.progress.Load()) <= provenPasses*target.Pass
+}
+
 // cost is how long the first event should take, beyond what it takes anywhere.
 func (wish *Wish) cost(target *Target) time.Duration {
 	taken := target.Taken()
@@ -117,7 +139,7 @@
 
 // Occupancy returns how much of a pool's places is taken.
 func (board *Board) Occupancy(name string) Occupancy {
-	filled, ok := (*board.pools.Load())[name]
+	filled, ok := board.pool(name)
 	if !ok {
 		return Occupancy{}
 	}
@@ -168,19 +190,17 @@
 func (board *Board) Watch() []Silent {
 	now := board.now()
 	silent := []Silent{}
-	for _, filled := range *board.pools.Load() {
-		for _, target := range filled.targets {
-			span, avoid, move := target.silence(now)
-			if span < avoid {
-				continue
-			}
-			target.Avoid(avoidSilent)
-			found := Silent{Head: target.ID, Group: target.Group, For: span, Calls: int(target.mine.Load())}
-			if span >= move {
-				target.move()
-			}
-			silent = append(silent, found)
+	for _, target := range board.layout.Load().all {
+		span, avoid, move := target.silence(now)
+		if span < avoid {
+			continue
+		}
+		target.Avoid(avoidSilent)
+		found := Silent{Head: target.ID, Group: target.Group, For: span, Calls: int(target.mine.Load())}
+		if span >= move {
+			target.move()
 		}
+		silent = append(silent, found)
 	}
 	return silent
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -65,7 +65,7 @@
 	until := exchange.forwarder.Now() + wait
 	for {
 		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
-			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond,
+			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond, Proven: exchange.mayHaveRun,
 		})
 		enough := verdict == dispatch.Chosen || (verdict == dispatch.None && !exchange.begun)
 		if enough || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() {
