fix(gateway): bring configurations over slow links, ask again on broken connections

A configuration came with the answer to a standing, within 250 ms; where it took longer the exchange failed, the relay was given up for a second, and the next exchange began the transfer anew. The list came fresh in between, so such a node didn't ask the store either.

Ruled out: the relays as such: in calm seconds every version was in force at all 77 nodes within 0.25 s.

Change: in a large fleet a configuration is fetched on a connection of its own, with 1.5 s; a node that has known of a newer one for 0.4 s asks the store too. A question that fails on a kept connection is asked once more on a new one before the peer counts as silent. Nodes without news of the list read it within 0.8 s of each other, not 12 s. A change of relay is logged.

--- a/internal/peer/sibling/sibling.go
+++ b/internal/peer/sibling/sibling.go
@@ -73,22 +73,37 @@
 	return &Link{address: address, dial: dial}
 }
 
-// Ask sends a request and waits for its reply.
+// Ask sends a request and waits for its reply. On a kept connection that fails it
+// asks once more on a new one: connections are reset or go silent while the peer
+// is well, and new ones work. So it may take twice as long as given.
 func (link *Link) Ask(request *exchange.Request, timeout time.Duration) (*exchange.Reply, error) {
+	reply, kept, err := link.once(request, timeout)
+	if err != nil && kept {
+		reply, _, err = link.once(request, timeout)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if reply.Failure != "" {
+		return nil, errors.Newf("peer %s: %s", link.address, reply.Failure)
+	}
+	return reply, nil
+}
+
+// once asks on the connection that there is, or on a new one, and says whether
+// it was a kept one.
+func (link *Link) once(request *exchange.Request, timeout time.Duration) (*exchange.Reply, bool, error) {
 	deadline := time.Now().Add(timeout)
-	conn, reader, err := link.connect(timeout)
+	conn, reader, kept, err := link.connect(timeout)
 	if err != nil {
-		return nil, errors.Wrapf(err, "connect to peer %s", link.address)
+		return nil, false, errors.Wrapf(err, "connect to peer %s", link.address)
 	}
 	reply := &exchange.Reply{}
 	if err := ask(conn, reader, request, reply, deadline); err != nil {
 		link.drop(conn)
-		return nil, errors.Wrapf(err, "ask peer %s", link.address)
-	}
-	if reply.Failure != "" {
-		return nil, errors.Newf("peer %s: %s", link.address, reply.Failure)
+		return nil, kept, errors.Wrapf(err, "ask peer %s", link.address)
 	}
-	return reply, nil
+	return reply, kept, nil
 }
 
 func ask(conn net.Conn, reader *bufio.Reader, request *exchange.Request, reply *exchange.Reply, deadline time.Time) error {
@@ -112,7 +127,8 @@
 	return err
 }
 
-func (link *Link) connect(timeout time.Duration) (net.Conn, *bufio.Reader, error) {
+// connect returns a connection and whether it was kept from before.
+func (link *Link) connect(timeout time.Duration) (net.Conn, *bufio.Reader, bool, error) {
 	link.mu.Lock()
 	if link.conn != nil && time.Since(link.used) > linkMost {
 		link.conn.Close()
@@ -122,25 +138,25 @@
 	conn, reader, closed := link.conn, link.reader, link.closed
 	link.mu.Unlock()
 	if closed {
-		return nil, nil, errors.New("the link is closed")
+		return nil, nil, false, errors.New("the link is closed")
 	}
 	if conn != nil {
-		return conn, reader, nil
+		return conn, reader, true, nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	dialled, err := link.dial(ctx, "tcp", link.address)
 	if err != nil {
-		return nil, nil, err
+		return nil, nil, false, err
 	}
 	link.mu.Lock()
 	defer link.mu.Unlock()
 	if link.closed {
 		dialled.Close()
-		return nil, nil, errors.New("the link is closed")
+		return nil, nil, false, errors.New("the link is closed")
 	}
 	link.conn, link.reader = dialled, bufio.NewReaderSize(dialled, readBuffer)
-	return link.conn, link.reader, nil
+	return link.conn, link.reader, false, nil
 }
 
 func (link *Link) drop(conn net.Conn) {
--- a/internal/peer/sibling/sibling_test.go
+++ b/internal/peer/sibling/sibling_test.go
@@ -124,3 +124,30 @@
 		server.Stop()
 	})
 }
+
+// The connections between nodes are reset, or go silent while new ones work.
+// Each node took its relay for dead at the first question after that, and all of
+// a data centre wandered from one to the next. A question on a kept connection
+// that fails is asked again on a new one, and the peer never seems to be gone.
+func TestQuestionOnABrokenConnectionIsAskedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		network := newPipes()
+		server := sibling.NewServer(network, echo)
+		server.Start()
+		var last net.Conn
+		link := sibling.NewLink("peer", func(ctx context.Context, kind, address string) (net.Conn, error) {
+			conn, err := network.dial(ctx, kind, address)
+			last = conn
+			return conn, err
+		})
+		for question := range 3 {
+			reply, err := link.Ask(&exchange.Request{Incarnation: uint64(question)}, time.Second)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(reply.Incarnation).To(gomega.Equal(uint64(question)))
+			expect.Expect(last.Close()).To(gomega.Succeed())
+		}
+		link.Close()
+		server.Stop()
+	})
+}
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -127,6 +127,10 @@
 	others atomic.Pointer[othersLoads]
 	// working says that other nodes have calls under way.
 	working atomic.Bool
+	// fetching says that a configuration is being fetched, lacking is the newest
+	// that was heard of.
+	fetching atomic.Bool
+	lacking  atomic.Pointer[lack]
 }
 
 func newPeers(node *Node, listener net.Listener) *peers {
@@ -321,7 +325,8 @@
 		return &exchange.Reply{Failure: "the standing names no peer", Incarnation: peers.node.Incarnation}
 	}
 	reply := &exchange.StandingReply{Standing: peers.standing(from.look(), false)}
-	if held := peers.node.rawVersion.Load(); held != nil && held.version > asked.ConfigurationVersion {
+	unasked := !peers.plan.Load().large
+	if held := peers.node.rawVersion.Load(); held != nil && held.version > asked.ConfigurationVersion && (unasked || asked.WantConfiguration) {
 		reply.Configuration = held.body
 	}
 	if asked.WantList && reply.Standing.ListKnown {
@@ -357,6 +362,7 @@
 	peers.node.keeper.Heard(standing.Term)
 	peers.node.keeper.Heard(standing.HighestTerm)
 	peers.takeDigests(standing, asked)
+	peers.fetch(standing)
 	fresh := false
 	for _, news := range standing.News {
 		fresh = peers.node.learnNews(fromWire(news)) || fresh
--- a/internal/run/gateway/relays.go
+++ b/internal/run/gateway/relays.go
@@ -7,6 +7,7 @@
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/relay"
 	"hazelslip/internal/fleet/tenure"
+	"hazelslip/internal/peer/sibling"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/wire/exchange"
 )
@@ -17,6 +18,8 @@
 	large bool
 	// relays says that this node is its data centre's relay.
 	relays bool
+	// relay is the address of the own data centre's relay.
+	relay string
 	// chosen are the addresses of the relays, and of the second in the own data
 	// centre where this node is its relay.
 	chosen map[string]bool
@@ -122,7 +125,10 @@
 	alive := peers.aliveOf(all, digests, now)
 	peers.alive.Store(&alive)
 	plan := peers.planRelays(all, alive, digests, now)
-	peers.plan.Store(plan)
+	if before := peers.plan.Swap(plan); plan.large && before.relay != plan.relay {
+		peers.node.logger.Info("gateway: the data centre has another relay.", "Relay", plan.relay, "Before", before.relay,
+			"Self", plan.relays, "Members", plan.members, "DataCentres", plan.centres)
+	}
 	for _, found := range all {
 		found.setRegular(!plan.large || peers.wanted(plan, &found, digests, now))
 	}
@@ -207,6 +213,9 @@
 			plan.readers[first.Incarnation] = true
 		}
 		plan.chosen[first.Address] = true
+		if dataCentre == own {
+			plan.relay = first.Address
+		}
 		if dataCentre == own && first.Address == self.Address {
 			plan.relays = plan.large
 			if len(order) > 1 {
@@ -510,7 +519,66 @@
 // fed says whether other nodes bring this one what the store has, so that it
 // need not ask itself.
 func (peers *peers) fed() bool {
-	return peers.plan.Load().large && peers.node.listAge() < listPatience
+	return peers.plan.Load().large && peers.node.listAge() < listPatience && !peers.lacks()
+}
+
+const (
+	// fetchTimeout bounds fetching a configuration from a peer: some hundred KB
+	// over a link of 20 Mbit/s that loses packets.
+	fetchTimeout = 1500 * time.Millisecond
+	// lackPatience is how long a node waits for its peers to bring it a newer
+	// configuration that it has heard of before it asks the store.
+	lackPatience = 400 * time.Millisecond
+)
+
+// lack is a version that a peer has and this node doesn't.
+type lack struct {
+	version int64
+	since   time.Duration
+}
+
+// fetch gets the configuration from a peer that has a newer one, on a connection
+// of its own. With the standings it would hold them up on a slow link; and where
+// it took longer than an exchange may, each exchange began it anew, and the
+// node learnt of nothing any more.
+func (peers *peers) fetch(standing *exchange.Standing) {
+	if !peers.plan.Load().large {
+		return
+	}
+	if standing.ConfigurationVersion <= peers.node.configuration.Load().Configuration.Version {
+		return
+	}
+	if held := peers.lacking.Load(); held == nil || held.version < standing.ConfigurationVersion {
+		peers.lacking.Store(&lack{version: standing.ConfigurationVersion, since: peers.node.now()})
+	}
+	if !peers.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	peers.Go(func() {
+		defer peers.fetching.Store(false)
+		link := sibling.NewLink(standing.Address, peers.dial)
+		defer link.Close()
+		asked := peers.node.standing(false)
+		asked.WantConfiguration = true
+		reply, err := link.Ask(&exchange.Request{
+			Incarnation: peers.node.Incarnation, Kind: &exchange.Request_Standing{Standing: asked},
+		}, fetchTimeout)
+		if err != nil {
+			peers.node.logger.Warn("gateway: a configuration could not be fetched.", "Peer", standing.Address,
+				"ConfigurationVersion", standing.ConfigurationVersion, "Error", err.Error())
+			return
+		}
+		if body := reply.GetStanding().GetConfiguration(); len(body) > 0 {
+			peers.node.offer(body, standing.Address)
+		}
+	})
+}
+
+// lacks says whether this node has known for a while that there is a newer
+// configuration than its own.
+func (peers *peers) lacks() bool {
+	held := peers.lacking.Load()
+	return held != nil && held.version > peers.node.configuration.Load().Configuration.Version && peers.node.now()-held.since > lackPatience
 }
 
 // busy says whether any peer has calls under way.
--- a/internal/run/gateway/store.go
+++ b/internal/run/gateway/store.go
@@ -85,6 +85,9 @@
 	// themselves, one after the other by listStep.
 	listPatience = 1100 * time.Millisecond
 	listStep     = 150 * time.Millisecond
+	// listStepsMost bounds the steps together. In a fleet of 77 the last node
+	// would have waited for 12 s, long after the servers that left were gone.
+	listStepsMost = 800 * time.Millisecond
 )
 
 // backoff doubles a pause or a timeout up to a limit.
@@ -186,7 +189,8 @@
 	if rank == 0 {
 		return listEvery
 	}
-	return listPatience + time.Duration(rank)*listStep
+	step := min(listStep, listStepsMost/time.Duration(max(1, len(*node.peers.alive.Load()))))
+	return listPatience + time.Duration(rank)*step
 }
 
 func (node *Node) readServers() {
