perf(formation): a group with an unlisted member finishes what it has

Cause: members of groups cut off from the registry alone lapse from the list and serve on.

Change: where the members that the list shows are there and in the group, it is retired: no new calls, then closed, then ended. A group with a dead member stands still, and nodes move its streams themselves as before.

One test that fails without it.

--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -183,7 +183,7 @@
 		// The list doesn't show a member in the group: it is gone, or has left, or
 		// is cut off from the registry and serves.
 		if former.lasts(group.Name, listLag) {
-			former.begin(group.Name, func() { former.end(term, group.Group, nil) })
+			former.begin(group.Name, func() { former.retire(term, group.Group) })
 		}
 	case group.Draining():
 		former.begin(group.Name, func() { former.drain(term, group.Group) })
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -231,6 +231,39 @@
 	former.end(term, group, nil)
 }
 
+// retire ends a group of which the list doesn't show all members. Where those
+// that it shows are there, the others may be cut off from the registry alone and
+// serve: ended at once, all streams of a dozen groups moved in the same second,
+// and the repeats that the fleet may send were used up. Such a group gets no new
+// calls and finishes what it has. If a member is dead after all, its streams
+// stand still and each node moves its own.
+func (former *Former) retire(term int64, listed Group) {
+	former.mu.Lock()
+	group, known := former.whole[listed.Name]
+	former.mu.Unlock()
+	servers := former.Servers().Servers
+	shown := slices.DeleteFunc(slices.Clone(group.Members), func(id string) bool { return servers[id] == nil })
+	if !known || len(shown) == len(group.Members) || len(former.missing(group, shown)) > 0 {
+		former.end(term, listed, nil)
+		return
+	}
+	former.Logger.Info("former: the list doesn't show all members of a group; it finishes what it has.",
+		"Group", group.Name, "Model", group.Model, "Members", group.Members, "Shown", shown)
+	if servers[group.Head()] != nil {
+		former.drain(term, group)
+		return
+	}
+	former.Counts.Retired.Add(1)
+	former.Announce(News{Change: Retired, Group: group})
+	if former.Sleep(unlistedFinish) {
+		former.end(term, group, nil)
+	}
+}
+
+// unlistedFinish is how long a group whose head can't be told to close has to
+// finish its streams, which take a second or two.
+const unlistedFinish = 3 * time.Second
+
 // lend ends a small group whose server completes a large one.
 func (former *Former) lend(term int64, step Step) {
 	former.Counts.Lent.Add(1)
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -37,3 +37,32 @@
 		fleet.end()
 	})
 }
+
+// Members of a dozen groups are cut off from the registry and serve on. When
+// their entries lapsed, all the groups were ended in the same second, and their
+// streams used up the repeats of the whole fleet. Such a group is closed: it
+// finishes what it has, and only then its members are free.
+func TestGroupWithAnUnlistedMemberFinishesItsStreams(t *testing.T) {
+	for _, rank := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			fleet := newFleet(1, 2, 10, 1)
+			node := fleet.nodes[0]
+			node.setTerm(4096)
+			time.Sleep(8 * time.Second)
+			group := headOf(node, "large")
+			fleet.world.Unlist(group.Members[rank])
+			lost := time.Duration(0)
+			for began := time.Now(); time.Since(began) < 20*time.Second && lost == 0; time.Sleep(50 * time.Millisecond) {
+				if node.view.Free(group.Name) {
+					lost = time.Since(began)
+				}
+			}
+			expect.Expect(node.former.Counts.Retired.Load()).To(gomega.Equal(uint64(1)))
+			expect.Expect(node.former.Counts.Lost.Load()).To(gomega.BeZero())
+			expect.Expect(lost).To(gomega.BeNumerically(">", 2*time.Second))
+			expect.Expect(fleet.world.Violations()).To(gomega.BeEmpty())
+			fleet.end()
+		})
+	}
+}
--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -47,6 +47,8 @@
 	id, domain, dataCentre string
 	dead                   bool
 	draining               bool
+	// unlisted says that the registry doesn't show it, although it lives.
+	unlisted bool
 	// cut are the callers that can't reach it.
 	cut       map[string]bool
 	faults    Faults
@@ -118,6 +120,13 @@
 	world.servers[id].draining = true
 }
 
+// Unlist takes a server's entry out of the registry while it goes on.
+func (world *World) Unlist(id string) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.servers[id].unlisted = true
+}
+
 // Cut cuts a server off from a caller, or mends that.
 func (world *World) Cut(id, caller string, cut bool) {
 	world.mu.Lock()
@@ -418,7 +427,7 @@
 	defer world.mu.Unlock()
 	list := []*roster.Server{}
 	for _, found := range world.servers {
-		if found.dead {
+		if found.dead || found.unlisted {
 			continue
 		}
 		world.settle(found)
