perf(dispatch): plain servers that fail draw fewer calls, by what all nodes saw

Cause: a server that resets or fails part of its calls at once never has calls under way, so it looked like the emptiest and drew the most. One of 77 nodes sends a server too little to see it.

Change: nodes tell each other how calls ended lately, with the loads; failures count as time to the first event. For plain servers only.

Also: the relays' file split by what it does; counters of exchanges.

--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -29,6 +29,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"hazelslip/internal/policy/dispatch"
 )
 
 // Member is a node that is alive, as its data centre's relay knows it.
@@ -104,13 +106,6 @@
 	return 0
 }
 
-// Load is what nodes have at the head of a group: calls, and the prompt tokens
-// of those that have had no event.
-type Load struct {
-	Calls  int
-	Unread int
-}
-
 // Digest is what a relay said of its data centre.
 type Digest struct {
 	// At is when the relay worked it out, by this node's clock.
@@ -120,7 +115,7 @@
 	Version uint64
 	Members []Member
 	// Loads is nil where the sender left them out.
-	Loads map[string]Load
+	Loads map[string]dispatch.Share
 }
 
 // Table is the newest digest of each data centre.
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"hazelslip/internal/fleet/relay"
+	"hazelslip/internal/policy/dispatch"
 )
 
 func members() []relay.Member {
@@ -63,7 +64,7 @@
 	table.Take("east", relay.Digest{At: time.Second, Version: 7})
 	expect.Expect(table.Fresh(time.Second, time.Second)).To(gomega.BeEmpty())
 	table.Take("east", relay.Digest{At: time.Second, Version: 7, Members: members()})
-	table.Take("east", relay.Digest{At: 2 * time.Second, Version: 7, Loads: map[string]relay.Load{"i-1": {Calls: 3}}})
+	table.Take("east", relay.Digest{At: 2 * time.Second, Version: 7, Loads: map[string]dispatch.Share{"i-1": {Calls: 3}}})
 	held := table.Fresh(2500*time.Millisecond, time.Second)["east"]
 	expect.Expect(held.Members).To(gomega.HaveLen(5))
 	expect.Expect(held.Loads["i-1"].Calls).To(gomega.Equal(3))
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -83,6 +83,10 @@
 	avoidUntil atomic.Int64
 	// lost says that the group was found to have lost a member.
 	lost atomic.Bool
+	// ends is how this node's calls ended; the peers' are in hundredths.
+	ends          record
+	peersFailed   atomic.Int64
+	peersAnswered atomic.Int64
 
 	mu   sync.Mutex
 	uses map[*Use]struct{}
@@ -93,7 +97,7 @@
 	load    *load
 	sent    time.Duration
 	tokens  int64
-	running bool
+	running atomic.Bool
 	moved   atomic.Bool
 	// end stops the call from another goroutine.
 	end func()
@@ -207,30 +211,50 @@
 }
 
 // Share is what one node has at a server: calls, and the prompt tokens of
-// those that have had no event.
+// those that have had no event; and how its calls there ended lately, in
+// hundredths of a call.
 type Share struct {
-	Calls  int
-	Unread int
+	Calls    int
+	Unread   int
+	Failed   int
+	Answered int
 }
 
+// Plus is what two nodes have together.
+func (share Share) Plus(other Share) Share {
+	return Share{
+		Calls: share.Calls + other.Calls, Unread: share.Unread + other.Unread,
+		Failed: share.Failed + other.Failed, Answered: share.Answered + other.Answered,
+	}
+}
+
+// worthTelling is how many failures, in hundredths, make a server worth telling
+// of on which the node has no calls.
+const worthTelling = 25
+
 // PeerLoads takes what all peers together have at each server.
 func (board *Board) PeerLoads(shares map[string]Share) {
 	for _, target := range board.layout.Load().all {
 		share := shares[target.ID]
 		target.peers.Store(int32(share.Calls))
 		target.peersUnread.Store(int64(share.Unread))
+		target.peersFailed.Store(int64(share.Failed))
+		target.peersAnswered.Store(int64(share.Answered))
 	}
 }
 
 // Shares returns what this node has at each server, for its peers.
 func (board *Board) Shares() map[string]Share {
 	shares := map[string]Share{}
+	now := board.now()
 	for _, target := range board.layout.Load().all {
-		if mine := target.mine.Load(); mine > 0 {
-			share := shares[target.ID]
-			share.Calls += int(mine)
-			share.Unread += int(target.unread.Load())
-			shares[target.ID] = share
+		failed, answered := target.ends.read(now)
+		share := Share{
+			Calls: int(target.mine.Load()), Unread: int(target.unread.Load()),
+			Failed: int(failed * hundredths), Answered: int(answered * hundredths),
+		}
+		if share.Calls > 0 || share.Failed >= worthTelling {
+			shares[target.ID] = shares[target.ID].Plus(share)
 		}
 	}
 	return shares
@@ -257,8 +281,7 @@
 // stream.
 func (use *Use) Event() {
 	use.load.progress.Store(int64(use.load.now()))
-	if !use.running {
-		use.running = true
+	if !use.running.Swap(true) {
 		use.load.running.Add(1)
 		use.load.unread.Add(-use.tokens)
 	}
@@ -274,7 +297,7 @@
 	}
 	delete(load.uses, use)
 	load.mine.Add(-1)
-	if use.running {
+	if use.running.Load() {
 		load.running.Add(-1)
 		return
 	}
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -64,7 +64,7 @@
 		if target.Taken() >= target.Slots+wish.Beyond {
 			continue
 		}
-		costs[number] = wish.cost(target)
+		costs[number] = wish.cost(target) + target.risk(now)
 		if wish.Proven && !target.proven(now) {
 			costs[number] += unproven
 		}
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -91,6 +91,7 @@
 		"ConnectionsDialled": calls.Dialled.Load(), "ConnectionsReused": calls.Reused.Load(),
 		"ConnectionsFailed": calls.DialFailed.Load(), "ConnectionsDiscarded": calls.Discarded.Load(),
 		"StrayAnswers": calls.StrayAnswer.Load(), "StoreReads": node.storeReads.Load(), "StoreFailures": node.storeFailures.Load(),
+		"Exchanges": node.peers.asked.Load(), "ExchangesFailed": node.peers.failed.Load(), "RelayChanges": node.peers.relayChanges.Load(),
 		"Goroutines": uint64(runtime.NumGoroutine()),
 	}
 }
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -122,6 +122,9 @@
 	// echoes are the silent groups that this node passes on as a relay.
 	echoes map[string]echo
 
+	// The counters only grow.
+	asked, failed, relayChanges atomic.Uint64
+
 	alive  atomic.Pointer[[]relay.Member]
 	plan   atomic.Pointer[relayPlan]
 	others atomic.Pointer[othersLoads]
@@ -262,6 +265,10 @@
 		Kind:        &exchange.Request_Standing{Standing: peers.standing(neighbour.look(), peers.wantsList(neighbour))},
 	}, timeout)
 	ok := err == nil && reply.GetStanding() != nil
+	peers.asked.Add(1)
+	if !ok {
+		peers.failed.Add(1)
+	}
 	neighbour.answered(ok, peers.node.now())
 	if !ok {
 		if peers.plan.Load().large {
--- a/internal/run/gateway/relays.go
+++ b/internal/run/gateway/relays.go
@@ -7,9 +7,6 @@
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/relay"
 	"hazelslip/internal/fleet/tenure"
-	"hazelslip/internal/peer/sibling"
-	"hazelslip/internal/policy/dispatch"
-	"hazelslip/internal/wire/exchange"
 )
 
 // relayPlan is who talks to whom by this node's sight.
@@ -30,57 +27,6 @@
 	readers map[uint64]bool
 }
 
-// othersLoads is what all other nodes have at each server, as this node's relay
-// said.
-type othersLoads struct {
-	at     time.Duration
-	shares map[string]dispatch.Share
-}
-
-// echo is a silent group that was told to a relay.
-type echo struct {
-	head       string
-	dataCentre string
-	at         time.Duration
-}
-
-// echoFor is how long a relay passes a silent group on. The nodes that see it
-// go on telling; a shorter time could be lost with one exchange.
-const echoFor = 400 * time.Millisecond
-
-// echoed notes a silent group that a peer told, and says whether it was new.
-func (peers *peers) echoed(silent *exchange.SilentHead, dataCentre string) bool {
-	peers.mu.Lock()
-	defer peers.mu.Unlock()
-	now := peers.node.now()
-	held, known := peers.echoes[silent.Group]
-	if known && now-held.at < echoFor {
-		return false
-	}
-	peers.echoes[silent.Group] = echo{head: silent.Server, dataCentre: dataCentre, at: now}
-	return true
-}
-
-// echoesFor returns the silent groups to pass on to a peer. What came from
-// another data centre goes to the own one only: two relays that told each other
-// what they were told would never be done.
-func (peers *peers) echoesFor(dataCentre string) []*exchange.SilentHead {
-	own := peers.node.settings.DataCentre
-	peers.mu.Lock()
-	defer peers.mu.Unlock()
-	now := peers.node.now()
-	passed := []*exchange.SilentHead{}
-	for group, held := range peers.echoes {
-		switch {
-		case now-held.at >= echoFor:
-			delete(peers.echoes, group)
-		case held.dataCentre == own || dataCentre == own:
-			passed = append(passed, &exchange.SilentHead{Server: held.head, Group: group})
-		}
-	}
-	return passed
-}
-
 // self is this node as others know it.
 func (peers *peers) self() relay.Member {
 	node := peers.node
@@ -126,6 +72,7 @@
 	peers.alive.Store(&alive)
 	plan := peers.planRelays(all, alive, digests, now)
 	if before := peers.plan.Swap(plan); plan.large && before.relay != plan.relay {
+		peers.relayChanges.Add(1)
 		peers.node.logger.Info("gateway: the data centre has another relay.", "Relay", plan.relay, "Before", before.relay,
 			"Self", plan.relays, "Members", plan.members, "DataCentres", plan.centres)
 	}
@@ -292,189 +239,6 @@
 	}
 }
 
-// shares returns what the other nodes, but for one, have at each server.
-func (peers *peers) shares(all []glimpse, digests map[string]relay.Digest, now time.Duration, except string) map[string]dispatch.Share {
-	plan := peers.plan.Load()
-	if told := peers.others.Load(); told != nil && plan.large && !plan.relays && now-told.at < relayedFor {
-		return told.shares
-	}
-	shares := map[string]dispatch.Share{}
-	own := peers.node.settings.DataCentre
-	for _, found := range all {
-		theirs := found.member.DataCentre
-		told := theirs != own && digests[theirs].Loads != nil
-		if found.address == except || told || found.standing == nil || now-found.heard >= aliveFor {
-			continue
-		}
-		for _, load := range found.standing.Loads {
-			shares[load.Server] = plus(shares[load.Server], int(load.Running), int(load.Unread))
-		}
-	}
-	for dataCentre, digest := range digests {
-		if dataCentre == own {
-			continue
-		}
-		for server, load := range digest.Loads {
-			shares[server] = plus(shares[server], load.Calls, load.Unread)
-		}
-	}
-	return shares
-}
-
-func plus(share dispatch.Share, calls, unread int) dispatch.Share {
-	return dispatch.Share{Calls: share.Calls + calls, Unread: share.Unread + unread}
-}
-
-// takeDigests takes what a relay said of other nodes.
-func (peers *peers) takeDigests(standing *exchange.Standing, asked time.Duration) {
-	for _, told := range standing.Digests {
-		digest := relay.Digest{At: asked - time.Duration(told.AgeMs)*time.Millisecond, Version: told.Version}
-		for _, member := range told.Members {
-			found := relay.Member{
-				Incarnation: member.Incarnation, Address: member.Address, DataCentre: told.DataCentre, Term: member.Term,
-				Fit: member.Fit, StoreAway: member.StoreAway, Capacity: member.Capacity,
-			}
-			digest.Members = append(digest.Members, found)
-			peers.learn(found)
-			peers.node.keeper.Heard(member.Term)
-		}
-		if standing.DataCentre != peers.node.settings.DataCentre {
-			digest.Loads = map[string]relay.Load{}
-			for _, load := range told.Loads {
-				digest.Loads[load.Server] = relay.Load{Calls: int(load.Running), Unread: int(load.Unread)}
-			}
-		}
-		peers.table.Take(told.DataCentre, digest)
-	}
-	if standing.DataCentre != peers.node.settings.DataCentre || len(standing.Digests) == 0 {
-		return
-	}
-	told := &othersLoads{at: asked, shares: map[string]dispatch.Share{}}
-	for _, load := range standing.Others {
-		told.shares[load.Server] = dispatch.Share{Calls: int(load.Running), Unread: int(load.Unread)}
-	}
-	peers.others.Store(told)
-	if plan := peers.plan.Load(); plan.large && !plan.relays {
-		peers.node.board.PeerLoads(told.shares)
-	}
-}
-
-// standing is what this node tells a peer.
-func (peers *peers) standing(to glimpse, wantList bool) *exchange.Standing {
-	node, plan := peers.node, peers.plan.Load()
-	standing := node.standing(wantList)
-	if !plan.large {
-		standing.News = node.recentNews()
-		for _, other := range *peers.alive.Load() {
-			standing.Known = append(standing.Known, other.Address)
-		}
-		return standing
-	}
-	for dataCentre, version := range peers.table.Versions() {
-		standing.Held = append(standing.Held, &exchange.HeldMembers{DataCentre: dataCentre, Version: version})
-	}
-	if plan.relays || standing.Term != 0 {
-		standing.News = node.recentNews()
-	}
-	if plan.relays {
-		standing.Relays = true
-		standing.SilentHeads = append(standing.SilentHeads, peers.echoesFor(to.member.DataCentre)...)
-	}
-	peers.addDigests(standing, &to, plan)
-	return standing
-}
-
-// addDigests adds what this node knows of others: for a node of its own data
-// centre everything, with the loads in one sum; for another data centre's
-// relay the own data centre.
-func (peers *peers) addDigests(standing *exchange.Standing, to *glimpse, plan *relayPlan) {
-	own, now := peers.node.settings.DataCentre, peers.node.now()
-	all, digests := peers.glimpses(), peers.table.Fresh(now, relayedFor)
-	if plan.relays {
-		digests[own] = peers.ownDigest(all, now)
-	}
-	held := map[string]uint64{}
-	if to.standing != nil {
-		for _, one := range to.standing.Held {
-			held[one.DataCentre] = one.Version
-		}
-	}
-	if to.member.DataCentre != own {
-		digest, known := digests[own]
-		if !known {
-			return
-		}
-		// A node that isn't the relay tells who is, by its members.
-		told := toDigest(own, digest, held, now)
-		if plan.relays {
-			told.Loads = loadsOf(peers.ownShares(all, now))
-		}
-		standing.Digests = append(standing.Digests, told)
-		return
-	}
-	for dataCentre, digest := range digests {
-		standing.Digests = append(standing.Digests, toDigest(dataCentre, digest, held, now))
-	}
-	standing.Others = loadsOf(peers.sharesFor(all, digests, now, to.address))
-}
-
-// ownDigest is the own data centre as its relay knows it.
-func (peers *peers) ownDigest(all []glimpse, now time.Duration) relay.Digest {
-	members := []relay.Member{peers.self()}
-	for _, found := range all {
-		if found.member.DataCentre == peers.node.settings.DataCentre && found.speaks(now) {
-			members = append(members, found.member)
-		}
-	}
-	return relay.Digest{At: now, Version: relay.Version(members), Members: members}
-}
-
-// ownShares is what the nodes of the own data centre have at each server, as
-// its relay knows it.
-func (peers *peers) ownShares(all []glimpse, now time.Duration) map[string]dispatch.Share {
-	inside := []glimpse{}
-	for _, found := range all {
-		if found.member.DataCentre == peers.node.settings.DataCentre {
-			inside = append(inside, found)
-		}
-	}
-	return peers.sharesFor(inside, nil, now, "")
-}
-
-// sharesFor is what all nodes but one have at each server, this one included.
-func (peers *peers) sharesFor(all []glimpse, digests map[string]relay.Digest, now time.Duration, except string) map[string]dispatch.Share {
-	shares := map[string]dispatch.Share{}
-	for server, share := range peers.shares(all, digests, now, except) {
-		shares[server] = share
-	}
-	for server, share := range peers.node.board.Shares() {
-		shares[server] = plus(shares[server], share.Calls, share.Unread)
-	}
-	return shares
-}
-
-func toDigest(dataCentre string, digest relay.Digest, held map[string]uint64, now time.Duration) *exchange.Digest {
-	told := &exchange.Digest{DataCentre: dataCentre, AgeMs: uint32(max(0, now-digest.At).Milliseconds()), Version: digest.Version}
-	if held[dataCentre] == digest.Version {
-		return told
-	}
-	for _, member := range digest.Members {
-		told.Members = append(told.Members, &exchange.Member{
-			Incarnation: member.Incarnation, Address: member.Address, Term: member.Term, Fit: member.Fit,
-			StoreAway: member.StoreAway, Capacity: member.Capacity,
-		})
-	}
-	return told
-}
-
-func loadsOf(shares map[string]dispatch.Share) []*exchange.HeadLoad {
-	loads := make([]*exchange.HeadLoad, 0, len(shares))
-	for server, share := range shares {
-		loads = append(loads, &exchange.HeadLoad{Server: server, Running: uint32(share.Calls), Unread: uint32(max(0, share.Unread))})
-	}
-	return loads
-}
-
 // nodes is how many nodes share the fleet's budgets, this one included.
 func (peers *peers) nodes() int {
 	now := peers.node.now()
@@ -522,65 +286,6 @@
 	return peers.plan.Load().large && peers.node.listAge() < listPatience && !peers.lacks()
 }
 
-const (
-	// fetchTimeout bounds fetching a configuration from a peer: some hundred KB
-	// over a link of 20 Mbit/s that loses packets.
-	fetchTimeout = 1500 * time.Millisecond
-	// lackPatience is how long a node waits for its peers to bring it a newer
-	// configuration that it has heard of before it asks the store.
-	lackPatience = 400 * time.Millisecond
-)
-
-// lack is a version that a peer has and this node doesn't.
-type lack struct {
-	version int64
-	since   time.Duration
-}
-
-// fetch gets the configuration from a peer that has a newer one, on a connection
-// of its own. With the standings it would hold them up on a slow link; and where
-// it took longer than an exchange may, each exchange began it anew, and the
-// node learnt of nothing any more.
-func (peers *peers) fetch(standing *exchange.Standing) {
-	if !peers.plan.Load().large {
-		return
-	}
-	if standing.ConfigurationVersion <= peers.node.configuration.Load().Configuration.Version {
-		return
-	}
-	if held := peers.lacking.Load(); held == nil || held.version < standing.ConfigurationVersion {
-		peers.lacking.Store(&lack{version: standing.ConfigurationVersion, since: peers.node.now()})
-	}
-	if !peers.fetching.CompareAndSwap(false, true) {
-		return
-	}
-	peers.Go(func() {
-		defer peers.fetching.Store(false)
-		link := sibling.NewLink(standing.Address, peers.dial)
-		defer link.Close()
-		asked := peers.node.standing(false)
-		asked.WantConfiguration = true
-		reply, err := link.Ask(&exchange.Request{
-			Incarnation: peers.node.Incarnation, Kind: &exchange.Request_Standing{Standing: asked},
-		}, fetchTimeout)
-		if err != nil {
-			peers.node.logger.Warn("gateway: a configuration could not be fetched.", "Peer", standing.Address,
-				"ConfigurationVersion", standing.ConfigurationVersion, "Error", err.Error())
-			return
-		}
-		if body := reply.GetStanding().GetConfiguration(); len(body) > 0 {
-			peers.node.offer(body, standing.Address)
-		}
-	})
-}
-
-// lacks says whether this node has known for a while that there is a newer
-// configuration than its own.
-func (peers *peers) lacks() bool {
-	held := peers.lacking.Load()
-	return held != nil && held.version > peers.node.configuration.Load().Configuration.Version && peers.node.now()-held.since > lackPatience
-}
-
 // busy says whether any peer has calls under way.
 func (peers *peers) busy() bool {
 	return peers.working.Load()
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -87,6 +87,7 @@
 		return nil
 	}
 	body, err := io.ReadAll(io.LimitReader(leg, answerMost))
+	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	if err != nil {
 		exchange.ran()
 		exchange.cause = "the answer of " + target.ID + " broke off: " + err.Error()
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -102,9 +102,18 @@
 	}
 	exchange.arrivals++
 	exchange.ran()
+	exchange.note(leg, true)
 	return leg
 }
 
+// note tells how a call ended, unless that says nothing of its server.
+func (exchange *exchange) note(leg *leg, failed bool) {
+	if failed && (exchange.gone() || leg.use.Moved()) {
+		return
+	}
+	leg.target.Note(failed)
+}
+
 // ran notes that a server may have run the request.
 func (exchange *exchange) ran() {
 	exchange.mayHaveRun = true
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -91,6 +91,7 @@
 		return exchange.streamFailed(leg)
 	}
 	err := exchange.relay(leg)
+	exchange.note(leg, err != nil)
 	if err == nil {
 		exchange.log(http.StatusOK)
 		return true
@@ -107,6 +108,7 @@
 // streamFailed deals with a group that answered a failure of its own.
 func (exchange *exchange) streamFailed(leg *leg) bool {
 	body, err := io.ReadAll(io.LimitReader(leg, answerMost))
+	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	exchange.exclude = append(exchange.exclude, leg.target.ID)
 	exchange.cause = "server " + leg.target.ID + " answered " + strconv.Itoa(leg.Status)
 	if err != nil || exchange.begun {
