perf(formation): stranded spares are given to a smaller model

After a series of losses 12 of 52 servers waited with the large model's weights in domains where too few of them were left for a group, while calls of both models were refused. Only empty servers were ever loaded. A new holder besides ordered loads from servers that were loading by its predecessor's order, ten times a second.

Change: spares whose group can't come about get the model that lacks most of the smaller ones, as many as make whole groups; one stays where the domain has a group to insure. A server that refuses a load is waited for.

--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -197,17 +197,22 @@
 		former.markLost(id)
 		return
 	}
-	if result == Begun {
-		former.awaitStaged(id, model)
+	switch result {
+	case Begun:
+		former.awaitStaged(id, func(server *roster.Server) bool { return server.HasStaged(model) })
+	case Conflict:
+		// It is loading by an order of whoever gave them before. Asked again in
+		// each round it would refuse each time.
+		former.awaitStaged(id, func(server *roster.Server) bool { return len(server.Staged) > 0 })
 	}
 }
 
-// awaitStaged waits until the list shows the model on the server's host.
-func (former *Former) awaitStaged(id, model string) {
+// awaitStaged waits until the list shows what is wanted on the server's host.
+func (former *Former) awaitStaged(id string, enough func(server *roster.Server) bool) {
 	deadline := former.Now() + joinMost
 	for former.Now() < deadline && former.Sleep(nextLook) {
 		server, ok := former.Servers().Servers[id]
-		if !ok || server.HasStaged(model) {
+		if !ok || enough(server) {
 			return
 		}
 	}
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -93,6 +93,7 @@
 	planner.stageSpares()
 	planner.formAll(1)
 	planner.stageRest()
+	planner.restageStranded()
 	planner.formIdle()
 	planner.lendAll()
 	return planner.steps
@@ -292,6 +293,50 @@
 	}
 }
 
+// restageStranded plans to load a smaller model onto spares that wait for a group
+// of a larger one which can't come about: too few are left of it in their domain.
+// After a series of losses twelve of 52 servers waited so, for good, while the
+// calls of both models were turned away.
+func (planner *planner) restageStranded() {
+	if planner.fromStore {
+		return
+	}
+	for _, larger := range planner.bySize() {
+		for number := range planner.domains {
+			domain := &planner.domains[number]
+			for _, smaller := range planner.byNeed() {
+				if smaller.Size < larger.Size && smaller.share() < 1 {
+					planner.restage(domain, larger, smaller)
+				}
+			}
+		}
+	}
+}
+
+// restage plans as many loads of the smaller model as complete groups of it.
+func (planner *planner) restage(domain *Domain, larger, smaller *Demand) {
+	stranded := []string{}
+	for _, spare := range domain.Spares {
+		if spare.has(larger.Name) && !spare.has(smaller.Name) {
+			stranded = append(stranded, spare.ID)
+		}
+	}
+	if domain.staged(larger.Name)+domain.shadows(larger)+domain.Loading[larger.Name] >= larger.Size-1 {
+		// The group is complete, or a smaller one will lend it the last member.
+		return
+	}
+	if domain.Groups[larger.Name] > 0 && len(stranded) > 0 {
+		// One stays to replace a member of the domain's other group.
+		stranded = stranded[1:]
+	}
+	ready := domain.staged(smaller.Name) + domain.Loading[smaller.Name]
+	count := (ready+len(stranded))/smaller.Size*smaller.Size - ready
+	for _, id := range stranded[:max(0, min(count, len(stranded)))] {
+		planner.steps = append(planner.steps, Step{Stage: true, Model: smaller.Name, Members: []string{id}, Loads: 1})
+		domain.load(id, smaller.Name)
+	}
+}
+
 // wantStaged returns the model of which a domain's waiting servers should have
 // one more: the one that completes the most of a lacking group first.
 func (planner *planner) wantStaged(domain *Domain) string {
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -138,3 +138,32 @@
 		}
 	}
 }
+
+// After a series of losses two servers with the large model's weights are left in
+// a domain, and nothing will complete their group; a small group lost a member
+// too. The three waited for good while calls of both models were turned away. One
+// of the two is given the small model's weights, and makes a group with the third.
+func TestStrandedSparesAreGivenToASmallerModel(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	loads := func(made formation.Domain, have int) int {
+		count := 0
+		for _, step := range formation.Plan([]formation.Domain{made}, demands(2, 4, have, 14), false) {
+			expect.Expect(step.Stage).To(gomega.BeTrue())
+			expect.Expect(step.Model).To(gomega.Equal("small"))
+			count++
+		}
+		return count
+	}
+	expect.Expect(loads(domain(2, 1, 0), 9)).To(gomega.Equal(1))
+	expect.Expect(loads(domain(2, 0, 0), 9)).To(gomega.Equal(2))
+	// Enough of the small model: they stay.
+	expect.Expect(loads(domain(2, 0, 0), 14)).To(gomega.BeZero())
+	// One alone makes no group.
+	expect.Expect(loads(domain(1, 0, 0), 9)).To(gomega.BeZero())
+	// Three of four: a small group will lend the fourth.
+	expect.Expect(loads(domain(3, 0, 0), 9)).To(gomega.BeZero())
+	// One insures the domain's other large group.
+	insured := domain(2, 0, 0)
+	insured.Groups["large"] = 1
+	expect.Expect(loads(insured, 9)).To(gomega.BeZero())
+}
