refactor(gateway): names of what nodes know of each other, silences forgotten

Cause: read as a newcomer, glimpse, echo and lack said little, and astray was a picture. They are neighbourState, relayedSilence, newerVersion and unheard now.

--- a/internal/run/gateway/digests.go
+++ b/internal/run/gateway/digests.go
@@ -16,7 +16,7 @@
 }
 
 // shares returns what the other nodes, but for one, have at each server.
-func (peers *peers) shares(all []glimpse, digests map[string]relay.Digest, now time.Duration, except string) map[string]dispatch.Share {
+func (peers *peers) shares(all []neighbourState, digests map[string]relay.Digest, now time.Duration, except string) map[string]dispatch.Share {
 	plan := peers.plan.Load()
 	if told := peers.others.Load(); told != nil && plan.large && !plan.relays && now-told.at < relayedFor {
 		return told.shares
@@ -77,7 +77,7 @@
 }
 
 // standing is what this node tells a peer.
-func (peers *peers) standing(to glimpse, wantList bool) *exchange.Standing {
+func (peers *peers) standing(to neighbourState, wantList bool) *exchange.Standing {
 	node, plan := peers.node, peers.plan.Load()
 	standing := node.standing(wantList)
 	if !plan.large {
@@ -95,7 +95,7 @@
 	}
 	if plan.relays {
 		standing.Relays = true
-		standing.SilentHeads = append(standing.SilentHeads, peers.echoesFor(to.member.DataCentre)...)
+		standing.SilentHeads = append(standing.SilentHeads, peers.silencesFor(to.member.DataCentre)...)
 	}
 	peers.addDigests(standing, &to, plan)
 	return standing
@@ -104,9 +104,9 @@
 // addDigests adds what this node knows of others: for a node of its own data
 // centre everything, with the loads in one sum; for another data centre's
 // relay the own data centre.
-func (peers *peers) addDigests(standing *exchange.Standing, to *glimpse, plan *relayPlan) {
+func (peers *peers) addDigests(standing *exchange.Standing, to *neighbourState, plan *relayPlan) {
 	own, now := peers.node.settings.DataCentre, peers.node.now()
-	all, digests := peers.glimpses(), peers.table.Fresh(now, relayedFor)
+	all, digests := peers.states(), peers.table.Fresh(now, relayedFor)
 	if plan.relays {
 		digests[own] = peers.ownDigest(all, now)
 	}
@@ -136,7 +136,7 @@
 }
 
 // ownDigest is the own data centre as its relay knows it.
-func (peers *peers) ownDigest(all []glimpse, now time.Duration) relay.Digest {
+func (peers *peers) ownDigest(all []neighbourState, now time.Duration) relay.Digest {
 	members := []relay.Member{peers.self()}
 	for _, found := range all {
 		if found.member.DataCentre == peers.node.settings.DataCentre && found.speaks(now) {
@@ -148,8 +148,8 @@
 
 // ownShares is what the nodes of the own data centre have at each server, as
 // its relay knows it.
-func (peers *peers) ownShares(all []glimpse, now time.Duration) map[string]dispatch.Share {
-	inside := []glimpse{}
+func (peers *peers) ownShares(all []neighbourState, now time.Duration) map[string]dispatch.Share {
+	inside := []neighbourState{}
 	for _, found := range all {
 		if found.member.DataCentre == peers.node.settings.DataCentre {
 			inside = append(inside, found)
@@ -159,7 +159,7 @@
 }
 
 // sharesFor is what all nodes but one have at each server, this one included.
-func (peers *peers) sharesFor(all []glimpse, digests map[string]relay.Digest, now time.Duration, except string) map[string]dispatch.Share {
+func (peers *peers) sharesFor(all []neighbourState, digests map[string]relay.Digest, now time.Duration, except string) map[string]dispatch.Share {
 	shares := map[string]dispatch.Share{}
 	for server, share := range peers.shares(all, digests, now, except) {
 		shares[server] = share
--- a/internal/run/gateway/fetch.go
+++ b/internal/run/gateway/fetch.go
@@ -11,13 +11,13 @@
 	// fetchTimeout bounds fetching a configuration from a peer: some hundred KB
 	// over a link of 20 Mbit/s that loses packets.
 	fetchTimeout = 1500 * time.Millisecond
-	// lackPatience is how long a node waits for its peers to bring it a newer
+	// newerPatience is how long a node waits for its peers to bring it a newer
 	// configuration that it has heard of before it asks the store.
-	lackPatience = 400 * time.Millisecond
+	newerPatience = 400 * time.Millisecond
 )
 
-// lack is a version that a peer has and this node doesn't.
-type lack struct {
+// newerVersion is a version that a peer has and this node doesn't.
+type newerVersion struct {
 	version int64
 	since   time.Duration
 }
@@ -33,8 +33,8 @@
 	if standing.ConfigurationVersion <= peers.node.configuration.Load().Configuration.Version {
 		return
 	}
-	if held := peers.lacking.Load(); held == nil || held.version < standing.ConfigurationVersion {
-		peers.lacking.Store(&lack{version: standing.ConfigurationVersion, since: peers.node.now()})
+	if held := peers.newer.Load(); held == nil || held.version < standing.ConfigurationVersion {
+		peers.newer.Store(&newerVersion{version: standing.ConfigurationVersion, since: peers.node.now()})
 	}
 	if !peers.fetching.CompareAndSwap(false, true) {
 		return
@@ -59,9 +59,9 @@
 	})
 }
 
-// lacks says whether this node has known for a while that there is a newer
+// missesVersion says whether this node has known for a while that there is a newer
 // configuration than its own.
-func (peers *peers) lacks() bool {
-	held := peers.lacking.Load()
-	return held != nil && held.version > peers.node.configuration.Load().Configuration.Version && peers.node.now()-held.since > lackPatience
+func (peers *peers) missesVersion() bool {
+	held := peers.newer.Load()
+	return held != nil && held.version > peers.node.configuration.Load().Configuration.Version && peers.node.now()-held.since > newerPatience
 }
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -69,8 +69,8 @@
 	failures     int
 }
 
-// glimpse is what is known of a neighbour at a moment.
-type glimpse struct {
+// neighbourState is what is known of a neighbour at a moment.
+type neighbourState struct {
 	*neighbour
 	member       relay.Member
 	heard, seen  time.Duration
@@ -79,18 +79,18 @@
 	suspectUntil time.Duration
 }
 
-func (neighbour *neighbour) look() glimpse {
+func (neighbour *neighbour) state() neighbourState {
 	neighbour.mu.Lock()
 	defer neighbour.mu.Unlock()
-	return glimpse{
+	return neighbourState{
 		neighbour: neighbour, member: neighbour.member, heard: neighbour.heard, seen: neighbour.seen,
 		added: neighbour.added, standing: neighbour.standing, suspectUntil: neighbour.suspectUntil,
 	}
 }
 
 // speaks says whether the neighbour itself was heard just now and goes on.
-func (glimpse *glimpse) speaks(now time.Duration) bool {
-	return glimpse.standing != nil && now-glimpse.heard < aliveFor && !glimpse.standing.Stopping
+func (state *neighbourState) speaks(now time.Duration) bool {
+	return state.standing != nil && now-state.heard < aliveFor && !state.standing.Stopping
 }
 
 // answered notes whether the neighbour answered an exchange.
@@ -119,8 +119,8 @@
 	neighbours map[string]*neighbour
 	// silent is when a group's silence was last told at once.
 	silent map[string]time.Duration
-	// echoes are the silent groups that this node passes on as a relay.
-	echoes map[string]echo
+	// silences are the silent groups that this node passes on as a relay.
+	silences map[string]relayedSilence
 
 	// The counters only grow.
 	asked, failed, relayChanges atomic.Uint64
@@ -130,16 +130,16 @@
 	others atomic.Pointer[othersLoads]
 	// working says that other nodes have calls under way.
 	working atomic.Bool
-	// fetching says that a configuration is being fetched, lacking is the newest
+	// fetching says that a configuration is being fetched, newer is the newest
 	// that was heard of.
 	fetching atomic.Bool
-	lacking  atomic.Pointer[lack]
+	newer    atomic.Pointer[newerVersion]
 }
 
 func newPeers(node *Node, listener net.Listener) *peers {
 	peers := &peers{
 		Part: lifecycle.New("peers"), node: node, table: relay.NewTable(),
-		neighbours: map[string]*neighbour{}, silent: map[string]time.Duration{}, echoes: map[string]echo{},
+		neighbours: map[string]*neighbour{}, silent: map[string]time.Duration{}, silences: map[string]relayedSilence{},
 	}
 	peers.dial = (&net.Dialer{Timeout: standingTimeout}).DialContext
 	if node.dial != nil {
@@ -196,13 +196,13 @@
 	return added
 }
 
-// glimpses returns all neighbours as they are now.
-func (peers *peers) glimpses() []glimpse {
+// states returns all neighbours as they are now.
+func (peers *peers) states() []neighbourState {
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
-	all := make([]glimpse, 0, len(peers.neighbours))
+	all := make([]neighbourState, 0, len(peers.neighbours))
 	for _, neighbour := range peers.neighbours {
-		all = append(all, neighbour.look())
+		all = append(all, neighbour.state())
 	}
 	return all
 }
@@ -247,7 +247,7 @@
 // peers, and as a relay with the nodes that this node speaks for.
 func (peers *peers) poke() {
 	relays, now := peers.plan.Load().relays, peers.node.now()
-	for _, found := range peers.glimpses() {
+	for _, found := range peers.states() {
 		if found.regular.Load() || (relays && found.speaks(now)) {
 			found.wake()
 		}
@@ -262,7 +262,7 @@
 	}
 	reply, err := neighbour.link.Ask(&exchange.Request{
 		Incarnation: peers.node.Incarnation,
-		Kind:        &exchange.Request_Standing{Standing: peers.standing(neighbour.look(), peers.wantsList(neighbour))},
+		Kind:        &exchange.Request_Standing{Standing: peers.standing(neighbour.state(), peers.wantsList(neighbour))},
 	}, timeout)
 	ok := err == nil && reply.GetStanding() != nil
 	peers.asked.Add(1)
@@ -288,7 +288,7 @@
 // wantsList says whether a peer should send its list of servers: only the one
 // whose list is the newest, so that it doesn't come from all.
 func (peers *peers) wantsList(asked *neighbour) bool {
-	found := asked.look()
+	found := asked.state()
 	if found.standing == nil {
 		return true
 	}
@@ -296,7 +296,7 @@
 	if !found.standing.ListKnown || peers.node.listAge() <= found.listAge(now)-listTick {
 		return false
 	}
-	for _, other := range peers.glimpses() {
+	for _, other := range peers.states() {
 		if other.address != asked.address && other.speaks(now) && other.standing.ListKnown && other.standing.ListAgeMs < found.standing.ListAgeMs {
 			return false
 		}
@@ -305,8 +305,8 @@
 }
 
 // listAge is how old the neighbour's list of servers is by now.
-func (glimpse *glimpse) listAge(now time.Duration) time.Duration {
-	return now - glimpse.heard + time.Duration(glimpse.standing.ListAgeMs)*time.Millisecond
+func (state *neighbourState) listAge(now time.Duration) time.Duration {
+	return now - state.heard + time.Duration(state.standing.ListAgeMs)*time.Millisecond
 }
 
 func (peers *peers) takeList(answer *exchange.StandingReply, sent time.Duration) {
@@ -331,7 +331,7 @@
 	if from == nil {
 		return &exchange.Reply{Failure: "the standing names no peer", Incarnation: peers.node.Incarnation}
 	}
-	reply := &exchange.StandingReply{Standing: peers.standing(from.look(), false)}
+	reply := &exchange.StandingReply{Standing: peers.standing(from.state(), false)}
 	unasked := !peers.plan.Load().large
 	if held := peers.node.rawVersion.Load(); held != nil && held.version > asked.ConfigurationVersion && (unasked || asked.WantConfiguration) {
 		reply.Configuration = held.body
@@ -376,7 +376,7 @@
 	}
 	for _, silent := range standing.SilentHeads {
 		peers.node.former.Suspect(silent.Server, silent.Group)
-		fresh = peers.echoed(silent, standing.DataCentre) || fresh
+		fresh = peers.takeSilence(silent, standing.DataCentre) || fresh
 	}
 	if fresh && peers.plan.Load().relays {
 		peers.poke()
--- a/internal/run/gateway/relays.go
+++ b/internal/run/gateway/relays.go
@@ -55,7 +55,7 @@
 	if !plan.large {
 		return standingEvery
 	}
-	if neighbour.look().member.DataCentre == peers.node.settings.DataCentre {
+	if neighbour.state().member.DataCentre == peers.node.settings.DataCentre {
 		return standingEvery * time.Duration(max(1, plan.members/relayMembers))
 	}
 	return standingEvery * time.Duration(max(1, plan.centres/relayCentres))
@@ -65,7 +65,8 @@
 // each server.
 func (peers *peers) refresh() {
 	now := peers.node.now()
-	all := peers.forget(peers.glimpses(), now)
+	peers.forgetSilences(now)
+	all := peers.forget(peers.states(), now)
 	digests := peers.table.Fresh(now, relayedFor)
 	peers.noteSeen(digests)
 	alive := peers.aliveOf(all, digests, now)
@@ -100,7 +101,7 @@
 }
 
 // forget drops the neighbours that nobody has heard of for long.
-func (peers *peers) forget(all []glimpse, now time.Duration) []glimpse {
+func (peers *peers) forget(all []neighbourState, now time.Duration) []neighbourState {
 	kept := all[:0]
 	for _, found := range all {
 		if now-max(found.heard, found.seen, found.added) <= forgetPeer {
@@ -119,7 +120,7 @@
 
 // aliveOf returns the other nodes that are alive: those that speak to this node
 // and those that relays tell of.
-func (peers *peers) aliveOf(all []glimpse, digests map[string]relay.Digest, now time.Duration) []relay.Member {
+func (peers *peers) aliveOf(all []neighbourState, digests map[string]relay.Digest, now time.Duration) []relay.Member {
 	found := map[string]relay.Member{}
 	for _, digest := range digests {
 		for _, member := range digest.Members {
@@ -145,7 +146,7 @@
 // planRelays decides which nodes are the relays by what this node knows. The
 // second of its own data centre is kept too: a relay talks to it, so that two
 // nodes that both believe to be the relay find out.
-func (peers *peers) planRelays(all []glimpse, alive []relay.Member, digests map[string]relay.Digest, now time.Duration) *relayPlan {
+func (peers *peers) planRelays(all []neighbourState, alive []relay.Member, digests map[string]relay.Digest, now time.Duration) *relayPlan {
 	plan := &relayPlan{large: len(all)+1 > peers.node.mesh, chosen: map[string]bool{}, readers: map[uint64]bool{}}
 	own, self := peers.node.settings.DataCentre, peers.self()
 	centres := peers.candidates(all, append([]relay.Member{self}, alive...), digests, now)
@@ -176,7 +177,7 @@
 // candidates returns the nodes of each data centre that may be its relay: those
 // that are alive and answer this node. Of a data centre whose relay isn't heard
 // it is also every node that the store told of.
-func (peers *peers) candidates(all []glimpse, alive []relay.Member, digests map[string]relay.Digest, now time.Duration) map[string][]relay.Member {
+func (peers *peers) candidates(all []neighbourState, alive []relay.Member, digests map[string]relay.Digest, now time.Duration) map[string][]relay.Member {
 	centres := map[string][]relay.Member{}
 	known := map[string]bool{}
 	suspected := map[string]bool{}
@@ -206,14 +207,14 @@
 // and none of them would ever hear of the two. Of two relays of different data
 // centres one asks, unless the other's digest is late or the other knows
 // something newer.
-func (peers *peers) wanted(plan *relayPlan, found *glimpse, digests map[string]relay.Digest, now time.Duration) bool {
+func (peers *peers) wanted(plan *relayPlan, found *neighbourState, digests map[string]relay.Digest, now time.Duration) bool {
 	own, theirs := peers.node.settings.DataCentre, found.member.DataCentre
 	switch {
 	case theirs == "":
 		return found.standing == nil
 	case theirs == own:
-		astray := !found.speaks(now) && now >= found.suspectUntil
-		return plan.chosen[found.address] || (plan.relays && (astray || peers.behind(found, now)))
+		unheard := !found.speaks(now) && now >= found.suspectUntil
+		return plan.chosen[found.address] || (plan.relays && (unheard || peers.behind(found, now)))
 	case !plan.relays:
 		return false
 	}
@@ -223,7 +224,7 @@
 
 // behind says whether a neighbour that speaks to this node knows a newer
 // configuration or list of servers.
-func (peers *peers) behind(found *glimpse, now time.Duration) bool {
+func (peers *peers) behind(found *neighbourState, now time.Duration) bool {
 	if !found.speaks(now) {
 		return false
 	}
@@ -243,7 +244,7 @@
 func (peers *peers) nodes() int {
 	now := peers.node.now()
 	count := 1
-	for _, found := range peers.glimpses() {
+	for _, found := range peers.states() {
 		if now-max(found.heard, found.seen) < countedFor {
 			count++
 		}
@@ -280,10 +281,10 @@
 	return peers.rank(duty) == 0
 }
 
-// fed says whether other nodes bring this one what the store has, so that it
+// informed says whether other nodes bring this one what the store has, so that it
 // need not ask itself.
-func (peers *peers) fed() bool {
-	return peers.plan.Load().large && peers.node.listAge() < listPatience && !peers.lacks()
+func (peers *peers) informed() bool {
+	return peers.plan.Load().large && peers.node.listAge() < listPatience && !peers.missesVersion()
 }
 
 // busy says whether any peer has calls under way.
--- a/internal/run/gateway/store.go
+++ b/internal/run/gateway/store.go
@@ -71,12 +71,12 @@
 	// otherWait is the same for the other nodes, which learn of changes from
 	// their peers first.
 	otherWait = 10 * time.Second
-	// fedCheck is how often a node of a large fleet whose relay brings it a fresh
-	// list of servers asks for the configuration all the same, and fedLook how
+	// informedCheck is how often a node of a large fleet whose relay brings it a fresh
+	// list of servers asks for the configuration all the same, and informedLook how
 	// often it looks whether that is still so. Each call to the store has a
 	// price, and 77 nodes waiting there were woken by each change.
-	fedCheck = 30 * time.Second
-	fedLook  = 200 * time.Millisecond
+	informedCheck = 30 * time.Second
+	informedLook  = 200 * time.Millisecond
 	// listTick is how often the age of the list is looked at, and listEvery how
 	// old it may be at the node that reads it for all.
 	listTick  = 100 * time.Millisecond
@@ -101,8 +101,8 @@
 	timeout, pause := storeTimeout, storePause
 	checked := node.now()
 	for {
-		if position >= 0 && !node.peers.mine("configuration") && node.peers.fed() && node.now()-checked < fedCheck {
-			if !node.Sleep(fedLook) {
+		if position >= 0 && !node.peers.mine("configuration") && node.peers.informed() && node.now()-checked < informedCheck {
+			if !node.Sleep(informedLook) {
 				return
 			}
 			continue
