refactor: one place that plans a load, an unread field gone

Cause: read once more as a newcomer. Planning a load of a free server stood three times in formation's plan; the standing carried a field, Relays, that nobody read; the relay package's usage named a method that doesn't exist.

Behaviour is the same; the tests are as they were.

Not measured: no decision changes.

--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -270,13 +270,18 @@
 func (planner *planner) stage(domain *Domain, model string) {
 	for _, spare := range domain.Spares {
 		if len(spare.Staged) == 0 {
-			planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
-			domain.load(spare.ID, model)
+			planner.loadOnto(domain, spare.ID, model)
 			return
 		}
 	}
 }
 
+// loadOnto plans to load a model onto a free server of a domain.
+func (planner *planner) loadOnto(domain *Domain, id, model string) {
+	planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{id}, Loads: 1})
+	domain.load(id, model)
+}
+
 // stageRest plans what the other servers that wait should have staged.
 func (planner *planner) stageRest() {
 	for number := range planner.domains {
@@ -286,8 +291,7 @@
 				continue
 			}
 			if model := planner.wantStaged(domain); model != "" {
-				planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{spare.ID}, Loads: 1})
-				domain.load(spare.ID, model)
+				planner.loadOnto(domain, spare.ID, model)
 			}
 		}
 	}
@@ -332,8 +336,7 @@
 	ready := domain.staged(smaller.Name) + domain.Loading[smaller.Name]
 	count := (ready+len(stranded))/smaller.Size*smaller.Size - ready
 	for _, id := range stranded[:max(0, min(count, len(stranded)))] {
-		planner.steps = append(planner.steps, Step{Stage: true, Model: smaller.Name, Members: []string{id}, Loads: 1})
-		domain.load(id, smaller.Name)
+		planner.loadOnto(domain, id, smaller.Name)
 	}
 }
 
--- a/internal/fleet/relay/relay.go
+++ b/internal/fleet/relay/relay.go
@@ -18,7 +18,7 @@
 //	first := relay.Order("east", members)[0]
 //	table := relay.NewTable()
 //	table.Take("west", digest)
-//	members := table.Alive("west", now, time.Second)
+//	members := table.Fresh(now, time.Second)["west"].Members
 package relay
 
 import (
--- a/internal/run/gateway/digests.go
+++ b/internal/run/gateway/digests.go
@@ -94,7 +94,6 @@
 		standing.News = node.recentNews()
 	}
 	if plan.relays {
-		standing.Relays = true
 		standing.SilentHeads = append(standing.SilentHeads, peers.silencesFor(to.member.DataCentre)...)
 	}
 	peers.addDigests(standing, &to, plan)
