perf(formation): what domains hold is designed as an optimum, two models a server

A head's report is 200 ms behind and still said that it served, so half of the losses waited two seconds; a quarter waited for a load of 16 s; domains rested at three small groups where one large and one small were wanted; what was wanted swung with the calls under way of that moment.

Servers start what they ran last without its weights on the host, so another model is loaded there ahead, before traffic for nearly nothing: a server is of use to two models. Reports that are behind leave a server alone for 250 ms, not two seconds, and not at all where the head was seen to leave. Dead servers stay out until the registry drops them. A refused join is tried again when its report has caught up. Loads for spares take half of the places. Shares are averaged over ten seconds and never fall while a model is turned away. A group that nobody ends any more is taken apart, not opened again.

Ruled out: spares alone (13 of 64 servers were spares at the worst moments, of the wrong model); shorter waits at joins (2.2 s, mostly the warm start).

--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -1,23 +1,28 @@
 package formation
 
 import (
+	"fmt"
 	"log/slog"
 	"math"
 	"sort"
-	"strings"
 	"time"
 
 	"hazelslip/internal/fleet/roster"
 )
 
-const (
-	// spareShare is the part of a service's servers that is kept out of groups,
-	// so that a group that loses a member stands again after a warm start in
-	// place of a load. Members are lost one by one every few seconds.
-	spareShare = 0.1
-	// demandTrust is how much the work seen weighs beside the stated shares.
-	demandTrust = 0.7
-)
+// keepPlanned remembers what the domains of a service should hold.
+func (former *Former) keepPlanned(service Service, domains []Domain) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	for number := range domains {
+		former.planned[service.Name+"/"+domains[number].Name] = domains[number].Planned
+	}
+}
+
+// spareShare is the part of a service's servers that is kept out of groups, so
+// that a group that loses a member stands again after a warm start in place of a
+// load. Members are lost one by one every few seconds.
+const spareShare = 0.1
 
 // plan starts what should be done with the free servers of a service.
 func (former *Former) plan(term int64, service Service, servers *roster.Snapshot, listed []*Listed) {
@@ -25,19 +30,26 @@
 	demands := former.demands(service, usable)
 	quiet := former.Quiet()
 	former.tell(service, domains, demands, usable)
-	for _, step := range Plan(domains, demands, quiet) {
+	steps := Plan(domains, demands, quiet)
+	former.keepPlanned(service, domains)
+	waits := false
+	for _, step := range steps {
 		if step.Retire {
-			former.begin(step.Group.Name, func() { former.lend(term, step) })
+			former.lendOne(term, step)
 			continue
 		}
-		if !former.reserve(step.Members, step.purpose()) {
+		if (step.Stage && waits) || !former.reserve(&step) {
 			continue
 		}
-		if step.Loads > 0 && !former.mayLoad(service, step.Loads, quiet) {
-			former.release(step.Members)
+		if step.Loads > 0 && !former.mayLoad(service, &step, quiet) {
+			former.release(&step)
+			// Loads one by one would keep the gate full, and no group would come
+			// through.
+			waits = waits || !step.Stage
 			continue
 		}
 		former.Go(func() {
+			defer former.release(&step)
 			defer former.gate.finish(step.Loads)
 			if step.Stage {
 				former.stage(term, step.Model, step.Members[0])
@@ -68,6 +80,7 @@
 		}
 		attributes = append(attributes, slog.Group(demand.Name, "Have", demand.Have, "Want", math.Round(demand.Want*10)/10, "StagedSpares", staged))
 	}
+	attributes = append(attributes, slog.Any("Domains", describe(domains, demands)))
 	former.Logger.Info("former: the plan.", attributes...)
 }
 
@@ -75,24 +88,53 @@
 	// loadsUsed is the part of the bound on loads that is used: a load that is
 	// ordered late begins in another window than it was counted in.
 	loadsUsed = 0.75
-	// quietLoads is how many loads run at once, in multiples of what the weight
-	// store serves at full speed, while nothing was asked of the fleet yet. Some
-	// wait, so that the store is never idle; all at once would have no group
-	// ready before the last.
-	quietLoads = 2
+	// spareLoads is the part of the loads at once that those for spares may take:
+	// a group that waits for one server would wait for a load of a spare first.
+	spareLoads = 0.5
 )
 
+// domainsTold is how many domains are told of at most, for lines of bounded length.
+const domainsTold = 12
+
+// describe tells of the domains that don't hold what they should: servers to use,
+// free ones, and by model the groups there are and should be, the free servers that
+// have it, those that load it or come free with it, and members that have it beside
+// their work.
+func describe(domains []Domain, demands []Demand) []string {
+	lines := []string{}
+	for number := range domains {
+		domain := &domains[number]
+		line := fmt.Sprintf("%s: %d servers, %d free", domain.Name, domain.Servers, len(domain.Spares))
+		asPlanned := true
+		for model := range demands {
+			demand := &demands[model]
+			has, planned := domain.has(demand.Name), domain.Planned[demand.Name]
+			asPlanned = asPlanned && has == planned
+			line += fmt.Sprintf(", %s %d/%d (%d have it, %d load it, %d soon, %d beside)", demand.Name, has, planned,
+				domain.staged(demand.Name), domain.Loading[demand.Name], domain.Soon[demand.Name], domain.shadows(demand))
+		}
+		if !asPlanned && len(lines) < domainsTold {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
+
 // mayLoad says whether so many more loads may begin. Loads beyond what the
 // store serves at full speed slow each other down, so the most urgent go first
 // and the others wait their turn here.
-func (former *Former) mayLoad(service Service, loads int, quiet bool) bool {
+func (former *Former) mayLoad(service Service, step *Step, quiet bool) bool {
 	atOnce := max(1, service.Engine.LoadsAtOnce)
 	if quiet {
-		return former.gate.begin(loads, quietLoads*atOnce)
+		former.gate.begin(step.Loads)
+		return true
 	}
 	window := former.Bounds.LoadWindow
 	most := int(service.Engine.LoadsPerSecond * window.Seconds() * former.Bounds.LoadBurst * loadsUsed)
-	return former.gate.take(loads, atOnce, most, window)
+	if !step.Urgent {
+		atOnce = max(1, int(float64(atOnce)*spareLoads))
+	}
+	return former.gate.take(step.Loads, atOnce, most, window)
 }
 
 // domains sorts a service's servers: which are free, and which groups a domain
@@ -111,18 +153,26 @@
 		usable++
 		domain, ok := byName[server.FabricDomain]
 		if !ok {
-			domain = &Domain{Name: server.FabricDomain, Groups: map[string]int{}, Loading: map[string]int{}}
+			domain = &Domain{
+				Name: server.FabricDomain, Groups: map[string]int{}, Loading: map[string]int{}, Soon: map[string]int{},
+				Planned: former.planned[service.Name+"/"+server.FabricDomain],
+			}
 			byName[server.FabricDomain] = domain
 		}
-		if model, staging := strings.CutPrefix(former.busy[server.ID], stagePurpose); staging {
+		domain.Servers++
+		if !former.freeLocked(server, inNews) || former.settling[server.ID] > now {
+			continue
+		}
+		if model := former.staging[server.ID]; model != "" {
 			domain.Loading[model]++
 		}
-		if former.freeLocked(server, inNews) {
-			domain.Spares = append(domain.Spares, spareOf(server))
+		if spare := former.spareLocked(server); spare.Staging == "" || spare.Last != "" {
+			domain.Spares = append(domain.Spares, spare)
 		}
 	}
-	former.countGroupsLocked(service, servers, listed, byName)
-	former.lendersLocked(service, servers, byName)
+	counted := former.countGroupsLocked(service, servers, listed, byName)
+	former.servingLocked(service, servers, byName)
+	former.soonLocked(servers.ByService[service.Name], counted, inNews, byName)
 	domains := make([]Domain, 0, len(byName))
 	for _, domain := range byName {
 		domains = append(domains, *domain)
@@ -131,15 +181,15 @@
 	return domains, usable
 }
 
-func spareOf(server *roster.Server) Spare {
-	return Spare{ID: server.ID, Staged: server.Staged, Last: server.Model}
+func (former *Former) spareLocked(server *roster.Server) Spare {
+	return Spare{ID: server.ID, Staged: server.Staged, Last: former.ran[server.ID], Staging: former.staging[server.ID]}
 }
 
-// lendersLocked notes the serving groups of each domain that nothing is being
+// servingLocked notes the serving groups of each domain that nothing is being
 // done to.
-func (former *Former) lendersLocked(service Service, servers *roster.Snapshot, byName map[string]*Domain) {
+func (former *Former) servingLocked(service Service, servers *roster.Snapshot, byName map[string]*Domain) {
 	for _, group := range former.View.Serving(servers, []Service{service}) {
-		lender := Lender{Group: group, Size: len(group.Members)}
+		standing := Standing{Group: group}
 		var domain *Domain
 		for _, id := range group.Members {
 			server, ok := servers.Servers[id]
@@ -148,10 +198,10 @@
 				break
 			}
 			domain = byName[server.FabricDomain]
-			lender.Members = append(lender.Members, spareOf(server))
+			standing.Members = append(standing.Members, former.spareLocked(server))
 		}
-		if domain != nil && len(lender.Members) > 1 {
-			domain.Lenders = append(domain.Lenders, lender)
+		if domain != nil {
+			domain.Serving = append(domain.Serving, standing)
 		}
 	}
 }
@@ -178,13 +228,16 @@
 	return members
 }
 
-func (former *Former) countGroupsLocked(service Service, servers *roster.Snapshot, listed []*Listed, byName map[string]*Domain) {
-	counted := map[string]bool{}
+func (former *Former) countGroupsLocked(service Service, servers *roster.Snapshot, listed []*Listed, byName map[string]*Domain) map[string]bool {
+	counted, members := map[string]bool{}, map[string]bool{}
 	count := func(group *Group) {
 		if counted[group.Name] || group.Service != service.Name || group.Model == "" || former.View.Ended(group.Name) {
 			return
 		}
 		counted[group.Name] = true
+		for _, id := range group.Members {
+			members[id] = true
+		}
 		for _, id := range group.Members {
 			if server, ok := servers.Servers[id]; ok && byName[server.FabricDomain] != nil {
 				byName[server.FabricDomain].Groups[group.Model]++
@@ -207,6 +260,23 @@
 			former.haves[service.Name+"/"+model] += groups
 		}
 	}
+	return members
+}
+
+// soonLocked counts the servers whose group has ended and which it is not known
+// yet to have left: they will be free in a moment, with the model that they ran.
+// A plan that left them out gave the spares of their domain to another model just
+// when they were needed.
+func (former *Former) soonLocked(servers []*roster.Server, members, inNews map[string]bool, byName map[string]*Domain) {
+	now := former.Now()
+	for _, server := range servers {
+		if server.Draining || former.lost[server.ID] > now || members[server.ID] || former.busy[server.ID] != "" {
+			continue
+		}
+		if !former.freeLocked(server, inNews) || former.settling[server.ID] > now {
+			byName[server.FabricDomain].Soon[former.ran[server.ID]]++
+		}
+	}
 }
 
 // demands returns how many groups of each model there are and should be. The
@@ -225,28 +295,3 @@
 	}
 	return demands
 }
-
-// shares returns the part of the servers that each model should have.
-func (former *Former) shares(service Service) map[string]float64 {
-	stated, seen := map[string]float64{}, map[string]float64{}
-	statedSum, seenSum := 0.0, 0.0
-	for _, model := range service.Engine.Models {
-		stated[model.Name] = model.Share
-		statedSum += model.Share
-		taken, _ := former.Load(service.Name, model.Name)
-		seen[model.Name] = float64(taken*model.Size) / float64(max(1, service.Engine.Slots))
-		seenSum += seen[model.Name]
-	}
-	trust := demandTrust
-	if seenSum < 1 {
-		trust = 0
-	}
-	shares := map[string]float64{}
-	for _, model := range service.Engine.Models {
-		shares[model.Name] = (1 - trust) * stated[model.Name] / max(statedSum, 1e-9)
-		if trust > 0 {
-			shares[model.Name] += trust * seen[model.Name] / seenSum
-		}
-	}
-	return shares
-}
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -20,7 +20,6 @@
 		former.mu.Lock()
 		delete(former.forming, name)
 		former.mu.Unlock()
-		former.release(members)
 	}()
 	reports, ok := former.usable(members)
 	if !ok || !former.joinAll(term, group, reports) || !former.awaitReady(service, group, reports) {
@@ -41,17 +40,42 @@
 			all = false
 			continue
 		}
-		membership := answer.report.Group
-		taken := membership.Name != "" && !former.View.Free(membership.Name)
-		if taken || membership.State == roster.Open || membership.State == roster.Closing || answer.report.Busy {
-			// The list is behind; it shows soon what the server is doing.
-			former.markLost(members[number])
+		if !former.mayJoin(&answer.report) {
+			// What it reports, or the list, is behind; it shows soon what the server
+			// is doing.
+			former.settle(members[number])
 			all = false
 		}
 	}
 	return reports, all
 }
 
+// mayJoin says whether a server is in no group that may serve or come to serve. A
+// server that only has a model loaded onto its host is busy too, and may join. A
+// report that still shows a group whose head is known to have left it is behind.
+func (former *Former) mayJoin(report *Report) bool {
+	membership := report.Group
+	if former.hasLeft(membership.Name) {
+		return true
+	}
+	if membership.Name != "" && !former.View.Free(membership.Name) {
+		return false
+	}
+	switch membership.State {
+	case roster.Open, roster.Closing:
+		return false
+	case roster.Joining:
+		return !report.Busy
+	}
+	return true
+}
+
+func (former *Former) hasLeft(group string) bool {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	return former.left[group]
+}
+
 // joinAll orders every member to join, all at once.
 func (former *Former) joinAll(term int64, group Group, reports []answered) bool {
 	joined := make([]bool, len(reports))
@@ -80,10 +104,23 @@
 	if err == nil && result != Conflict {
 		return false
 	}
-	// The answer was lost, or an earlier try of the same order was taken after
-	// all: the server itself tells.
+	// The answer was lost, an earlier try of the same order was taken after all, or
+	// the count of orders in the report was behind: the server itself tells, when
+	// its report has caught up.
+	former.Sleep(settleFor)
 	again := former.ask([]string{member.server.ID})[0]
-	return again.err == nil && again.report.Group.Name == group.Name
+	if again.err != nil {
+		return false
+	}
+	if again.report.Group.Name == group.Name {
+		return true
+	}
+	if again.report.Orders == order.Expected || !former.mayJoin(&again.report) {
+		return false
+	}
+	order.Expected = again.report.Orders
+	result, err = former.give(member.server, order)
+	return err == nil && result.Taken()
 }
 
 // awaitReady looks at the members until all are ready under the group's name
@@ -186,7 +223,6 @@
 
 // stage loads a model onto a free server's host.
 func (former *Former) stage(term int64, model string, id string) {
-	defer former.release([]string{id})
 	server, ok := former.Servers().Servers[id]
 	if !ok {
 		return
@@ -203,10 +239,14 @@
 	case Conflict:
 		// It is loading by an order of whoever gave them before. Asked again in
 		// each round it would refuse each time.
+		former.Sleep(conflictPause)
 		former.awaitStaged(id, func(server *roster.Server) bool { return len(server.Staged) > 0 })
 	}
 }
 
+// conflictPause is how long a server that refused to load is not told again.
+const conflictPause = 2 * time.Second
+
 // awaitStaged waits until the list shows what is wanted on the server's host.
 func (former *Former) awaitStaged(id string, enough func(server *roster.Server) bool) {
 	deadline := former.Now() + joinMost
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -45,8 +45,14 @@
 	answerTime = 150 * time.Millisecond
 	// listLag is how far the list's entries of one group may lie apart.
 	listLag = 1500 * time.Millisecond
-	// lostFor is how long a server that didn't answer is left alone.
-	lostFor = 2 * time.Second
+	// lostFor is how long a server that didn't answer is left alone: until the
+	// registry has dropped it, if it is gone. Back among the spares before that, it
+	// spoilt every other group that was tried.
+	lostFor = 4 * time.Second
+	// settleFor is how long a server is left alone whose report doesn't fit yet:
+	// longer than reports are behind. The members of a group that just ended still
+	// say that they serve.
+	settleFor = 250 * time.Millisecond
 	// examineAgain is how long a group that was found whole isn't asked again.
 	examineAgain = 500 * time.Millisecond
 	// termBits is how many epochs one term has.
@@ -62,10 +68,15 @@
 	gate gate
 
 	mu sync.Mutex
-	// busy are the servers that an order concerns, with the group or purpose.
-	busy map[string]string
+	// busy are the servers that are joining a group, with its model, and staging
+	// those on whose host a model is loaded.
+	busy    map[string]string
+	staging map[string]string
 	// lost are servers that didn't answer, up to when they are left alone.
 	lost map[string]time.Duration
+	// settling are servers whose reports were behind, up to when they are left
+	// alone.
+	settling map[string]time.Duration
 	// forming are the groups in the making.
 	forming map[string]Group
 	// working are the groups that are being examined, ended or opened.
@@ -79,8 +90,20 @@
 	since map[string]time.Duration
 	// told is when the plan of a service was last logged.
 	told map[string]time.Duration
+	// planned is what each domain should hold, by service and domain.
+	planned map[string]map[string]int
+	// left are the groups whose heads this node saw leave them.
+	left map[string]bool
+	// ran is the model that each listed server ran last, as far as the list showed
+	// it since this node started; listed is the list that it was read from.
+	ran    map[string]string
+	listed *roster.Snapshot
+	// seen is the work of each service and model, averaged.
+	seen map[string]sight
 	// haves counts the groups of each service and model, as of the last round.
-	haves   map[string]int
+	haves map[string]int
+	// lending says that a group is being ended for another.
+	lending atomic.Bool
 	counter int64
 	termed  int64
 
@@ -104,9 +127,9 @@
 func New(parts Parts) *Former {
 	former := &Former{
 		Part: lifecycle.New("former"), Parts: parts,
-		busy: map[string]string{}, lost: map[string]time.Duration{}, forming: map[string]Group{},
+		busy: map[string]string{}, staging: map[string]string{}, lost: map[string]time.Duration{}, settling: map[string]time.Duration{}, forming: map[string]Group{},
 		working: map[string]bool{}, told: map[string]time.Duration{}, examined: map[string]time.Duration{}, since: map[string]time.Duration{},
-		whole: map[string]Group{},
+		whole: map[string]Group{}, seen: map[string]sight{}, ran: map[string]string{}, left: map[string]bool{}, planned: map[string]map[string]int{},
 	}
 	former.gate.now = parts.Now
 	return former
@@ -140,8 +163,9 @@
 func (former *Former) round() {
 	term := former.Term()
 	servers := former.Servers()
+	former.rememberModels(servers)
 	if term == 0 || !servers.Known() {
-		former.gate.rest()
+		former.rest()
 		return
 	}
 	services := former.Services()
@@ -155,6 +179,37 @@
 	}
 }
 
+// rest forgets, while another node gives orders, what this one planned.
+func (former *Former) rest() {
+	former.gate.rest()
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	clear(former.planned)
+	clear(former.seen)
+}
+
+// rememberModels notes which model each server runs, for when it has left its
+// group: the list shows a model only while it is in one, and a server starts the
+// model that it ran last soonest, whatever lies on its host by then.
+func (former *Former) rememberModels(servers *roster.Snapshot) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	if former.listed == servers {
+		return
+	}
+	former.listed = servers
+	ran := make(map[string]string, len(servers.Servers))
+	for id, server := range servers.Servers {
+		switch server.Group.State {
+		case roster.Ready, roster.Open, roster.Closing:
+			ran[id] = server.Model
+		default:
+			ran[id] = former.ran[id]
+		}
+	}
+	former.ran = ran
+}
+
 // remember notes the members of complete groups, and forgets the groups that
 // the list doesn't show any more.
 func (former *Former) remember(listed []*Listed) {
@@ -177,6 +232,12 @@
 		return
 	}
 	switch {
+	case former.View.Ended(group.Name):
+		// Whoever was ending it is gone. Opened again it would hold its servers and
+		// serve nobody, since no node sends calls to a group that has ended.
+		if former.lasts(group.Name, listLag) {
+			former.begin(group.Name, func() { former.end(term, group.Group, nil) })
+		}
 	case group.HeadState() == roster.Broken:
 		former.begin(group.Name, func() { former.end(term, group.Group, nil) })
 	case group.HeadState() == "" || !group.Complete():
@@ -234,12 +295,12 @@
 	delete(former.since, name)
 }
 
-// begin runs work on a group unless some is under way.
-func (former *Former) begin(name string, work func()) {
+// begin runs work on a group unless some is under way, and says whether it does.
+func (former *Former) begin(name string, work func()) bool {
 	former.mu.Lock()
 	if former.working[name] {
 		former.mu.Unlock()
-		return
+		return false
 	}
 	former.working[name] = true
 	former.mu.Unlock()
@@ -252,6 +313,7 @@
 		}()
 		work()
 	})
+	return true
 }
 
 // Suspect is told that a head's calls stand still.
@@ -293,26 +355,35 @@
 	return group, ok
 }
 
-// reserve marks servers as concerned by an order, all or none.
-func (former *Former) reserve(ids []string, purpose string) bool {
+// reserve marks the servers of a step as concerned by it, all or none. A server on
+// whose host a model is loaded may be told to join another group meanwhile.
+func (former *Former) reserve(step *Step) bool {
 	former.mu.Lock()
 	defer former.mu.Unlock()
-	for _, id := range ids {
-		if former.busy[id] != "" {
+	held := former.busy
+	if step.Stage {
+		held = former.staging
+	}
+	for _, id := range step.Members {
+		if held[id] != "" {
 			return false
 		}
 	}
-	for _, id := range ids {
-		former.busy[id] = purpose
+	for _, id := range step.Members {
+		held[id] = step.Model
 	}
 	return true
 }
 
-func (former *Former) release(ids []string) {
+func (former *Former) release(step *Step) {
 	former.mu.Lock()
 	defer former.mu.Unlock()
-	for _, id := range ids {
-		delete(former.busy, id)
+	held := former.busy
+	if step.Stage {
+		held = former.staging
+	}
+	for _, id := range step.Members {
+		delete(held, id)
 	}
 }
 
@@ -322,6 +393,13 @@
 	former.lost[id] = former.Now() + lostFor
 }
 
+// settle leaves a server alone whose report is behind.
+func (former *Former) settle(id string) {
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	former.settling[id] = former.Now() + settleFor
+}
+
 // State is the former's part of the state dump.
 type State struct {
 	Term    int64
--- a/internal/fleet/formation/gate.go
+++ b/internal/fleet/formation/gate.go
@@ -25,16 +25,12 @@
 	gate.held = false
 }
 
-// begin counts loads for which there is no window, or reports false when more
-// than atOnce would run.
-func (gate *gate) begin(loads, atOnce int) bool {
+// begin counts loads for which there is no bound: while nothing was asked of the
+// fleet yet, each takes a tenth of its time, however many run.
+func (gate *gate) begin(loads int) {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
-	if !gate.fits(loads, atOnce) {
-		return false
-	}
 	gate.running += loads
-	return true
 }
 
 // fits lets a group through that alone needs more than atOnce.
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -15,24 +15,43 @@
 	// it starts again without them.
 	Staged []string
 	Last   string
+	// Staging is the model that is being loaded onto its host, which may take the
+	// place of what lies there. Until then it joins groups of Last only.
+	Staging string
 }
 
 // has says whether a server joins a group of the model without a load.
 func (spare *Spare) has(model string) bool {
-	return spare.Last == model || slices.Contains(spare.Staged, model)
+	return spare.Last == model || (spare.Staging == "" && slices.Contains(spare.Staged, model))
+}
+
+// holds says whether a server has the model, or will have it, on its host.
+func (spare *Spare) holds(model string) bool {
+	if spare.Staging != "" {
+		return spare.Staging == model
+	}
+	return slices.Contains(spare.Staged, model)
 }
 
 // Domain is the free servers of one fabric domain and the groups that it has,
 // by model.
 type Domain struct {
-	Name    string
-	Spares  []Spare
-	Groups  map[string]int
-	Lenders []Lender
+	Name   string
+	Spares []Spare
+	Groups map[string]int
+	// Serving are the groups that serve and that nothing is being done to.
+	Serving []Standing
+	// Servers is how many servers there are to use, in groups or not.
+	Servers int
 	// Loading counts the servers that are having a model staged. They are no
 	// spares yet: a group formed of them would load in their join, past the
 	// bound on loads.
 	Loading map[string]int
+	// Planned is the layout that was chosen last, by model, empty at first.
+	Planned map[string]int
+	// Soon counts the servers that come free in a moment, by the model that they
+	// ran last.
+	Soon map[string]int
 }
 
 // load takes a server out of the spares to have a model staged.
@@ -50,6 +69,24 @@
 	Want float64
 }
 
+// Standing is a group of a domain that serves.
+type Standing struct {
+	Group   Group
+	Members []Spare
+}
+
+// shadows counts the members that have the model staged beside their work. A
+// member of a small group can so be a spare of a larger model that is not idle.
+func (standing *Standing) shadows(model string) int {
+	count := 0
+	for _, member := range standing.Members {
+		if member.has(model) {
+			count++
+		}
+	}
+	return count
+}
+
 // Step is one thing to do: to form a group of Members; to stage Model on the one
 // of Members, where Stage is set; or to end Group for the sake of Model, where
 // Retire is set.
@@ -59,157 +96,322 @@
 	Group   Group
 	Model   string
 	Members []string
+	// Urgent loads are for a group that waits for them, the others for spares.
+	Urgent bool
 	// Loads is how many of the members need the weights from the store.
 	Loads int
 }
 
-// stagePurpose begins the purpose of servers that are having a model staged.
-const stagePurpose = "Stage "
-
-// purpose says what the members are reserved for.
-func (step *Step) purpose() string {
-	if step.Stage {
-		return stagePurpose + step.Model
-	}
-	return step.Model
-}
-
-// Plan decides what to do with free servers.
+// Plan decides what to do with the servers.
 //
-// Groups are formed of the model that lacks most of what it should have, where
-// enough free servers of one domain have it staged. It answers fleets that lose
-// members one by one every few seconds: a group without a spare of its domain
+// It first designs what each domain should hold, then takes the steps that are
+// possible now: it forms the groups for which enough servers of a domain have the
+// model; it ends groups that the design has no place for, once their servers
+// complete one that it has; and it loads models, for groups that lack the fewest
+// servers first, then for spares. A group without a staged spare of its domain
 // waits for a load of many seconds, and the larger the group, the more servers
-// wait with it. So most groups come first, then a staged spare for each model
-// in each domain, then the other groups, and last groups beyond what is wanted
-// where servers would be idle all the same.
+// wait with it, so the last servers of a domain are kept for that.
 //
 // While nothing was asked of the fleet yet (fromStore), groups are also formed
 // of servers that must load first: loads cost little then, and joining loads
 // without a further start.
 func Plan(domains []Domain, demands []Demand, fromStore bool) []Step {
-	planner := &planner{domains: domains, demands: demands, fromStore: fromStore}
-	planner.formAll(mostGroups)
-	planner.stageSpares()
-	planner.formAll(1)
-	planner.stageRest()
-	planner.restageStranded()
-	planner.formIdle()
-	planner.lendAll()
+	planner := &planner{demands: demands, fromStore: fromStore}
+	for number, layout := range design(domains, demands, fromStore) {
+		domain := &domains[number]
+		domain.Planned = layout.named(demands)
+		planner.places = append(planner.places, &place{Domain: domain, target: layout})
+	}
+	planner.formAll()
+	planner.convertAll()
+	planner.loadAll()
 	return planner.steps
 }
 
-// mostGroups is the part of the groups wanted that is formed before spares are
-// staged.
-const mostGroups = 0.75
-
 type planner struct {
-	domains   []Domain
+	places    []*place
 	demands   []Demand
 	fromStore bool
 	steps     []Step
 }
 
-// formAll forms groups until each model has a part of what is wanted of it, or
-// no domain has the servers.
-func (planner *planner) formAll(part float64) {
-	for planner.formOne(part) {
-		continue
+// place is a domain with what it should hold.
+type place struct {
+	*Domain
+	target layout
+}
+
+// has is how many groups of a model the domain has, with those in the making.
+func (domain *Domain) has(model string) int {
+	return max(domain.Groups[model], domain.standing(model))
+}
+
+// formAll forms every group that the design has and for which there are servers,
+// of the model that lacks most first.
+func (planner *planner) formAll() {
+	for formed := true; formed; {
+		formed = false
+		for _, model := range planner.byNeed() {
+			if planner.formOne(model) {
+				formed = true
+				break
+			}
+		}
 	}
 }
 
-// formOne plans one group and says whether it did.
-func (planner *planner) formOne(part float64) bool {
-	for _, demand := range planner.byNeed() {
-		if float64(demand.Have)+formSlack > demand.Want*part {
+// formOne forms one group of a model and says whether it did.
+func (planner *planner) formOne(model int) bool {
+	demand := &planner.demands[model]
+	var best *place
+	bestStaged := -1
+	for _, place := range planner.places {
+		staged := min(place.staged(demand.Name), demand.Size)
+		if place.has(demand.Name) >= place.target[model] || len(place.Spares) < demand.Size {
 			continue
 		}
-		if domain, loads := planner.place(demand, 0); domain != nil {
-			planner.form(domain, demand, loads)
-			return true
+		if (staged == demand.Size || planner.fromStore) && staged > bestStaged {
+			best, bestStaged = place, staged
 		}
 	}
-	return false
+	if best == nil {
+		return false
+	}
+	members := best.choose(demand.Model)
+	demand.Have++
+	best.Groups[demand.Name] = best.has(demand.Name) + 1
+	best.take(members)
+	planner.steps = append(planner.steps, Step{Model: demand.Name, Members: members, Loads: demand.Size - bestStaged})
+	return true
 }
 
-func (planner *planner) form(domain *Domain, demand *Demand, loads int) {
-	members := domain.choose(demand.Model)
-	demand.Have++
-	domain.Groups[demand.Name]++
-	domain.take(members)
-	planner.steps = append(planner.steps, Step{Model: demand.Name, Members: members, Loads: loads})
+// byNeed returns the numbers of the models, the one that lacks most first.
+func (planner *planner) byNeed() []int {
+	models := make([]int, 0, len(planner.demands))
+	for model := range planner.demands {
+		models = append(models, model)
+	}
+	sort.SliceStable(models, func(i, j int) bool {
+		return planner.demands[models[i]].share() < planner.demands[models[j]].share()
+	})
+	return models
+}
+
+func (demand *Demand) share() float64 {
+	if demand.Want <= 0 {
+		return math.Inf(1)
+	}
+	return float64(demand.Have) / demand.Want
 }
 
-// formIdle forms groups beyond what is wanted where a domain has staged servers
-// to spare and still keeps some.
-func (planner *planner) formIdle() {
+// convertAll ends groups that the design has no place for where their servers
+// complete a group that it has. They serve until then: a member of a group can
+// have another model staged on its host beside its work.
+func (planner *planner) convertAll() {
+	for _, place := range planner.places {
+		for model := range planner.demands {
+			if place.has(planner.demands[model].Name) < place.target[model] {
+				planner.convert(place, &planner.demands[model])
+			}
+		}
+	}
+}
+
+func (planner *planner) convert(place *place, demand *Demand) {
+	ready := place.staged(demand.Name)
 	if planner.fromStore {
+		ready = len(place.Spares)
+	}
+	ending := []int{}
+	for number := range place.Serving {
+		standing := &place.Serving[number]
+		shadows := standing.shadows(demand.Name)
+		if planner.fromStore {
+			shadows = len(standing.Members)
+		}
+		if shadows > 0 && ready < demand.Size && planner.lends(place, standing, shadows, demand) {
+			ready += shadows
+			ending = append(ending, number)
+		}
+	}
+	if ready < demand.Size || place.staged(demand.Name)+place.Soon[demand.Name]+place.Loading[demand.Name] >= demand.Size {
 		return
 	}
-	for formed := true; formed; {
-		formed = false
-		for _, demand := range planner.byNeed() {
-			if domain, _ := planner.place(demand, idleKept); domain != nil {
-				planner.form(domain, demand, 0)
-				formed = true
-				break
-			}
+	for _, number := range ending {
+		group := place.Serving[number].Group
+		planner.steps = append(planner.steps, Step{Retire: true, Model: demand.Name, Group: group})
+	}
+}
+
+// lends says whether a group may be ended for one of another model: the design has
+// no place for it, or it is smaller and stands again at once, with spares in place
+// of those that it gives.
+func (planner *planner) lends(place *place, standing *Standing, shadows int, demand *Demand) bool {
+	if planner.surplus(place, standing) {
+		return true
+	}
+	return len(standing.Members) < demand.Size && place.staged(standing.Group.Model) >= shadows
+}
+
+// surplus says whether the design has fewer groups of a group's model than there
+// are in the domain.
+func (planner *planner) surplus(place *place, standing *Standing) bool {
+	for model := range planner.demands {
+		if planner.demands[model].Name == standing.Group.Model {
+			return place.has(planner.demands[model].Name) > place.target[model]
 		}
 	}
+	return true
+}
+
+// want is one load that would help.
+type want struct {
+	place *place
+	id    string
+	model string
+	score float64
+	// urgent says that a group waits for it.
+	urgent bool
+}
+
+// loadAll plans loads, those that help most first.
+func (planner *planner) loadAll() {
+	wants := []want{}
+	for _, place := range planner.places {
+		wants = append(wants, planner.wants(place)...)
+	}
+	sort.SliceStable(wants, func(i, j int) bool { return wants[i].score > wants[j].score })
+	for _, want := range wants {
+		planner.steps = append(planner.steps, Step{Stage: true, Model: want.model, Members: []string{want.id}, Loads: 1, Urgent: want.urgent})
+		want.place.load(want.id, want.model)
+	}
 }
 
 const (
-	// formSlack is how much of a group may be too much: wants are fractions.
-	formSlack = 0.5
-	// idleKept is how many free servers a domain keeps when a group beyond what
-	// is wanted is formed there.
-	idleKept = 1
+	// completes is what the load for a group that lacks one server scores, by the
+	// group's size; a load for one that lacks more scores a part of it.
+	completes = 100
+	// insures is what the load for a spare scores in a domain with one group of
+	// the model, by the square of its size: larger groups are hit more often, and
+	// more servers wait for each loss.
+	insures = 1
+	// insuredOnce is what of that is left with each spare that is there.
+	insuredOnce = 0.2
 )
 
-// bySize returns the demands, the largest model first, and of one size the one
-// that lacks most.
-func (planner *planner) bySize() []*Demand {
-	demands := planner.byNeed()
-	sort.SliceStable(demands, func(i, j int) bool { return demands[i].Size > demands[j].Size })
-	return demands
+// wants returns the loads that would help in one domain.
+func (planner *planner) wants(place *place) []want {
+	found := []want{}
+	pool := append([]Spare{}, place.Spares...)
+	for model := range planner.demands {
+		demand := &planner.demands[model]
+		missing := place.target[model] - place.has(demand.Name)
+		if missing <= 0 {
+			continue
+		}
+		found = append(found, planner.forGroup(place, demand, &pool)...)
+	}
+	return append(found, planner.forSpares(place, pool)...)
 }
 
-// byNeed returns the demands, the one that lacks most first.
-func (planner *planner) byNeed() []*Demand {
-	demands := make([]*Demand, 0, len(planner.demands))
-	for number := range planner.demands {
-		demands = append(demands, &planner.demands[number])
+// forGroup returns the loads that a group lacks that the domain should have. It
+// takes the servers of the group out of the pool.
+func (planner *planner) forGroup(place *place, demand *Demand, pool *[]Spare) []want {
+	rest, lacking := []Spare{}, demand.Size-place.Loading[demand.Name]-place.Soon[demand.Name]
+	for _, spare := range *pool {
+		if spare.has(demand.Name) && lacking > 0 {
+			lacking--
+			continue
+		}
+		rest = append(rest, spare)
+	}
+	shadows := place.shadows(demand)
+	lacking = max(0, lacking-shadows)
+	score := completes * float64(demand.Size) / float64(1+lacking)
+	found := []want{}
+	sort.SliceStable(rest, func(i, j int) bool { return len(rest[i].Staged) < len(rest[j].Staged) })
+	rest = slices.DeleteFunc(rest, func(spare Spare) bool { return spare.Staging != "" })
+	for lacking > 0 && len(rest) > 0 {
+		found = append(found, want{place: place, id: rest[0].ID, model: demand.Name, score: score, urgent: true})
+		rest = rest[1:]
+		lacking--
 	}
-	sort.SliceStable(demands, func(i, j int) bool { return demands[i].share() < demands[j].share() })
-	return demands
+	*pool = rest
+	return found
 }
 
-func (demand *Demand) share() float64 {
-	if demand.Want <= 0 {
-		return math.Inf(1)
+// forSpares returns the loads by which the servers that are left, and the members
+// of serving groups beside their work, insure the groups of the domain. A server
+// starts the model that it ran last without its weights on the host, so it can hold
+// another there, and be of use to two models.
+func (planner *planner) forSpares(place *place, pool []Spare) []want {
+	found := []want{}
+	have := make([]int, len(planner.demands))
+	for model := range planner.demands {
+		name := planner.demands[model].Name
+		have[model] = place.Loading[name] + place.Soon[name] + place.shadows(&planner.demands[model])
+		for _, spare := range pool {
+			if spare.has(name) {
+				have[model]++
+			}
+		}
 	}
-	return float64(demand.Have) / demand.Want
+	add := func(server *Spare, idle bool) {
+		model, score := planner.bestInsured(place, server, have)
+		if model < 0 {
+			return
+		}
+		have[model]++
+		if !idle {
+			score *= besideWork
+		}
+		found = append(found, want{place: place, id: server.ID, model: planner.demands[model].Name, score: score})
+	}
+	for _, spare := range pool {
+		if spare.Staging == "" && (len(spare.Staged) == 0 || spare.holds(spare.Last)) {
+			add(&spare, len(spare.Staged) == 0)
+		}
+	}
+	for number := range place.Serving {
+		for _, member := range place.Serving[number].Members {
+			if member.Staging == "" && member.holds(member.Last) {
+				add(&member, false)
+			}
+		}
+	}
+	return found
 }
 
-// place finds the domain with the most servers that are ready for the model
-// and more than kept besides, and how many of them must load.
-func (planner *planner) place(demand *Demand, kept int) (*Domain, int) {
-	var best *Domain
-	bestStaged, bestFree := -1, -1
-	for number := range planner.domains {
-		domain := &planner.domains[number]
-		staged := min(domain.staged(demand.Name), demand.Size)
-		free := len(domain.Spares)
-		if free < demand.Size+kept || (staged < demand.Size && !planner.fromStore) {
+// besideWork is what a load for a server that is of use as it is counts beside one
+// for an empty server.
+const besideWork = 0.2
+
+// bestInsured is the model that a server lacks and of which one more spare helps
+// most, -1 for none.
+func (planner *planner) bestInsured(place *place, server *Spare, have []int) (model int, score float64) {
+	model = -1
+	for number := range planner.demands {
+		if server.has(planner.demands[number].Name) {
 			continue
 		}
-		if staged > bestStaged || (staged == bestStaged && free > bestFree) {
-			best, bestStaged, bestFree = domain, staged, free
+		if value := planner.insurance(place, number, have[number]); model < 0 || value > score {
+			model, score = number, value
 		}
 	}
-	return best, max(0, demand.Size-bestStaged)
+	return model, score
 }
 
+// insurance is what one more spare of a model helps in a domain that has some.
+func (planner *planner) insurance(place *place, model, spares int) float64 {
+	demand := &planner.demands[model]
+	groups := max(float64(place.has(demand.Name)), unformed)
+	return insures * groups * float64(demand.Size*demand.Size) * math.Pow(insuredOnce, float64(spares))
+}
+
+// unformed is what a model counts of which the domain has no group: its spares
+// may be the beginning of one.
+const unformed = 0.1
+
 func (domain *Domain) staged(model string) int {
 	count := 0
 	for _, spare := range domain.Spares {
@@ -225,6 +427,8 @@
 func (domain *Domain) choose(model configuration.Model) []string {
 	rank := func(spare Spare) int {
 		switch {
+		case spare.Last == model.Name:
+			return -1
 		case spare.has(model.Name):
 			return 0
 		case len(spare.Staged) == 0:
@@ -251,112 +455,3 @@
 	}
 	domain.Spares = kept
 }
-
-// stageSpares plans one staged spare for each model of each domain, the largest
-// models first.
-func (planner *planner) stageSpares() {
-	for _, demand := range planner.bySize() {
-		for number := range planner.domains {
-			domain := &planner.domains[number]
-			if domain.Groups[demand.Name] > 0 && domain.staged(demand.Name)+domain.Loading[demand.Name] == 0 {
-				planner.stage(domain, demand.Name)
-			}
-		}
-	}
-}
-
-// stage plans to stage a model on a free server of a domain that has nothing
-// staged, which then waits as a spare.
-func (planner *planner) stage(domain *Domain, model string) {
-	for _, spare := range domain.Spares {
-		if len(spare.Staged) == 0 {
-			planner.loadOnto(domain, spare.ID, model)
-			return
-		}
-	}
-}
-
-// loadOnto plans to load a model onto a free server of a domain.
-func (planner *planner) loadOnto(domain *Domain, id, model string) {
-	planner.steps = append(planner.steps, Step{Stage: true, Model: model, Members: []string{id}, Loads: 1})
-	domain.load(id, model)
-}
-
-// stageRest plans what the other servers that wait should have staged.
-func (planner *planner) stageRest() {
-	for number := range planner.domains {
-		domain := &planner.domains[number]
-		for _, spare := range append([]Spare{}, domain.Spares...) {
-			if len(spare.Staged) > 0 {
-				continue
-			}
-			if model := planner.wantStaged(domain); model != "" {
-				planner.loadOnto(domain, spare.ID, model)
-			}
-		}
-	}
-}
-
-// restageStranded plans to load a smaller model onto spares that wait for a group
-// of a larger one which can't come about: too few are left of it in their domain.
-// After a series of losses twelve of 52 servers waited so, for good, while the
-// calls of both models were turned away.
-func (planner *planner) restageStranded() {
-	if planner.fromStore {
-		return
-	}
-	for _, larger := range planner.bySize() {
-		for number := range planner.domains {
-			domain := &planner.domains[number]
-			for _, smaller := range planner.byNeed() {
-				if smaller.Size < larger.Size && smaller.share() < 1 {
-					planner.restage(domain, larger, smaller)
-				}
-			}
-		}
-	}
-}
-
-// restage plans as many loads of the smaller model as complete groups of it.
-func (planner *planner) restage(domain *Domain, larger, smaller *Demand) {
-	stranded := []string{}
-	for _, spare := range domain.Spares {
-		if spare.has(larger.Name) && !spare.has(smaller.Name) {
-			stranded = append(stranded, spare.ID)
-		}
-	}
-	if domain.staged(larger.Name)+domain.shadows(larger)+domain.Loading[larger.Name] >= larger.Size-1 {
-		// The group is complete, or a smaller one will lend it the last member.
-		return
-	}
-	if domain.Groups[larger.Name] > 0 && len(stranded) > 0 {
-		// One stays to replace a member of the domain's other group.
-		stranded = stranded[1:]
-	}
-	ready := domain.staged(smaller.Name) + domain.Loading[smaller.Name]
-	count := (ready+len(stranded))/smaller.Size*smaller.Size - ready
-	for _, id := range stranded[:max(0, min(count, len(stranded)))] {
-		planner.loadOnto(domain, id, smaller.Name)
-	}
-}
-
-// wantStaged returns the model of which a domain's waiting servers should have
-// one more: the one that completes the most of a lacking group first.
-func (planner *planner) wantStaged(domain *Domain) string {
-	best, bestScore := "", -1.0
-	for _, demand := range planner.byNeed() {
-		staged := domain.staged(demand.Name) + domain.Loading[demand.Name]
-		score := 0.0
-		if domain.Groups[demand.Name] > 0 && staged == 0 {
-			score += float64(demand.Size)
-		}
-		if demand.share() < 1 && staged < demand.Size && len(domain.Spares)+domain.Loading[demand.Name] >= demand.Size {
-			score += 1 + float64(staged)
-		}
-		score += 1 / float64(1+staged)
-		if score > bestScore {
-			best, bestScore = demand.Name, score
-		}
-	}
-	return best
-}
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -131,6 +131,9 @@
 // partition may refuse too.
 func (former *Former) end(term int64, group Group, dead []string) {
 	if former.headLeaves(term, group, dead) {
+		former.mu.Lock()
+		former.left[group.Name] = true
+		former.mu.Unlock()
 		former.Announce(News{Change: Lost, Group: group})
 		former.Announce(News{Change: Released, Group: group})
 		return
@@ -264,11 +267,21 @@
 // finish its streams, which take a second or two.
 const unlistedFinish = 3 * time.Second
 
-// lend ends a small group whose server completes a large one.
-func (former *Former) lend(term int64, step Step) {
-	former.Counts.Lent.Add(1)
-	former.Logger.Info("former: a group lends its servers.", "Group", step.Group.Name, "From", step.Group.Model, "To", step.Model)
-	former.drain(term, step.Group)
+// lendOne ends a group whose servers complete one of another model, unless another
+// is being ended: what the first one changes is seen before a second goes.
+func (former *Former) lendOne(term int64, step Step) {
+	if former.lending.Swap(true) {
+		return
+	}
+	begun := former.begin(step.Group.Name, func() {
+		defer former.lending.Store(false)
+		former.Counts.Lent.Add(1)
+		former.Logger.Info("former: a group lends its servers.", "Group", step.Group.Name, "From", step.Group.Model, "To", step.Model)
+		former.drain(term, step.Group)
+	})
+	if !begun {
+		former.lending.Store(false)
+	}
 }
 
 // awaitClosed waits until a closing head has finished what it has.
--- /dev/null
+++ b/internal/fleet/formation/work.go
@@ -0,0 +1,84 @@
+package formation
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// demandTrust is how much the work seen weighs beside the stated shares.
+	demandTrust = 0.7
+	// seenOver is the time over which the work seen is averaged. A plan that
+	// followed every swing of some seconds would end groups for it, and have them
+	// back when the swing is over: with the first second's calls alone, five of six
+	// large groups were ended for small ones.
+	seenOver = 10 * time.Second
+	// saturated is the part of a model's places that is taken when calls are being
+	// turned away: what is taken then is less than what was asked for.
+	saturated = 0.85
+	// leastSeen is how many servers' worth of calls say something about shares.
+	leastSeen = 1.0
+)
+
+// sight is the part of a service's work that each model has had on average, as of
+// a time.
+type sight struct {
+	shares map[string]float64
+	at     time.Duration
+}
+
+// shares returns the part of the servers that each model should have: what the
+// operator states at first, corrected by the work that is seen.
+//
+// Calls that are refused can't be seen, so a model whose places are all taken, or
+// that has none, is never thought to need less than before: after losses fewer
+// groups would seem to need fewer.
+func (former *Former) shares(service Service) map[string]float64 {
+	stated := map[string]float64{}
+	sum := 0.0
+	for _, model := range service.Engine.Models {
+		sum += model.Share
+	}
+	for _, model := range service.Engine.Models {
+		stated[model.Name] = model.Share / max(sum, 1e-9)
+	}
+	seen := former.average(service, stated)
+	shares := map[string]float64{}
+	for _, model := range service.Engine.Models {
+		shares[model.Name] = (1-demandTrust)*stated[model.Name] + demandTrust*seen[model.Name]
+	}
+	return shares
+}
+
+// average averages the shares of the work that is under way.
+func (former *Former) average(service Service, stated map[string]float64) map[string]float64 {
+	now := former.Now()
+	former.mu.Lock()
+	defer former.mu.Unlock()
+	held, known := former.seen[service.Name]
+	if !known {
+		held = sight{shares: stated, at: now}
+	}
+	work := map[string]float64{}
+	sum := 0.0
+	full := map[string]bool{}
+	for _, model := range service.Engine.Models {
+		taken, places := former.Load(service.Name, model.Name)
+		work[model.Name] = float64(taken*model.Size) / float64(max(1, service.Engine.Slots))
+		full[model.Name] = float64(taken) >= saturated*float64(places)
+		sum += work[model.Name]
+	}
+	weight := 1 - math.Exp(-float64(now-held.at)/float64(seenOver))
+	next := sight{shares: map[string]float64{}, at: now}
+	for name, share := range held.shares {
+		next.shares[name] = share
+		if sum < leastSeen {
+			continue
+		}
+		if seen := work[name] / sum; seen > share || !full[name] {
+			next.shares[name] = share + weight*(seen-share)
+		}
+	}
+	former.seen[service.Name] = next
+	return next.shares
+}
