--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -144,10 +144,10 @@
 	defer former.mu.Unlock()
 	now := former.Now()
 	byName := map[string]*Domain{}
-	inNews := membersInNews(former.View.fresh(servers.ReadAt))
+	inNews := membersInNews(former.View.fresh(servers))
 	usable := 0
 	for _, server := range servers.ByService[service.Name] {
-		if server.Draining || former.lost[server.ID] > now {
+		if server.Draining || server.FabricDomain == "" || former.lost[server.ID].holds(server, now) {
 			continue
 		}
 		usable++
@@ -160,7 +160,7 @@
 			byName[server.FabricDomain] = domain
 		}
 		domain.Servers++
-		if !former.freeLocked(server, inNews) || former.settling[server.ID] > now {
+		if !former.freeLocked(server, inNews) || former.settling[server.ID].holds(server, now) {
 			continue
 		}
 		if model := former.staging[server.ID]; model != "" {
@@ -248,7 +248,7 @@
 	for _, group := range former.forming {
 		count(&group)
 	}
-	for _, group := range former.View.fresh(servers.ReadAt) {
+	for _, group := range former.View.fresh(servers) {
 		count(&group)
 	}
 	for _, group := range listed {
@@ -270,10 +270,10 @@
 func (former *Former) soonLocked(servers []*roster.Server, members, inNews map[string]bool, byName map[string]*Domain) {
 	now := former.Now()
 	for _, server := range servers {
-		if server.Draining || former.lost[server.ID] > now || members[server.ID] || former.busy[server.ID] != "" {
+		if byName[server.FabricDomain] == nil || server.Draining || former.lost[server.ID].holds(server, now) || members[server.ID] || former.busy[server.ID] != "" {
 			continue
 		}
-		if !former.freeLocked(server, inNews) || former.settling[server.ID] > now {
+		if !former.freeLocked(server, inNews) || former.settling[server.ID].holds(server, now) {
 			byName[server.FabricDomain].Soon[former.ran[server.ID]]++
 		}
 	}
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -235,24 +235,25 @@
 	}
 	switch result {
 	case Begun:
-		former.awaitStaged(id, func(server *roster.Server) bool { return server.HasStaged(model) })
+		former.awaitStaged(server, func(server *roster.Server) bool { return server.HasStaged(model) })
 	case Conflict:
 		// It is loading by an order of whoever gave them before. Asked again in
 		// each round it would refuse each time.
 		former.Sleep(conflictPause)
-		former.awaitStaged(id, func(server *roster.Server) bool { return len(server.Staged) > 0 })
+		former.awaitStaged(server, func(server *roster.Server) bool { return len(server.Staged) > 0 })
 	}
 }
 
 // conflictPause is how long a server that refused to load is not told again.
 const conflictPause = 2 * time.Second
 
-// awaitStaged waits until the list shows what is wanted on the server's host.
-func (former *Former) awaitStaged(id string, enough func(server *roster.Server) bool) {
+// awaitStaged waits until the list shows what is wanted on the server's host. A
+// server that started again meanwhile has given up what it was loading.
+func (former *Former) awaitStaged(server *roster.Server, enough func(server *roster.Server) bool) {
 	deadline := former.Now() + joinMost
 	for former.Now() < deadline && former.Sleep(nextLook) {
-		server, ok := former.Servers().Servers[id]
-		if !ok || enough(server) {
+		listed, ok := former.Servers().Servers[server.ID]
+		if !ok || listed.Born != server.Born || enough(listed) {
 			return
 		}
 	}
--- a/internal/fleet/formation/formation.go
+++ b/internal/fleet/formation/formation.go
@@ -122,6 +122,8 @@
 
 // Report is what a server says of itself when asked.
 type Report struct {
+	// Born is as in roster.Server.
+	Born  int64
 	Group roster.Membership
 	Model string
 	// Staged are the models on the server's host.
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -53,7 +53,8 @@
 }
 
 func newNode(name string, world *backends.World, now clock.Now) *node {
-	created := &node{name: name, world: world, view: formation.NewView(now), list: roster.New()}
+	created := &node{name: name, world: world, list: roster.New()}
+	created.view = formation.NewView(now, formation.Servers(created.list.Load))
 	logger := slog.New(slog.DiscardHandler)
 	if os.Getenv("HAZELSLIP_LOG") != "" {
 		logger = slog.New(slog.NewTextHandler(os.Stdout, nil))
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -73,10 +73,10 @@
 	busy    map[string]string
 	staging map[string]string
 	// lost are servers that didn't answer, up to when they are left alone.
-	lost map[string]time.Duration
+	lost map[string]mark
 	// settling are servers whose reports were behind, up to when they are left
 	// alone.
-	settling map[string]time.Duration
+	settling map[string]mark
 	// forming are the groups in the making.
 	forming map[string]Group
 	// working are the groups that are being examined, ended or opened.
@@ -95,7 +95,8 @@
 	// left are the groups whose heads this node saw leave them.
 	left map[string]bool
 	// ran is the model that each listed server ran last, as far as the list showed
-	// it since this node started; listed is the list that it was read from.
+	// it since this node and the server started; listed is the list that it was read
+	// from.
 	ran    map[string]string
 	listed *roster.Snapshot
 	// seen is the work of each service and model, averaged.
@@ -127,7 +128,7 @@
 func New(parts Parts) *Former {
 	former := &Former{
 		Part: lifecycle.New("former"), Parts: parts,
-		busy: map[string]string{}, staging: map[string]string{}, lost: map[string]time.Duration{}, settling: map[string]time.Duration{}, forming: map[string]Group{},
+		busy: map[string]string{}, staging: map[string]string{}, lost: map[string]mark{}, settling: map[string]mark{}, forming: map[string]Group{},
 		working: map[string]bool{}, told: map[string]time.Duration{}, examined: map[string]time.Duration{}, since: map[string]time.Duration{},
 		whole: map[string]Group{}, seen: map[string]sight{}, ran: map[string]string{}, left: map[string]bool{}, planned: map[string]map[string]int{},
 	}
@@ -197,17 +198,18 @@
 	if former.listed == servers {
 		return
 	}
-	former.listed = servers
 	ran := make(map[string]string, len(servers.Servers))
 	for id, server := range servers.Servers {
 		switch server.Group.State {
 		case roster.Ready, roster.Open, roster.Closing:
 			ran[id] = server.Model
-		default:
+			continue
+		}
+		if former.listed == nil || former.listed.Servers[id] == nil || former.listed.Servers[id].Born == server.Born {
 			ran[id] = former.ran[id]
 		}
 	}
-	former.ran = ran
+	former.listed, former.ran = servers, ran
 }
 
 // remember notes the members of complete groups, and forgets the groups that
@@ -388,16 +390,34 @@
 }
 
 func (former *Former) markLost(id string) {
-	former.mu.Lock()
-	defer former.mu.Unlock()
-	former.lost[id] = former.Now() + lostFor
+	former.mark(former.lost, id, lostFor)
 }
 
 // settle leaves a server alone whose report is behind.
 func (former *Former) settle(id string) {
+	former.mark(former.settling, id, settleFor)
+}
+
+// mark is until when a server is left alone, and in which run of its process: one
+// that started again since has nothing to do with what was seen of it.
+type mark struct {
+	until time.Duration
+	born  int64
+}
+
+func (former *Former) mark(marks map[string]mark, id string, span time.Duration) {
+	made := mark{until: former.Now() + span}
+	if server, ok := former.Servers().Servers[id]; ok {
+		made.born = server.Born
+	}
 	former.mu.Lock()
 	defer former.mu.Unlock()
-	former.settling[id] = former.Now() + settleFor
+	marks[id] = made
+}
+
+// holds says whether a mark holds for a server as it is listed now.
+func (mark mark) holds(server *roster.Server, now time.Duration) bool {
+	return mark.until > now && mark.born == server.Born
 }
 
 // State is the former's part of the state dump.
@@ -419,8 +439,8 @@
 	for _, group := range former.forming {
 		state.Forming = append(state.Forming, group)
 	}
-	for id, until := range former.lost {
-		if until > former.Now() {
+	for id, mark := range former.lost {
+		if mark.until > former.Now() {
 			state.Lost = append(state.Lost, id)
 		}
 	}
--- a/internal/fleet/formation/view.go
+++ b/internal/fleet/formation/view.go
@@ -47,20 +47,62 @@
 type heard struct {
 	News
 	at time.Duration
+	// born is when each member started, as the list showed it when the news came.
+	born map[string]int64
 }
 
 // View is what a node knows of groups.
 type View struct {
 	now clock.Now
+	// servers returns the list of servers, nil where there is none.
+	servers func() *roster.Snapshot
 
 	mu     sync.Mutex
 	opened map[string]heard
 	ended  map[string]heard
 }
 
+// ViewOption changes how a View is built.
+type ViewOption func(*View)
+
+// Servers lets the view see when the members of a group started.
+func Servers(list func() *roster.Snapshot) ViewOption {
+	return func(view *View) { view.servers = list }
+}
+
 // NewView returns a view without news.
-func NewView(now clock.Now) *View {
-	return &View{now: now, opened: map[string]heard{}, ended: map[string]heard{}}
+func NewView(now clock.Now, options ...ViewOption) *View {
+	view := &View{now: now, opened: map[string]heard{}, ended: map[string]heard{}}
+	for _, option := range options {
+		option(view)
+	}
+	return view
+}
+
+// births is when the members of a group started, as the list shows it now.
+func (view *View) births(group *Group) map[string]int64 {
+	if view.servers == nil {
+		return nil
+	}
+	servers := view.servers().Servers
+	born := make(map[string]int64, len(group.Members))
+	for _, id := range group.Members {
+		if server, ok := servers[id]; ok {
+			born[id] = server.Born
+		}
+	}
+	return born
+}
+
+// stands says whether no member started again since the group was opened: under
+// its ID it is listed as before, and knows nothing of the group.
+func (held *heard) stands(servers *roster.Snapshot) bool {
+	for id, born := range held.born {
+		if server, ok := servers.Servers[id]; ok && server.Born != born {
+			return false
+		}
+	}
+	return true
 }
 
 // stages puts the changes of a group in order.
@@ -80,7 +122,7 @@
 		return false
 	}
 	if news.Change == Opened {
-		view.opened[name] = heard{News: news, at: view.now()}
+		view.opened[name] = heard{News: news, at: view.now(), born: view.births(&news.Group)}
 		return true
 	}
 	view.ended[name] = heard{News: news, at: view.now()}
@@ -227,7 +269,7 @@
 		seen[listed.Name] = true
 		serving = append(serving, listed.Group)
 	}
-	for _, group := range view.fresh(servers.ReadAt) {
+	for _, group := range view.fresh(servers) {
 		if !seen[group.Name] && plausible(&group, servers) {
 			serving = append(serving, group)
 		}
@@ -235,17 +277,19 @@
 	return serving
 }
 
-// fresh returns the groups that count as serving by news, beside a list that
-// was read at the given time.
-func (view *View) fresh(listRead time.Duration) []Group {
+// fresh returns the groups that count as serving by news, beside a list.
+func (view *View) fresh(servers *roster.Snapshot) []Group {
 	view.mu.Lock()
 	defer view.mu.Unlock()
 	groups := []Group{}
 	for name, held := range view.opened {
-		if listRead-held.at > openedTrust {
+		if servers.ReadAt-held.at > openedTrust {
 			delete(view.opened, name)
 			continue
 		}
+		if !held.stands(servers) {
+			continue
+		}
 		groups = append(groups, held.Group)
 	}
 	sort.Slice(groups, func(i, j int) bool { return groups[i].Name < groups[j].Name })
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -44,7 +44,11 @@
 
 // Server is one backend server in one run of its process.
 type Server struct {
-	ID         string
+	ID string
+	// Born is when the process started, in Unix milliseconds by the server's own
+	// clock, 0 where that isn't told. A server that starts again under its ID
+	// knows nothing of before.
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,7 +37,9 @@
 // Spec describes a target for Update.
 type Spec struct {
 	// ID is the server's ID, the head's for a group.
-	ID         string
+	ID string
+	// Born tells one run of the server's process from the next.
+	Born       int64
 	Address    string
 	DataCentre string
 	// Group is empty for a plain server.
@@ -83,6 +86,9 @@
 	avoidUntil atomic.Int64
 	// lost says that the group was found to have lost a member.
 	lost atomic.Bool
+	// former says that the target is in no pool any more. How a former run of a
+	// server ended its calls says nothing of the one under the same ID.
+	former atomic.Bool
 	// ends is how this node's calls ended; the peers' are in hundredths.
 	ends          record
 	peersFailed   atomic.Int64
@@ -153,9 +159,10 @@
 }
 
 // loadKey tells one group's calls from those of the next group with the same
-// head: what was seen of the one says nothing of the other.
+// head, and those of one run of a server from the next: what was seen of the one
+// says nothing of the other.
 func loadKey(spec Spec) string {
-	return spec.ID + "/" + spec.Group
+	return spec.ID + "/" + spec.Group + "/" + strconv.FormatInt(spec.Born, 10)
 }
 
 // Update replaces the pools. Targets that are gone are kept while calls are
@@ -169,6 +176,7 @@
 		filled := &pool{}
 		for _, spec := range specs {
 			target := &Target{Spec: spec, load: board.load(loadKey(spec))}
+			target.former.Store(false)
 			listed[loadKey(spec)] = target
 			filled.targets = append(filled.targets, target)
 		}
@@ -177,6 +185,7 @@
 	}
 	for key, target := range board.known {
 		if listed[key] == nil && board.stays(target) {
+			target.former.Store(true)
 			listed[key] = target
 			next.all = append(next.all, target)
 		}
@@ -248,6 +257,9 @@
 	shares := map[string]Share{}
 	now := board.now()
 	for _, target := range board.layout.Load().all {
+		if target.Group == "" && target.former.Load() {
+			continue
+		}
 		failed, answered := target.ends.read(now)
 		share := Share{
 			Calls: int(target.mine.Load()), Unread: int(target.unread.Load()),
--- a/internal/policy/dispatch/risk_test.go
+++ b/internal/policy/dispatch/risk_test.go
@@ -98,3 +98,26 @@
 		expect.Expect(drawn).To(gomega.HaveKey("a"))
 	})
 }
+
+// A plain server failed all its calls and was started again under its ID. What was
+// learnt of its former run kept calls off it for seconds after it was well.
+func TestServerThatStartedAgainHasACleanRecord(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Minute
+	board := dispatch.New(dispatch.Clock(func() time.Duration { return now }), dispatch.Random(func(int) int { return 0 }))
+	pools := func(born int64) map[string][]dispatch.Spec {
+		return map[string][]dispatch.Spec{"p": {{ID: "a", Slots: 6, Born: born}, {ID: "b", Slots: 6, Born: 1}}}
+	}
+	board.Update(pools(1))
+	for range 20 {
+		target, verdict := board.Pick("p", dispatch.Wish{Exclude: []string{"b"}})
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Chosen))
+		target.Note(true)
+	}
+	target, _ := board.Pick("p", dispatch.Wish{})
+	expect.Expect(target.ID).To(gomega.Equal("b"))
+	board.Update(pools(2))
+	target, _ = board.Pick("p", dispatch.Wish{})
+	expect.Expect(target.ID).To(gomega.Equal("a"))
+	expect.Expect(board.Shares()).NotTo(gomega.HaveKey("a"))
+}
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -153,7 +153,7 @@
 	for _, option := range options {
 		option(node)
 	}
-	node.view = formation.NewView(node.now)
+	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
 	node.board = dispatch.New(dispatch.Clock(node.now))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -66,7 +66,7 @@
 	for _, server := range servers {
 		if !server.Draining {
 			specs = append(specs, dispatch.Spec{
-				ID: server.ID, Address: server.Address, DataCentre: server.DataCentre, Slots: server.Slots,
+				ID: server.ID, Born: server.Born, Address: server.Address, DataCentre: server.DataCentre, Slots: server.Slots,
 				PerCall: plainPerCall, Turnover: plainPerCall,
 			})
 		}
@@ -85,7 +85,7 @@
 			continue
 		}
 		return dispatch.Spec{
-			ID: head.ID, Address: head.Address, DataCentre: head.DataCentre, Group: group.Name,
+			ID: head.ID, Born: head.Born, Address: head.Address, DataCentre: head.DataCentre, Group: group.Name,
 			Slots: service.Engine.Slots, Pass: passTime(service.Engine, model),
 			PerToken: perToken(service.Engine, model), PerCall: perCall(service.Engine, model),
 			Turnover: turnover(service.Engine, model),
--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -51,8 +51,10 @@
 	// unlisted says that the registry doesn't show it, although it lives.
 	unlisted bool
 	// cut are the callers that can't reach it.
-	cut       map[string]bool
-	faults    Faults
+	cut    map[string]bool
+	faults Faults
+	// born is the millisecond at which the process started.
+	born      int64
 	orders    int64
 	term      int64
 	epoch     int64
@@ -130,6 +132,19 @@
 	world.servers[id].dead = true
 }
 
+// Restart ends a server's process and starts it again under its ID: it is in no
+// group, has taken no order and seen no term. What lies on its host stays.
+func (world *World) Restart(id string) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	found := world.servers[id]
+	world.settle(found)
+	world.servers[id] = &server{
+		id: id, domain: found.domain, dataCentre: found.dataCentre, cut: found.cut, staged: found.staged,
+		born: found.born + 1 + world.now().Milliseconds(),
+	}
+}
+
 // Drain makes a server announce that it is leaving.
 func (world *World) Drain(id string) {
 	world.mu.Lock()
@@ -267,7 +282,7 @@
 
 func (found *server) report() formation.Report {
 	return formation.Report{
-		Group: found.membership(), Model: found.group.model, Staged: append([]string{}, found.staged...),
+		Born: found.born, Group: found.membership(), Model: found.group.model, Staged: append([]string{}, found.staged...),
 		Orders: found.orders, Busy: found.group.state == roster.Joining || found.loading != "", Pace: 1,
 	}
 }
@@ -505,7 +520,7 @@
 		}
 		world.settle(found)
 		list = append(list, &roster.Server{
-			ID: found.id, Service: service, Address: found.id + ":1", DataCentre: found.dataCentre,
+			ID: found.id, Born: found.born, Service: service, Address: found.id + ":1", DataCentre: found.dataCentre,
 			Slots: world.engine.Slots, Draining: found.draining, FabricDomain: found.domain,
 			Staged: append([]string{}, found.staged...), Model: found.group.model, Group: found.membership(),
 		})
