refactor(formation): the planner in four files, one type for a domain and its layout

Change: domain.go (what the planner sees), layout.go (what domains should hold), plan.go (steps), loads.go (which loads help), memory.go (what the former remembers of servers); the designer's site serves the planner too; members that have a model beside their work are called prepared.

Measured: no behaviour changed; the package's tests pass.

--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -111,7 +111,7 @@
 			has, planned := domain.has(demand.Name), domain.Planned[demand.Name]
 			asPlanned = asPlanned && has == planned
 			line += fmt.Sprintf(", %s %d/%d (%d have it, %d load it, %d soon, %d beside)", demand.Name, has, planned,
-				domain.staged(demand.Name), domain.Loading[demand.Name], domain.Soon[demand.Name], domain.shadows(demand))
+				domain.staged(demand.Name), domain.Loading[demand.Name], domain.Soon[demand.Name], domain.prepared(demand))
 		}
 		if !asPlanned && len(lines) < domainsTold {
 			lines = append(lines, line)
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -189,45 +189,6 @@
 	clear(former.seen)
 }
 
-// rememberModels notes which model each server runs, for when it has left its
-// group: the list shows a model only while it is in one, and a server starts the
-// model that it ran last soonest, whatever lies on its host by then.
-func (former *Former) rememberModels(servers *roster.Snapshot) {
-	former.mu.Lock()
-	defer former.mu.Unlock()
-	if former.listed == servers {
-		return
-	}
-	ran := make(map[string]string, len(servers.Servers))
-	for id, server := range servers.Servers {
-		switch server.Group.State {
-		case roster.Ready, roster.Open, roster.Closing:
-			ran[id] = server.Model
-			continue
-		}
-		if former.listed == nil || former.listed.Servers[id] == nil || former.listed.Servers[id].Born == server.Born {
-			ran[id] = former.ran[id]
-		}
-	}
-	former.listed, former.ran = servers, ran
-}
-
-// remember notes the members of complete groups, and forgets the groups that
-// the list doesn't show any more.
-func (former *Former) remember(listed []*Listed) {
-	former.mu.Lock()
-	defer former.mu.Unlock()
-	whole := make(map[string]Group, len(listed))
-	for _, group := range listed {
-		if group.Complete() {
-			whole[group.Name] = group.Group
-		} else if held, ok := former.whole[group.Name]; ok {
-			whole[group.Name] = held
-		}
-	}
-	former.whole = whole
-}
-
 // look starts what one listed group needs.
 func (former *Former) look(term int64, group *Listed) {
 	if former.View.Free(group.Name) || former.isBusy(group) {
@@ -389,37 +350,6 @@
 	}
 }
 
-func (former *Former) markLost(id string) {
-	former.mark(former.lost, id, lostFor)
-}
-
-// settle leaves a server alone whose report is behind.
-func (former *Former) settle(id string) {
-	former.mark(former.settling, id, settleFor)
-}
-
-// mark is until when a server is left alone, and in which run of its process: one
-// that started again since has nothing to do with what was seen of it.
-type mark struct {
-	until time.Duration
-	born  int64
-}
-
-func (former *Former) mark(marks map[string]mark, id string, span time.Duration) {
-	made := mark{until: former.Now() + span}
-	if server, ok := former.Servers().Servers[id]; ok {
-		made.born = server.Born
-	}
-	former.mu.Lock()
-	defer former.mu.Unlock()
-	marks[id] = made
-}
-
-// holds says whether a mark holds for a server as it is listed now.
-func (mark mark) holds(server *roster.Server, now time.Duration) bool {
-	return mark.until > now && mark.born == server.Born
-}
-
 // State is the former's part of the state dump.
 type State struct {
 	Term    int64
--- a/internal/fleet/formation/layout.go
+++ b/internal/fleet/formation/layout.go
@@ -48,9 +48,9 @@
 	cheap bool
 }
 
-// site is a domain, as the designer sees it.
+// site is a domain with the layouts that it has, can have and should have.
 type site struct {
-	domain  *Domain
+	*Domain
 	servers int
 	now     layout
 	ready   []int
@@ -173,12 +173,12 @@
 }
 
 func newSite(domain *Domain, demands []Demand) *site {
-	site := &site{domain: domain, now: make(layout, len(demands)), ready: make([]int, len(demands))}
+	site := &site{Domain: domain, now: make(layout, len(demands)), ready: make([]int, len(demands))}
 	counted := len(domain.Spares)
 	for model := range demands {
 		name, size := demands[model].Name, demands[model].Size
 		site.now[model] = domain.has(name)
-		site.ready[model] = domain.staged(name) + domain.Loading[name] + domain.Soon[name] + domain.shadows(&demands[model])
+		site.ready[model] = domain.staged(name) + domain.Loading[name] + domain.Soon[name] + domain.prepared(&demands[model])
 		counted += site.now[model]*size + domain.Loading[name]
 	}
 	site.servers = domain.Servers
@@ -196,9 +196,9 @@
 func (site *site) planned(demands []Demand) layout {
 	before := make(layout, len(demands))
 	for model := range demands {
-		before[model] = site.domain.Planned[demands[model].Name]
+		before[model] = site.Planned[demands[model].Name]
 	}
-	if len(site.domain.Planned) == 0 || before.servers(demands) > site.servers {
+	if len(site.Planned) == 0 || before.servers(demands) > site.servers {
 		return site.now
 	}
 	return before
@@ -335,26 +335,3 @@
 
 // usualLoad is what a load takes where nothing says how long, in seconds.
 const usualLoad = 15
-
-// standing counts the groups of a model that serve and that nothing is being done
-// to.
-func (domain *Domain) standing(model string) int {
-	count := 0
-	for number := range domain.Serving {
-		if domain.Serving[number].Group.Model == model {
-			count++
-		}
-	}
-	return count
-}
-
-// shadows counts the members of other models' groups that have a model staged.
-func (domain *Domain) shadows(demand *Demand) int {
-	count := 0
-	for number := range domain.Serving {
-		if domain.Serving[number].Group.Model != demand.Name {
-			count += domain.Serving[number].shadows(demand.Name)
-		}
-	}
-	return count
-}
