fix(formation): only a first start is quiet, loads about the first request count

A node that starts again has seen no request either: with loads unbound before the first request, the node that takes over after a restart of all could order as many as there are servers at once, beyond the weight store's bound. And the node that gives orders hears of the first request a tenth of a second late.

Change: settings tell whether the whole deployment starts for the first time; loads before the first request are bound over 0.4 s, and those of the last 0.4 s count when it has come. A group that another node had only closed is finished, not cut, when that node is gone.

Ruled out: asking peers whether they have seen requests (after a restart of all, none has).

The other tests pass. Not measured: worth.

--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -125,12 +125,11 @@
 // and the others wait their turn here.
 func (former *Former) mayLoad(service Service, step *Step, quiet bool) bool {
 	atOnce := max(1, service.Engine.LoadsAtOnce)
-	if quiet {
-		former.gate.begin(step.Loads)
-		return true
-	}
 	window := former.Bounds.LoadWindow
 	most := int(service.Engine.LoadsPerSecond * window.Seconds() * former.Bounds.LoadBurst * loadsUsed)
+	if quiet {
+		return former.gate.begin(step.Loads, most)
+	}
 	if !step.Urgent {
 		atOnce = max(1, int(float64(atOnce)*spareLoads))
 	}
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -199,7 +199,7 @@
 		// Whoever was ending it is gone. Opened again it would hold its servers and
 		// serve nobody, since no node sends calls to a group that has ended.
 		if former.lasts(group.Name, listLag) {
-			former.begin(group.Name, func() { former.end(term, group.Group, nil) })
+			former.begin(group.Name, func() { former.finish(term, group.Group) })
 		}
 	case group.HeadState() == roster.Broken:
 		former.begin(group.Name, func() { former.end(term, group.Group, nil) })
--- a/internal/fleet/formation/gate.go
+++ b/internal/fleet/formation/gate.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -25,11 +26,36 @@
 	gate.held = false
 }
 
-// begin counts loads for which there is no bound: while nothing was asked of the
-// fleet yet, each takes a tenth of its time, however many run.
-func (gate *gate) begin(loads int) {
+// quietLag is how long after the first request a node may still believe that there
+// was none: nodes tell each other ten times a second.
+const quietLag = 400 * time.Millisecond
+
+// begin counts loads before the first request, or reports false when so many have
+// begun just now that, if the first request has come meanwhile, they would break
+// the bound on loads. However many run, each takes a tenth of its time.
+func (gate *gate) begin(loads, most int) bool {
 	gate.mu.Lock()
 	defer gate.mu.Unlock()
+	gate.held = true
+	gate.started = gate.within(quietLag)
+	if len(gate.started)+loads > most && len(gate.started) > 0 {
+		return false
+	}
+	gate.note(loads)
+	return true
+}
+
+// within returns the loads that began within a span.
+func (gate *gate) within(span time.Duration) []time.Duration {
+	now := gate.now()
+	return slices.DeleteFunc(gate.started, func(at time.Duration) bool { return now-at >= span })
+}
+
+func (gate *gate) note(loads int) {
+	now := gate.now()
+	for range loads {
+		gate.started = append(gate.started, now)
+	}
 	gate.running += loads
 }
 
@@ -50,20 +76,11 @@
 			gate.started = append(gate.started, now)
 		}
 	}
-	kept := gate.started[:0]
-	for _, at := range gate.started {
-		if now-at < window {
-			kept = append(kept, at)
-		}
-	}
-	gate.started = kept
-	if len(kept)+loads > most || !gate.fits(loads, atOnce) {
+	gate.started = gate.within(window)
+	if len(gate.started)+loads > most || !gate.fits(loads, atOnce) {
 		return false
 	}
-	for range loads {
-		gate.started = append(gate.started, now)
-	}
-	gate.running += loads
+	gate.note(loads)
 	return true
 }
 
--- a/internal/fleet/formation/gate_test.go
+++ b/internal/fleet/formation/gate_test.go
@@ -29,11 +29,35 @@
 // Before the first request loads take a tenth of their time, however many run. Held
 // to what the weight store serves at once, groups and their spares were not ready
 // when traffic came.
-func TestLoadsAreNotBoundBeforeTheFirstRequest(t *testing.T) {
+func TestManyLoadsRunBeforeTheFirstRequest(t *testing.T) {
 	expect := gomega.NewWithT(t)
-	former := New(Parts{Now: func() time.Duration { return time.Hour }, Bounds: Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1}})
+	now := time.Hour
+	former := New(Parts{Now: func() time.Duration { return now }, Bounds: Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1}})
 	service := Service{Name: "s", Engine: testEngine(8)}
-	for range 66 {
-		expect.Expect(former.mayLoad(service, &Step{Stage: true, Loads: 1}, true)).To(gomega.BeTrue())
+	begun := 0
+	for range 20 {
+		for former.mayLoad(service, &Step{Stage: true, Loads: 1}, true) {
+			begun++
+		}
+		now += 100 * time.Millisecond
+	}
+	expect.Expect(begun).To(gomega.BeNumerically(">=", 66))
+}
+
+// The node that gives orders hears of the first request a tenth of a second late,
+// and has ordered loads meanwhile. They count by then, with those that follow.
+func TestLoadsAboutTheFirstRequestStayWithinTheBound(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Hour
+	former := New(Parts{Now: func() time.Duration { return now }, Bounds: Bounds{LoadWindow: 5 * time.Second, LoadBurst: 1.1}})
+	service := Service{Name: "s", Engine: testEngine(100)}
+	begun := 0
+	for step := range 40 {
+		quiet := step < 3
+		for former.mayLoad(service, &Step{Stage: true, Loads: 1, Urgent: true}, quiet) {
+			begun++
+		}
+		now += 100 * time.Millisecond
 	}
+	expect.Expect(begun).To(gomega.BeNumerically("<=", 27))
 }
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -234,6 +234,16 @@
 	former.end(term, group, nil)
 }
 
+// finish ends a group that another node was ending. One that was only closed may
+// still be at its streams.
+func (former *Former) finish(term int64, group Group) {
+	if former.View.Retired(group.Name) {
+		former.drain(term, group)
+		return
+	}
+	former.end(term, group, nil)
+}
+
 // retire ends a group of which the list doesn't show all members. Where those
 // that it shows are there, the others may be cut off from the registry alone and
 // serve: ended at once, all streams of a dozen groups moved in the same second,
--- a/internal/fleet/formation/view.go
+++ b/internal/fleet/formation/view.go
@@ -138,6 +138,13 @@
 	return ended
 }
 
+// Retired says whether the group finishes what it has, as far as is known.
+func (view *View) Retired(group string) bool {
+	view.mu.Lock()
+	defer view.mu.Unlock()
+	return view.ended[group].Change == Retired
+}
+
 // Free says whether members of the group may join others.
 func (view *View) Free(group string) bool {
 	view.mu.Lock()
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -178,7 +178,9 @@
 	return formation.Parts{
 		Fleet: node.platform.Fleet, View: node.view, Servers: node.servers.Load, Services: node.engineServices,
 		Term: node.keeper.Term, Outdated: node.outdated, Announce: node.announce, Load: node.modelLoad,
-		Quiet: func() bool { return node.forwarder.Counts.Requests.Load() == 0 && !node.peers.busy() },
+		Quiet: func() bool {
+			return node.settings.FirstStart && node.forwarder.Counts.Requests.Load() == 0 && !node.peers.busy()
+		},
 		Bounds: formation.Bounds{
 			Stall: node.settings.Bounds.Stall, LoadWindow: node.settings.Bounds.LoadWindow, LoadBurst: node.settings.Bounds.LoadBurst,
 		},
--- a/internal/run/gateway/settings.go
+++ b/internal/run/gateway/settings.go
@@ -10,6 +10,10 @@
 	Listen     Listen
 	// Seeds are peer addresses to begin with when the store does not answer.
 	Seeds []string
+	// FirstStart says that the whole deployment starts for the first time, so that
+	// nothing was asked of it before. A node that starts again has seen no request
+	// either, and must not take that for it.
+	FirstStart bool
 	// Store is the address of the platform's store.
 	Store  string
 	Bounds Bounds
