--- a/internal/fleet/formation/memory.go
+++ b/internal/fleet/formation/memory.go
@@ -1,6 +1,7 @@
 package formation
 
 import (
+	"maps"
 	"time"
 
 	"hazelslip/internal/fleet/roster"
@@ -16,7 +17,9 @@
 		return
 	}
 	ran := make(map[string]string, len(servers.Servers))
+	inList := map[string]bool{}
 	for id, server := range servers.Servers {
+		inList[server.Group.Name] = true
 		switch server.Group.State {
 		case roster.Ready, roster.Open, roster.Closing:
 			ran[id] = server.Model
@@ -27,6 +30,17 @@
 		}
 	}
 	former.listed, former.ran = servers, ran
+	former.forgetLocked(inList)
+}
+
+// forgetLocked drops marks that have passed and groups that the list doesn't show
+// any more, so that neither grows with the servers and groups of a process's life.
+func (former *Former) forgetLocked(inList map[string]bool) {
+	now := former.Now()
+	passed := func(_ string, mark mark) bool { return mark.until <= now }
+	maps.DeleteFunc(former.lost, passed)
+	maps.DeleteFunc(former.settling, passed)
+	maps.DeleteFunc(former.left, func(group string, _ bool) bool { return !inList[group] })
 }
 
 // remember notes the members of complete groups, and forgets the groups that
