--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 BIN := bin
 
-.PHONY: setup build test lint format generate bench trial soak fuzz capacity ci
+.PHONY: setup build test lint format generate bench trial soak fuzz ci
 
 setup: ## Download the modules and build the project's tools.
 	go mod download
@@ -28,9 +28,6 @@
 ci: ## What CI runs.
 	bash .ci/run
 
-capacity: build ## Measure what control costs; write docs/CAPACITY.md.
-	$(BIN)/hazelslip capacity --write docs/CAPACITY.md
-
 bench: ## Benchmarks; compare the figures of one run only.
 	go test -run '^$$' -bench . -benchtime 2s ./internal/policy/route ./internal/run/node
 	go test -run '^$$' -bench . -benchtime 1x ./internal/policy/repair
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -47,7 +47,6 @@
 	Booking       bookingCommand       `cmd:"" help:"Look at calls that may not be repeated."`
 	State         stateCommand         `cmd:"" help:"Dump the state of a node."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file."`
-	Capacity      capacityCommand      `cmd:"" hidden:"" help:"Measure what control costs and write docs/CAPACITY.md."`
 	Trial         trialCommand         `cmd:"" hidden:"" help:"Measure targets under surges and faults beside simpler rules."`
 	Load          loadCommand          `cmd:"" help:"Send a mix of requests and measure the answers."`
 }
