feat(forward): a request's fingerprint, and a line for each server that ends under one

Cause: when servers end one after the other, the logs can't tell whether one request that comes again is to blame or many lie under the ends by chance: a line names the attempt, not what was asked, and ends that a request survives aren't named.

Change: policy/quarantine has the fingerprint; forward logs it and each server that ends under a call. No decision changes.

--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -90,6 +90,7 @@
 	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	if err != nil {
 		exchange.ran()
+		exchange.noteEnd(leg, err)
 		exchange.cause = "the answer of " + target.ID + " broke off: " + err.Error()
 		exchange.exclude = append(exchange.exclude, target.ID)
 		return nil
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -8,6 +8,7 @@
 
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/state/configuration"
 )
@@ -22,6 +23,8 @@
 	route     *configuration.Route
 	service   string
 	workspace string
+	// fingerprint tells what was asked; it is known once the body was read.
+	fingerprint quarantine.Fingerprint
 	// priority ranks the request by its route or workspace.
 	priority int
 	// late says that the caller has asked before, and that the answer can't be
@@ -180,6 +183,10 @@
 		return false
 	}
 	exchange.request.Body = body
+	exchange.fingerprint = quarantine.Of(quarantine.Asked{
+		Workspace: exchange.workspace, Method: exchange.request.Method, Host: exchange.request.Host,
+		Target: exchange.request.Target, Body: body,
+	})
 	return true
 }
 
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,6 +26,8 @@
 	// when it has taken too long.
 	forget   func() bool
 	patience *time.Timer
+	// sent is when the call was begun.
+	sent time.Duration
 }
 
 // end gives the connection back. The ender lets go of it first: the connection
@@ -82,7 +87,7 @@
 	call := exchange.newCall(target)
 	exchange.attempts++
 	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
-	leg := &leg{target: target, ender: &ender{}}
+	leg := &leg{target: target, ender: &ender{}, sent: exchange.forwarder.Now()}
 	leg.use = target.Begin(exchange.request.PromptTokens, leg.ender.end)
 	leg.patience = time.AfterFunc(within, leg.ender.end)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
@@ -103,6 +108,7 @@
 	exchange.arrivals++
 	exchange.ran()
 	exchange.note(leg, true)
+	exchange.noteEnd(leg, err)
 	return leg
 }
 
@@ -114,6 +120,25 @@
 	leg.target.Note(failed)
 }
 
+// noteEnd tells of a server that seems to have ended while it had the call.
+func (exchange *exchange) noteEnd(leg *leg, err error) {
+	if exchange.gone() || !serverEnded(leg, err) {
+		return
+	}
+	exchange.forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server ended under a request.",
+		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
+		slog.String("Server", leg.target.ID), slog.String("Group", leg.target.Group), slog.Int("Attempt", exchange.attempts),
+		slog.Bool("StoodStill", leg.use.Moved()), slog.Int64("EventsUpTo", exchange.request.After),
+		slog.Int64("SentMillisecondsAgo", (exchange.forwarder.Now()-leg.sent).Milliseconds()), slog.String("Cause", err.Error()))
+}
+
+// serverEnded says whether a call broke off in a way that the end of its server does:
+// the connection was closed or reset, or the group lost a member and stood still. A
+// call that this node ended, or that took too long, says nothing of its server.
+func serverEnded(leg *leg, err error) bool {
+	return leg.use.Moved() || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
+
 // ran notes that a server may have run the request.
 func (exchange *exchange) ran() {
 	exchange.mayHaveRun = true
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -67,6 +67,7 @@
 		slog.String("RequestID", exchange.request.ID), slog.String("Route", summary.Route),
 		slog.String("Workspace", exchange.workspace), slog.Int("Status", status),
 		slog.String("Outcome", string(exchange.outcome)), slog.String("Cause", exchange.cause),
+		slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Attempts", exchange.attempts), slog.Bool("MayHaveRun", exchange.mayHaveRun),
 		slog.String("Server", exchange.last.server), slog.String("Group", exchange.last.group), slog.Int("Taken", exchange.last.taken),
 		slog.Int64("ConfigurationVersion", exchange.snapshotVersion()),
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -97,6 +97,7 @@
 		return true
 	}
 	exchange.ran()
+	exchange.noteEnd(leg, err)
 	exchange.cause = "the stream of " + target.ID + " broke off: " + err.Error()
 	if leg.use.Moved() {
 		exchange.cause = "group " + target.Group + " stood still"
@@ -111,6 +112,9 @@
 	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	exchange.exclude = append(exchange.exclude, leg.target.ID)
 	exchange.cause = "server " + leg.target.ID + " answered " + strconv.Itoa(leg.Status)
+	if err != nil {
+		exchange.noteEnd(leg, err)
+	}
 	if err != nil || exchange.begun {
 		exchange.ran()
 		return false
