test(standin): a request that ends each server is sent on for ever

Cause: nothing remembers a request beyond its own attempt. The node repeats it at a second server, the caller comes again at any node, and each time a server ends.

--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -47,7 +47,10 @@
 type server struct {
 	id, domain, dataCentre string
 	dead                   bool
-	draining               bool
+	// ended says that the process ended, of which its connections tell, where a dead
+	// one falls silent.
+	ended    bool
+	draining bool
 	// unlisted says that the registry doesn't show it, although it lives.
 	unlisted bool
 	// cut are the callers that can't reach it.
@@ -132,6 +135,22 @@
 	world.servers[id].dead = true
 }
 
+// End ends a server's process, which breaks its connections off, and starts it again
+// after a while.
+func (world *World) End(id string, down time.Duration) {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	world.servers[id].dead, world.servers[id].ended = true, true
+	time.AfterFunc(down, func() { world.Restart(id) })
+}
+
+// Members returns the servers of the group that a server is in, the head first.
+func (world *World) Members(id string) []string {
+	world.mu.Lock()
+	defer world.mu.Unlock()
+	return slices.Clone(world.servers[id].group.members)
+}
+
 // Restart ends a server's process and starts it again under its ID: it is in no
 // group, has taken no order and seen no term. What lies on its host stays.
 func (world *World) Restart(id string) {
@@ -500,9 +519,12 @@
 	world.mu.Lock()
 	defer world.mu.Unlock()
 	found, ok := world.servers[id]
-	if !ok || found.dead {
+	if !ok || (found.dead && !found.ended) {
 		return Gone
 	}
+	if found.ended {
+		return Shut
+	}
 	world.settle(found)
 	group := &found.group
 	switch {
