feat(quarantine): a request under which three servers ended is sent to none any more

Cause: nothing remembered a request beyond its attempt, so one that ends each server that runs it was repeated by nodes and sent again by its caller for ever.

Change: policy/quarantine remembers under which requests servers ended, by what was asked (workspace, method, host, path, body). From the third end on the request is refused at once (503, not run; Retry-After is what is left of ten minutes), calls that still wait at servers are ended. Ends count by runs of servers, not by calls. A whole answer anywhere lifts suspicion; a request answered at a node within 30 s isn't suspected there. Nodes tell each other over the tree (leaves from the second end on), roots keep what has two ends in the store, or one while some nodes aren't heard. Operators see Suspects in /state, lift (DELETE) and refuse (PUT) at /quarantine/FINGERPRINT.

Ruled out: a bound on repeats by the budget (a caller's return is a new request to it); refusing at the second end (a stream that goes on elsewhere in a wave of losses soon breaks off again); an entry a call (twenty calls at one server are one end).

--- a/internal/fleet/overlay/roots.go
+++ b/internal/fleet/overlay/roots.go
@@ -22,17 +22,35 @@
 		return
 	}
 	now := overlay.Now()
+	linked := overlay.linked()
+	for dataCentre := range byDataCentre(overlay.members(true)) {
+		if overlay.due(dataCentre, linked[dataCentre], now) {
+			overlay.Go(func() { overlay.meetOne(dataCentre) })
+		}
+	}
+}
+
+// linked are the data centres that this root has a link to, and its own.
+func (overlay *Overlay) linked() map[string]bool {
 	linked := map[string]bool{overlay.Self.DataCentre: true}
 	for _, link := range overlay.Links() {
 		if link.Purpose == frame.Purpose_Root {
 			linked[link.Remote.DataCentre] = true
 		}
 	}
+	return linked
+}
+
+// Apart says whether there is a data centre that this root knows nodes of and has no
+// link to.
+func (overlay *Overlay) Apart() bool {
+	linked := overlay.linked()
 	for dataCentre := range byDataCentre(overlay.members(true)) {
-		if overlay.due(dataCentre, linked[dataCentre], now) {
-			overlay.Go(func() { overlay.meetOne(dataCentre) })
+		if !linked[dataCentre] {
+			return true
 		}
 	}
+	return false
 }
 
 // due says whether this root should connect to a data centre now, and notes that
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -20,7 +20,7 @@
 //	board := dispatch.New(dispatch.Clock(clock.Boot))
 //	board.Update(pools)
 //	target, verdict := board.Pick("draft/large", dispatch.Wish{})
-//	use := target.Begin(cancel)
+//	use := target.Begin(promptTokens, tag, cancel)
 //	defer use.End()
 package dispatch
 
@@ -102,11 +102,15 @@
 
 // Use is one call at a target. End must be called once.
 type Use struct {
-	load    *load
-	sent    time.Duration
-	tokens  int64
+	load   *load
+	sent   time.Duration
+	tokens int64
+	// tag tells what the call asks.
+	tag     uint64
 	running atomic.Bool
 	moved   atomic.Bool
+	// withdrawn says that the call was ended for what it asks.
+	withdrawn atomic.Bool
 	// end stops the call from another goroutine.
 	end func()
 }
@@ -319,10 +323,15 @@
 	return int(target.mine.Load() + target.peers.Load())
 }
 
-// Begin counts a call with a prompt of so many tokens. The function given ends
-// it from another goroutine.
-func (target *Target) Begin(tokens int, end func()) *Use {
-	use := &Use{load: target.load, sent: target.now(), tokens: int64(tokens), end: end}
+// Run names the run of the server, in its group, that the target stands for.
+func (target *Target) Run() string {
+	return loadKey(target.Spec)
+}
+
+// Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
+// function given ends it from another goroutine.
+func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
+	use := &Use{load: target.load, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.mine.Add(1)
@@ -363,6 +372,35 @@
 	return use.moved.Load()
 }
 
+// Withdrawn says whether the call was ended for what it asks.
+func (use *Use) Withdrawn() bool {
+	return use.withdrawn.Load()
+}
+
+// Withdraw ends the calls with a tag of which nothing has come yet, and returns how
+// many there were. They may still wait at their servers, which then never run them.
+func (board *Board) Withdraw(tag uint64) int {
+	ended := 0
+	for _, target := range board.layout.Load().all {
+		ended += target.withdraw(tag)
+	}
+	return ended
+}
+
+func (load *load) withdraw(tag uint64) int {
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	ended := 0
+	for use := range load.uses {
+		if use.tag == tag && !use.running.Load() {
+			use.withdrawn.Store(true)
+			use.end()
+			ended++
+		}
+	}
+	return ended
+}
+
 // Avoid keeps new calls off the target for a while, after it failed one.
 func (target *Target) Avoid(span time.Duration) {
 	target.avoidUntil.Store(int64(target.now() + span))
--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -31,7 +31,7 @@
 // fill begins calls whose prompts were read.
 func fill(board *dispatch.Board, target *dispatch.Target, calls int) {
 	for range calls {
-		use := target.Begin(1000, func() {})
+		use := target.Begin(1000, 0, func() {})
 		use.Event()
 	}
 	_ = board
@@ -56,7 +56,7 @@
 			chosen, _ := board.Pick(pool, dispatch.Wish{DataCentre: "north"})
 			expect.Expect(chosen.ID).To(gomega.Equal("a"))
 		}
-		target.Begin(2500, func() {})
+		target.Begin(2500, 0, func() {})
 		chosen, _ := board.Pick(pool, dispatch.Wish{DataCentre: "north"})
 		expect.Expect(chosen.ID).To(gomega.Equal("b"))
 	})
@@ -80,7 +80,7 @@
 		sent := map[string]int{}
 		for range 12 {
 			target := pick(board)
-			target.Begin(1400, func() {})
+			target.Begin(1400, 0, func() {})
 			sent[target.ID]++
 		}
 		expect.Expect(sent["c"]).To(gomega.BeNumerically("<=", 6))
@@ -126,7 +126,7 @@
 		board := newBoard(head("a"), head("b"))
 		target := pick(board)
 		moved := false
-		use := target.Begin(100, func() { moved = true })
+		use := target.Begin(100, 0, func() { moved = true })
 		use.Event()
 		time.Sleep(200 * time.Millisecond)
 		expect.Expect(board.Watch()).To(gomega.BeEmpty())
@@ -153,7 +153,7 @@
 		board := newBoard(head("a"), head("b"))
 		target := pick(board)
 		moved := false
-		use := target.Begin(100, func() { moved = true })
+		use := target.Begin(100, 0, func() { moved = true })
 		time.Sleep(1200 * time.Millisecond)
 		expect.Expect(board.Watch()).To(gomega.HaveLen(1))
 		expect.Expect(moved).To(gomega.BeFalse())
@@ -172,7 +172,7 @@
 		expect := gomega.NewWithT(t)
 		board := newBoard(head("a"))
 		ended := 0
-		use := pick(board).Begin(100, func() { ended++ })
+		use := pick(board).Begin(100, 0, func() { ended++ })
 		expect.Expect(board.Lose("g-a")).To(gomega.Equal(1))
 		expect.Expect(board.Lose("g-a")).To(gomega.BeZero())
 		expect.Expect(ended).To(gomega.Equal(1))
@@ -191,7 +191,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
 		board := newBoard(head("a"))
-		use := pick(board).Begin(700, func() {})
+		use := pick(board).Begin(700, 0, func() {})
 		board.Update(map[string][]dispatch.Spec{pool: {head("a"), head("b")}})
 		expect.Expect(board.Shares()).To(gomega.Equal(map[string]dispatch.Share{"a": {Calls: 1, Unread: 700}}))
 		use.Event()
@@ -212,7 +212,7 @@
 		board := newBoard(head("a"))
 		target := pick(board)
 		ended := 0
-		use := target.Begin(1000, func() { ended++ })
+		use := target.Begin(1000, 0, func() { ended++ })
 		use.Event()
 		board.Update(map[string][]dispatch.Spec{})
 		time.Sleep(2 * time.Second)
@@ -233,7 +233,7 @@
 		board := newBoard(head("a"))
 		target := pick(board)
 		ended := 0
-		target.Begin(1000, func() { ended++ })
+		target.Begin(1000, 0, func() { ended++ })
 		board.Update(map[string][]dispatch.Spec{})
 		expect.Expect(board.Lose("g-a")).To(gomega.Equal(1))
 		expect.Expect(ended).To(gomega.Equal(1))
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -1,6 +1,409 @@
-// Package quarantine knows requests again by what they ask.
+// Package quarantine decides which requests are sent to no server any more, because
+// servers end that run them.
+//
+// A request that ends each server that begins to run it comes again: the node that has
+// it repeats it, and its caller returns, at any node. Nothing in one attempt tells it
+// from a request whose server died of something else, so a List remembers under which
+// requests servers ended, by what was asked, and refuses one under which several did.
+//
+// A server that dies takes all requests with it that it has under way, of which at most
+// one is to blame. What tells the others: they are answered whole at last, as a request
+// that ends its servers never is. One whole answer, wherever it was given, lifts all
+// suspicion. That is also what frees a request that many callers send alike, as when
+// they ask for the state of something: some of them are always answered.
+//
+// Nodes tell each other what their lists hold. Ends add up and are told as often as
+// anybody likes: what counts is under how many runs of servers, not how many
+// calls broke off.
 //
 // # Usage
 //
+//	list := quarantine.New()
 //	fingerprint := quarantine.Of(quarantine.Asked{Workspace: workspace, Method: method, Target: target, Body: body})
+//	if verdict, refused := list.Refuses(fingerprint); refused { ... }
+//	list.Ended(fingerprint, "i-1/g7/0")
+//	list.Served(fingerprint)
 package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hazelslip/internal/common/clock"
+)
+
+const (
+	// endsMost is under how many ends of servers a request is refused. One is chance,
+	// and so is a second in a wave of losses, in which a stream that goes on elsewhere
+	// soon breaks off again; a third is rare even there, and each costs a group.
+	endsMost = 3
+	// remembered is for how long an end counts. Who sends such a request comes back after
+	// seconds or minutes; after this a fault that was mended meanwhile holds nobody up.
+	remembered = 10 * time.Minute
+	// liftRemembered is for how long it is remembered that suspicion was lifted: ends
+	// that are told late don't raise it again.
+	liftRemembered = 30 * time.Second
+	// sameLift is how far apart nodes may note one and the same lift.
+	sameLift = time.Second
+	// entriesMost bounds the list: at some 200 bytes each, under half a megabyte. A wave
+	// of losses brings some hundred innocent requests, most of which are served
+	// within seconds.
+	entriesMost = 2048
+	// endsKept bounds the ends of one request.
+	endsKept = 8
+	// servedFor is for how long an answered request is known as harmless, and servedMost
+	// how many are kept, by their fingerprints' last bits, sixteen bytes each. Where all
+	// callers of a fleet sent the same body and three groups lost their heads within a
+	// tenth of a second, 9 of 167 were refused without it, and none with it (three
+	// nodes in virtual time).
+	servedFor  = 30 * time.Second
+	servedMost = 1024
+)
+
+// End is a server that ended while it had a request.
+type End struct {
+	// Run names one run of the server, in one group.
+	Run string
+	At  time.Duration
+}
+
+// Suspect is what is known of one request.
+type Suspect struct {
+	Fingerprint Fingerprint
+	// Ends are those that count, the oldest first.
+	Ends []End
+	// LiftedAt is when suspicion was last lifted, 0 for never. Ends up to then don't count.
+	LiftedAt time.Duration
+	// Peak is the most ends that counted at a time, as far as this node knew: who was
+	// told of that many must hear that suspicion was lifted.
+	Peak int
+}
+
+// Verdict is why a request is refused.
+type Verdict struct {
+	Ends []End
+	// Left is for how long it will be, if nothing more happens.
+	Left time.Duration
+}
+
+// entry is a Suspect and how often it has changed here.
+type entry struct {
+	Suspect
+	version uint64
+}
+
+func (entry *entry) lastEnd() time.Duration {
+	if len(entry.Ends) == 0 {
+		return 0
+	}
+	return entry.Ends[len(entry.Ends)-1].At
+}
+
+// List is the requests under which servers ended, as far as this node knows.
+type List struct {
+	now        clock.Now
+	endsMost   int
+	remembered time.Duration
+
+	// known and refused count entries, so that a node on which no server ended
+	// spends nothing on a request.
+	known   atomic.Int32
+	refused atomic.Int32
+
+	servedMu sync.Mutex
+	served   [servedMost]served
+
+	mu      sync.Mutex
+	entries map[Fingerprint]*entry
+	version uint64
+}
+
+// served is a request that was answered whole.
+type served struct {
+	fingerprint Fingerprint
+	at          time.Duration
+}
+
+// Option changes how a List is built.
+type Option func(*List)
+
+// Clock sets the clock.
+func Clock(now clock.Now) Option {
+	return func(list *List) { list.now = now }
+}
+
+// Ends sets under how many ends of servers a request is refused.
+func Ends(most int) Option {
+	return func(list *List) { list.endsMost = most }
+}
+
+// Remembered sets for how long an end counts.
+func Remembered(span time.Duration) Option {
+	return func(list *List) { list.remembered = span }
+}
+
+// New returns an empty list.
+func New(options ...Option) *List {
+	list := &List{now: clock.Boot, endsMost: endsMost, remembered: remembered, entries: map[Fingerprint]*entry{}}
+	for _, option := range options {
+		option(list)
+	}
+	return list
+}
+
+// Ended notes that a run of a server ended under a request, and returns how many did.
+// News says that it wasn't known. A request that was answered here a moment ago is not
+// to blame.
+func (list *List) Ended(fingerprint Fingerprint, run string) (ends int, news bool) {
+	now := list.now()
+	if list.servedLately(fingerprint, now) {
+		return 0, false
+	}
+	news = list.Take(Suspect{Fingerprint: fingerprint, Ends: []End{{Run: run, At: now}}})
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	if held, known := list.entries[fingerprint]; known {
+		ends = len(held.Ends)
+	}
+	return ends, news
+}
+
+// Served notes that a request was answered whole, which lifts suspicion. It says whether
+// there was any.
+func (list *List) Served(fingerprint Fingerprint) bool {
+	list.servedMu.Lock()
+	list.served[fingerprint%servedMost] = served{fingerprint: fingerprint, at: list.now()}
+	list.servedMu.Unlock()
+	if list.known.Load() == 0 {
+		return false
+	}
+	list.mu.Lock()
+	held, known := list.entries[fingerprint]
+	suspected := known && len(held.Ends) > 0 && !slices.ContainsFunc(held.Ends, byOperator)
+	list.mu.Unlock()
+	return suspected && list.Lift(fingerprint)
+}
+
+func (list *List) servedLately(fingerprint Fingerprint, now time.Duration) bool {
+	list.servedMu.Lock()
+	defer list.servedMu.Unlock()
+	held := list.served[fingerprint%servedMost]
+	return held.fingerprint == fingerprint && held.at > 0 && now-held.at < servedFor
+}
+
+// Lift ends all suspicion of a request, and says whether that is news.
+func (list *List) Lift(fingerprint Fingerprint) bool {
+	return list.Take(Suspect{Fingerprint: fingerprint, LiftedAt: list.now()})
+}
+
+// operatorRun begins the names of ends that an operator stated, of which no server
+// ended. An answer that was under way when the operator decided doesn't lift them.
+const operatorRun = "operator/"
+
+func byOperator(end End) bool {
+	return strings.HasPrefix(end.Run, operatorRun)
+}
+
+// Refuse makes a request be refused, as an operator decides, and says whether that is
+// news.
+func (list *List) Refuse(fingerprint Fingerprint) bool {
+	told := Suspect{Fingerprint: fingerprint}
+	for number := range list.endsMost {
+		told.Ends = append(told.Ends, End{Run: operatorRun + strconv.Itoa(number+1), At: list.now()})
+	}
+	return list.Take(told)
+}
+
+// Refuses says whether a request is refused, and why.
+func (list *List) Refuses(fingerprint Fingerprint) (Verdict, bool) {
+	if list.refused.Load() == 0 {
+		return Verdict{}, false
+	}
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	held, known := list.entries[fingerprint]
+	if !known || len(held.Ends) < list.endsMost {
+		return Verdict{}, false
+	}
+	left := held.lastEnd() + list.remembered - list.now()
+	return Verdict{Ends: slices.Clone(held.Ends), Left: left}, left > 0
+}
+
+// Take adds what another node knows of a request, and says whether any of it is news.
+func (list *List) Take(told Suspect) bool {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	defer list.countLocked()
+	held, known := list.entries[told.Fingerprint]
+	if !known {
+		held = &entry{Suspect: Suspect{Fingerprint: told.Fingerprint}}
+	}
+	news := told.LiftedAt > held.LiftedAt+sameLift || (told.LiftedAt > 0 && held.LiftedAt == 0)
+	held.LiftedAt = max(held.LiftedAt, told.LiftedAt)
+	for _, end := range told.Ends {
+		news = list.add(held, end) || news
+	}
+	held.Peak = max(held.Peak, len(held.Ends))
+	before := len(held.Ends)
+	held.Ends = slices.DeleteFunc(held.Ends, func(end End) bool { return end.At <= held.LiftedAt })
+	if !news && len(held.Ends) == before {
+		return false
+	}
+	list.version++
+	held.version = list.version
+	list.entries[told.Fingerprint] = held
+	list.boundLocked()
+	return true
+}
+
+// add adds an end to an entry unless it is known or counts no more.
+func (list *List) add(held *entry, end End) bool {
+	if end.At <= held.LiftedAt || list.now()-end.At > list.remembered {
+		return false
+	}
+	if slices.ContainsFunc(held.Ends, func(other End) bool { return other.Run == end.Run }) {
+		return false
+	}
+	held.Ends = append(held.Ends, end)
+	slices.SortFunc(held.Ends, func(one, other End) int {
+		return cmp.Or(cmp.Compare(one.At, other.At), cmp.Compare(one.Run, other.Run))
+	})
+	if len(held.Ends) > endsKept {
+		held.Ends = slices.Delete(held.Ends, 0, len(held.Ends)-endsKept)
+	}
+	return true
+}
+
+// boundLocked forgets the entry with the fewest ends, the oldest of them, when there are
+// too many: one that is refused goes last.
+func (list *List) boundLocked() {
+	if len(list.entries) <= entriesMost {
+		return
+	}
+	var least *entry
+	for _, held := range list.entries {
+		if least == nil || len(held.Ends) < len(least.Ends) || (len(held.Ends) == len(least.Ends) && held.version < least.version) {
+			least = held
+		}
+	}
+	delete(list.entries, least.Fingerprint)
+}
+
+func (list *List) countLocked() {
+	refused := int32(0)
+	for _, held := range list.entries {
+		if len(held.Ends) >= list.endsMost {
+			refused++
+		}
+	}
+	list.known.Store(int32(len(list.entries)))
+	list.refused.Store(refused)
+}
+
+// Sweep forgets what is too old to count.
+func (list *List) Sweep() {
+	if list.known.Load() == 0 {
+		return
+	}
+	now := list.now()
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	defer list.countLocked()
+	for fingerprint, held := range list.entries {
+		held.Ends = slices.DeleteFunc(held.Ends, func(end End) bool { return now-end.At > list.remembered })
+		if len(held.Ends) == 0 && now-held.LiftedAt > liftRemembered {
+			delete(list.entries, fingerprint)
+		}
+	}
+}
+
+// Suspect returns what is known of a request.
+func (list *List) Suspect(fingerprint Fingerprint) (Suspect, bool) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	held, known := list.entries[fingerprint]
+	if !known {
+		return Suspect{}, false
+	}
+	return held.copy(), true
+}
+
+func (entry *entry) copy() Suspect {
+	return Suspect{Fingerprint: entry.Fingerprint, Ends: slices.Clone(entry.Ends), LiftedAt: entry.LiftedAt, Peak: entry.Peak}
+}
+
+// Suspects returns the requests under which at least so many servers ended at a time,
+// those that changed last at the end, and the version of the list that they are of. Only
+// what changed after a version of this list is returned.
+func (list *List) Suspects(least int, after uint64) ([]Suspect, uint64) {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	found := []*entry{}
+	for _, held := range list.entries {
+		if held.version > after && held.Peak >= least {
+			found = append(found, held)
+		}
+	}
+	slices.SortFunc(found, func(one, other *entry) int { return cmp.Compare(one.version, other.version) })
+	suspects := make([]Suspect, 0, len(found))
+	for _, held := range found {
+		suspects = append(suspects, held.copy())
+	}
+	return suspects, list.version
+}
+
+// Fresh says whether a server ended within a span under a request under which at least
+// so many did.
+func (list *List) Fresh(least int, span time.Duration) bool {
+	if list.known.Load() == 0 {
+		return false
+	}
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	for _, held := range list.entries {
+		if len(held.Ends) >= least && list.now()-held.lastEnd() < span {
+			return true
+		}
+	}
+	return false
+}
+
+// State is a suspected request in the state dump.
+type State struct {
+	Fingerprint string
+	Refused     bool
+	// Ends are the runs of servers that ended under it.
+	Ends []string
+	// LastEndMilliseconds is how long ago the last of them ended.
+	LastEndMilliseconds int64
+}
+
+// State returns the requests under which at least one server ended and that were not
+// answered since, those with most ends first.
+func (list *List) State() []State {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	states := []State{}
+	for _, held := range list.entries {
+		if len(held.Ends) == 0 {
+			continue
+		}
+		state := State{
+			Fingerprint: held.Fingerprint.String(), Refused: len(held.Ends) >= list.endsMost,
+			LastEndMilliseconds: (list.now() - held.lastEnd()).Milliseconds(),
+		}
+		for _, end := range held.Ends {
+			state.Ends = append(state.Ends, end.Run)
+		}
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(one, other State) int {
+		return cmp.Or(cmp.Compare(len(other.Ends), len(one.Ends)), cmp.Compare(one.Fingerprint, other.Fingerprint))
+	})
+	return states
+}
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -67,7 +67,7 @@
 	told := &frame.Frame{
 		HighestTerm: node.keeper.Highest(), ConfigurationVersion: node.configuration.Load().Configuration.Version,
 		Fit: peers.fit(), StoreAway: node.storeAway.Load(), News: channel.news, SilentHeads: channel.silences,
-		Listing: peers.listing(channel),
+		Listing: peers.listing(channel), Suspects: peers.suspectsFor(channel),
 	}
 	channel.news, channel.silences = nil, nil
 	if held := peers.holder; held.term != 0 {
@@ -99,7 +99,7 @@
 	own := peers.node.board.Shares()
 	told := &frame.Frame{
 		Sequence: channel.reports.Add(own), Nodes: 1, Loads: loadsOf(own), SilentHeads: channel.silences,
-		ConfigurationVersion: peers.node.configuration.Load().Configuration.Version,
+		ConfigurationVersion: peers.node.configuration.Load().Configuration.Version, Suspects: peers.suspectsFor(channel),
 	}
 	channel.silences = nil
 	return told
@@ -107,7 +107,8 @@
 
 // leafFrame is what a leaf is told: what changed in the catalogue, and what all
 // nodes have at its rows. It is the same for all that know the same version; only
-// the number of the leaf's report that it includes differs, and stands behind it.
+// the number of the leaf's report that it includes differs, and suspects that it lacks.
+// They stand behind the rest.
 func (peers *peers) leafFrame(channel *channel) []byte {
 	now := peers.node.now()
 	held := peers.encoded
@@ -116,7 +117,7 @@
 		peers.encoded = held
 	}
 	channel.catalogueSent = held.to
-	included := peers.encode(&frame.Frame{Included: channel.sequence})
+	included := peers.encode(&frame.Frame{Included: channel.sequence, Suspects: peers.suspectsFor(channel)})
 	return append(append(make([]byte, 0, len(held.body)+2*len(included)), held.body...), included...)
 }
 
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -38,6 +38,7 @@
 	"hazelslip/internal/fleet/tree"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/serve/forward"
 	"hazelslip/internal/state/configuration"
@@ -79,6 +80,9 @@
 	pool          *backendserver.Pool
 	forwarder     *forward.Forwarder
 	peers         *peers
+	quarantine    *quarantine.List
+	// stored is used by the part that keeps it alone.
+	stored        storedSuspects
 	measures      *measures
 	services      atomic.Pointer[engineServices]
 	startedAt     time.Duration
@@ -158,6 +162,8 @@
 		option(node)
 	}
 	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
+	node.quarantine = quarantine.New(quarantine.Clock(node.now))
+	node.stored.held = map[quarantine.Fingerprint]struct{}{}
 	node.board = dispatch.New(dispatch.Clock(node.now))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
@@ -196,7 +202,7 @@
 	return forward.Parts{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Stopping: node.stopping.Load,
-		Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
+		Quarantine: node.quarantine, Suspected: node.suspected, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
 
@@ -246,6 +252,7 @@
 	node.EveryAs("watch", watchTick, node.watch)
 	node.EveryAs("tenure", tenureTick, node.lookTenure)
 	node.EveryAs("sweep", time.Second, node.sweep)
+	node.EveryAs("suspects", suspectsTick, node.syncSuspects)
 	node.former.Start()
 	servers := []*http.Server{node.caller, node.readiness, nil, node.operator}
 	for number, listener := range node.listeners {
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -10,6 +10,7 @@
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/serve/forward"
 )
@@ -32,6 +33,9 @@
 	Targets map[string][]dispatch.TargetState
 	Former  formation.State
 	Budgets map[string]retry.WindowState
+	// Suspects are the requests under which servers ended and that were not answered
+	// since, as far as this node knows.
+	Suspects []quarantine.State
 }
 
 // State returns the dump of the node's state.
@@ -43,6 +47,7 @@
 		ListAgeMilliseconds: node.listAge().Milliseconds(), Servers: len(servers.Servers),
 		Targets: node.board.State(), Former: node.former.State(),
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
+		Suspects: node.quarantine.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -87,6 +92,7 @@
 	formed, calls, links := &node.former.Counts, &node.pool.Counts, &node.peers.overlay.Counts
 	return map[string]uint64{
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
+		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
 		"GroupsLent": formed.Lent.Load(), "Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
@@ -118,5 +124,22 @@
 	router.GET("/state", func(writer http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
 		jsonhttp.Write(writer, node.State())
 	})
+	router.PUT("/quarantine/:fingerprint", node.changeQuarantine(node.quarantine.Refuse))
+	router.DELETE("/quarantine/:fingerprint", node.changeQuarantine(node.quarantine.Lift))
 	return router
 }
+
+// changeQuarantine serves an operator's decision on a request, which all nodes hear of.
+func (node *Node) changeQuarantine(change func(fingerprint quarantine.Fingerprint) bool) httprouter.Handle {
+	return func(writer http.ResponseWriter, request *http.Request, params httprouter.Params) {
+		fingerprint, err := quarantine.Parse(params.ByName("fingerprint"))
+		if err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		changed := change(fingerprint)
+		node.logger.Info("gateway: an operator decided on a request.", "Method", request.Method, "Fingerprint", fingerprint.String(), "Changed", changed)
+		node.suspected(fingerprint)
+		writer.WriteHeader(http.StatusNoContent)
+	}
+}
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -13,6 +13,7 @@
 	"hazelslip/internal/fleet/tally"
 	"hazelslip/internal/fleet/tenure"
 	"hazelslip/internal/fleet/tree"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/wire/frame"
 )
 
@@ -58,9 +59,11 @@
 	// what this node was told as a leaf.
 	catalogueSent uint64
 	copied        *catalogue.Copy
-	// news and silences are to be told with the next frame.
+	// news and silences are to be told with the next frame, and what is known of
+	// suspects.
 	news     []*frame.GroupNews
 	silences []*frame.SilentHead
+	suspects map[quarantine.Fingerprint]struct{}
 }
 
 // core says whether the link is one over which everything is told.
@@ -218,10 +221,11 @@
 	if known {
 		return held
 	}
-	held = &channel{link: link, shares: tally.Shares{}, copied: catalogue.NewCopy()}
+	held = &channel{link: link, shares: tally.Shares{}, copied: catalogue.NewCopy(), suspects: map[quarantine.Fingerprint]struct{}{}}
 	if core(link) {
 		held.news = peers.node.recentNews()
 	}
+	peers.addSuspects(held)
 	select {
 	case <-link.Done:
 		// A frame is being made for a link that has just ended.
--- a/internal/run/gateway/store.go
+++ b/internal/run/gateway/store.go
@@ -30,6 +30,10 @@
 	// Register makes a node's peer address known, Nodes returns those of all.
 	Register func(ctx context.Context, node Introduction) error
 	Nodes    func(ctx context.Context) ([]Introduction, error)
+	// Suspect writes what is known of requests under which servers ended, Suspects
+	// returns all that is kept.
+	Suspect  func(ctx context.Context, suspects []StoredSuspect) error
+	Suspects func(ctx context.Context) ([]StoredSuspect, error)
 }
 
 // Introduction is what a node says of itself in the store.
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -25,6 +25,7 @@
 		peers.takeReport(link, received)
 	}
 	peers.takeSilences(link, received.SilentHeads)
+	peers.takeSuspects(link, received.Suspects)
 }
 
 // takeReport takes what a leaf has under way.
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -251,8 +251,10 @@
 	node.peers.beat(node.keeper.Term())
 }
 
-// sweep closes idle connections to servers that take no calls any more.
+// sweep forgets suspects that count no more, and closes idle connections to servers that
+// take no calls any more.
 func (node *Node) sweep() {
+	node.quarantine.Sweep()
 	listed := map[string]bool{}
 	for _, pool := range node.board.State() {
 		for _, target := range pool {
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -43,7 +43,7 @@
 // before any of it is passed on, so that one that breaks off is never seen by
 // the caller and can be asked for again.
 func (exchange *exchange) call() {
-	for exchange.left() > leastLeft && !exchange.gone() && exchange.mayRepeat() {
+	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
 		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
 			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: plainBeyond,
 		})
@@ -103,6 +103,9 @@
 		exchange.fallback = found
 		return nil
 	}
+	if leg.Status < http.StatusInternalServerError {
+		exchange.noteServed(leg)
+	}
 	return found
 }
 
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -52,6 +52,8 @@
 	// outcome and cause tell why the request ended as it did.
 	outcome Outcome
 	cause   string
+	// again is after which time the caller should come again, 0 for the usual.
+	again time.Duration
 }
 
 // pace is how the events of a stream came, for the log.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -27,6 +27,7 @@
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/state/configuration"
 )
@@ -72,6 +73,10 @@
 	Stopping func() bool
 	// Ended is told of each request that ended.
 	Ended func(summary Summary)
+	// Quarantine knows which requests are sent to no server.
+	Quarantine *quarantine.List
+	// Suspected is told of a request of which the Quarantine learned something here.
+	Suspected func(fingerprint quarantine.Fingerprint)
 	// Failed is told of a server that refused or broke a call of a group.
 	Failed func(target *dispatch.Target, culprit string)
 	Logger *slog.Logger
@@ -82,6 +87,10 @@
 type Counts struct {
 	Requests atomic.Uint64
 	Repeats  atomic.Uint64
+	// Quarantined are the requests that were refused, or not tried again, since servers
+	// end that run them; ServerEnds the ends of servers under requests.
+	Quarantined atomic.Uint64
+	ServerEnds  atomic.Uint64
 }
 
 // Forwarder is an http.Handler.
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -88,7 +85,7 @@
 	exchange.attempts++
 	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
 	leg := &leg{target: target, ender: &ender{}, sent: exchange.forwarder.Now()}
-	leg.use = target.Begin(exchange.request.PromptTokens, leg.ender.end)
+	leg.use = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), leg.ender.end)
 	leg.patience = time.AfterFunc(within, leg.ender.end)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
 	call.Cancel = leg.ender.set
@@ -114,31 +111,12 @@
 
 // note tells how a call ended, unless that says nothing of its server.
 func (exchange *exchange) note(leg *leg, failed bool) {
-	if failed && (exchange.gone() || leg.use.Moved()) {
+	if failed && (exchange.gone() || leg.use.Moved() || leg.use.Withdrawn()) {
 		return
 	}
 	leg.target.Note(failed)
 }
 
-// noteEnd tells of a server that seems to have ended while it had the call.
-func (exchange *exchange) noteEnd(leg *leg, err error) {
-	if exchange.gone() || !serverEnded(leg, err) {
-		return
-	}
-	exchange.forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server ended under a request.",
-		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
-		slog.String("Server", leg.target.ID), slog.String("Group", leg.target.Group), slog.Int("Attempt", exchange.attempts),
-		slog.Bool("StoodStill", leg.use.Moved()), slog.Int64("EventsUpTo", exchange.request.After),
-		slog.Int64("SentMillisecondsAgo", (exchange.forwarder.Now()-leg.sent).Milliseconds()), slog.String("Cause", err.Error()))
-}
-
-// serverEnded says whether a call broke off in a way that the end of its server does:
-// the connection was closed or reset, or the group lost a member and stood still. A
-// call that this node ended, or that took too long, says nothing of its server.
-func serverEnded(leg *leg, err error) bool {
-	return leg.use.Moved() || errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
-}
-
 // ran notes that a server may have run the request.
 func (exchange *exchange) ran() {
 	exchange.mayHaveRun = true
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -30,6 +30,8 @@
 	MustNotRepeat Outcome = "MustNotRepeat"
 	AttemptsSpent Outcome = "AttemptsSpent"
 	BudgetSpent   Outcome = "BudgetSpent"
+	// Quarantined: servers ended that ran it, so that it is sent to none any more.
+	Quarantined Outcome = "Quarantined"
 	// TimeUp: the caller's deadline or the route's timeout has passed.
 	TimeUp     Outcome = "TimeUp"
 	CallerLeft Outcome = "CallerLeft"
--- a/internal/serve/forward/pick_test.go
+++ b/internal/serve/forward/pick_test.go
@@ -11,6 +11,7 @@
 
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/state/configuration"
 )
 
@@ -23,7 +24,7 @@
 	table := configuration.NewTable()
 	table.Offer(&configuration.Configuration{Version: 1, Services: []configuration.Service{{Name: "drafts", Engine: &configuration.Engine{}}}})
 	return &exchange{
-		forwarder: &Forwarder{Parts: Parts{Board: board, Now: now}}, inbound: httptest.NewRequest(http.MethodPost, "/", nil),
+		forwarder: &Forwarder{Parts: Parts{Board: board, Quarantine: quarantine.New(), Now: now}}, inbound: httptest.NewRequest(http.MethodPost, "/", nil),
 		request: &Request{Model: "large"}, snapshot: table.Load(), service: "drafts",
 		route: &configuration.Route{Target: 300 * time.Millisecond}, deadline: now() + 6*time.Second,
 	}, board
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -62,7 +63,7 @@
 		if exchange.outcome == "" {
 			exchange.outcome = TimeUp
 		}
-		exchange.refuse(exchange.outcome, retryNone, exchange.cause)
+		exchange.refuse(exchange.outcome, cmp.Or(exchange.again, retryNone), exchange.cause)
 	case exchange.left() <= leastLeft:
 		exchange.outcome = TimeUp
 		exchange.fail(http.StatusGatewayTimeout)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -27,12 +27,15 @@
 
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
-	for exchange.left() > leastLeft && !exchange.gone() && exchange.mayRepeat() {
+	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
 		beyond := streamBeyond
 		if exchange.mayHaveRun {
 			beyond = resumeBeyond
 		}
 		target, verdict := exchange.pick(beyond)
+		if exchange.quarantined() {
+			break
+		}
 		if verdict != dispatch.Chosen {
 			exchange.noTarget(verdict)
 			break
@@ -68,7 +71,7 @@
 			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond, Proven: exchange.mayHaveRun,
 		})
 		enough := verdict == dispatch.Chosen || (verdict == dispatch.None && !exchange.begun)
-		if enough || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() {
+		if enough || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
 			return target, verdict
 		}
 		time.Sleep(waitStep)
@@ -93,6 +96,7 @@
 	err := exchange.relay(leg)
 	exchange.note(leg, err != nil)
 	if err == nil {
+		exchange.noteServed(leg)
 		exchange.log(http.StatusOK)
 		return true
 	}
