--- a/scripts/platform-path.sh
+++ b/scripts/platform-path.sh
@@ -56,6 +56,24 @@
 status=$(curl -sS -o /dev/null -w '%{http_code}' -H 'Host: demo.example' -H 'Api-Key: guess' -H 'X-Hazelslip-Attempt-Id: c1' "$caller/book/1" -d 'x')
 [ "$status" = 401 ] || fail "an unknown key got $status"
 
+say "a request that ends each server is refused, at every node, and can be lifted"
+harm() {
+  ask -o /dev/null -w '%{http_code}' "$1/draft/1" -H "X-Hazelslip-Attempt-Id: $2" -H 'X-Hazelslip-Model-Id: small' \
+    -H 'X-Hazelslip-Token-Usage: 900,100' -d 'ends-server' 2>/dev/null || true
+}
+suspect() { curl -fsS "$operator/state" | tr -d ' \n' | grep -o '"Fingerprint":"[0-9a-f]*","Refused":true' | cut -d'"' -f4; }
+for try in $(seq 60); do
+  harm "$caller" "h-$try" >/dev/null
+  [ -z "$(suspect)" ] || break
+  [ "$try" != 60 ] || fail "a request that ends servers is not refused"
+  sleep 0.2
+done
+sleep 0.5
+status=$(harm "$second" h-second)
+[ "$status" = 503 ] || fail "the other node answered $status to a request that ends servers"
+curl -fsS -X DELETE "$operator/quarantine/$(suspect)" || fail "the suspicion can't be lifted"
+[ -z "$(suspect)" ] || fail "the suspicion was not lifted"
+
 say "metrics and state tell of them"
 curl -fsS "$operator/debug/vars" | grep -q '"Answered"' || fail "the metrics know no answered request"
 curl -fsS "$operator/state" | grep -Eq '"Group": ?"g' || fail "the state has no groups"
