fix(quarantine): a group that stood still counts once it has lost a member; ends are written at once

Change: such a call is doubted, and counts when the group is known to have lost a member; what changes is written to the store at once, and read every second.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -323,6 +323,11 @@
 	return int(target.mine.Load() + target.peers.Load())
 }
 
+// Lost says whether the target's group was found to have lost a member.
+func (target *Target) Lost() bool {
+	return target.lost.Load()
+}
+
 // Run names the run of the server, in its group, that the target stands for.
 func (target *Target) Run() string {
 	return loadKey(target.Spec)
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -80,6 +80,27 @@
 	})
 }
 
+// All groups of a slow data centre stand still for a moment, and are whole. A request that
+// was moved away from three of them must go on; once the third turns out to have lost a
+// member, that one counts.
+func TestGroupsThatOnlyStoodStillDoNotCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		list := newList()
+		for _, group := range []string{"g1", "g2", "g3"} {
+			list.Doubt(asked, group, "i/"+group)
+		}
+		_, known := list.Suspect(asked)
+		expect.Expect(known).To(gomega.BeFalse())
+		expect.Expect(list.Lost("g3")).To(gomega.Equal([]quarantine.Fingerprint{asked}))
+		expect.Expect(list.Lost("g3")).To(gomega.BeEmpty())
+		suspect, _ := list.Suspect(asked)
+		expect.Expect(suspect.Ends).To(gomega.HaveLen(1))
+		time.Sleep(7 * time.Second)
+		expect.Expect(list.Lost("g1")).To(gomega.BeEmpty())
+	})
+}
+
 // An operator refuses a request of which answers are under way. They must not lift it.
 func TestAnswersDoNotLiftAnOperatorsDecision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -88,6 +88,7 @@
 	startedAt     time.Duration
 	dirty         chan struct{}
 	looking       chan struct{}
+	suspectsNews  chan struct{}
 	stopping      atomic.Bool
 	reading       atomic.Bool
 	storeAway     atomic.Bool
@@ -154,7 +155,7 @@
 		Part: lifecycle.New("gateway"), Incarnation: rand.Uint64() | 1, settings: settings, platform: platform,
 		logger: slog.New(slog.DiscardHandler), now: clock.Boot, listen: listenTCP,
 		configuration: configuration.NewTable(), servers: roster.New(), budgets: map[string]*retry.Window{},
-		dirty: make(chan struct{}, 1), looking: make(chan struct{}, 1), measures: newMeasures(), relays: tree.Relays,
+		dirty: make(chan struct{}, 1), looking: make(chan struct{}, 1), suspectsNews: make(chan struct{}, 1), measures: newMeasures(), relays: tree.Relays,
 	}
 	node.services.Store(&engineServices{version: -1})
 	node.readAt.Store(int64(-never))
@@ -252,7 +253,7 @@
 	node.EveryAs("watch", watchTick, node.watch)
 	node.EveryAs("tenure", tenureTick, node.lookTenure)
 	node.EveryAs("sweep", time.Second, node.sweep)
-	node.EveryAs("suspects", suspectsTick, node.syncSuspects)
+	node.GoAs("suspects", node.followSuspects)
 	node.former.Start()
 	servers := []*http.Server{node.caller, node.readiness, nil, node.operator}
 	for number, listener := range node.listeners {
--- a/internal/run/gateway/suspects.go
+++ b/internal/run/gateway/suspects.go
@@ -19,8 +19,7 @@
 	storedEndsApart = 1
 	// suspectsTick is how often the store is looked at while suspects are fresh, and
 	// suspectsFresh for how long they are: longer than a caller takes to come again.
-	// One node's write and another's read take two ticks together, which is within what a
-	// fleet may take to know of a third end.
+	// What changes is written at once, and known to who reads it after a tick.
 	suspectsTick  = time.Second
 	suspectsFresh = 10 * time.Second
 	// suspectsAtOnce bounds what one frame tells of suspects: a node that has just
@@ -48,6 +47,26 @@
 func (node *Node) suspected(fingerprint quarantine.Fingerprint) {
 	node.peers.tellSuspect(fingerprint, nil)
 	node.withdraw(fingerprint)
+	select {
+	case node.suspectsNews <- struct{}{}:
+	default:
+	}
+}
+
+// followSuspects keeps the suspects in the store whenever something changed, and while
+// there is something to read.
+func (node *Node) followSuspects() {
+	ticker := time.NewTicker(suspectsTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-node.Stopping:
+			return
+		case <-node.suspectsNews:
+		case <-ticker.C:
+		}
+		node.syncSuspects()
+	}
 }
 
 // withdraw ends the calls that servers have not begun to run of a request that is
@@ -151,6 +170,8 @@
 	// the store was read since this node speaks for its data centre.
 	written uint64
 	read    bool
+	// readAt is when it was last tried.
+	readAt time.Duration
 	// held are the requests that the store has a record of.
 	held map[quarantine.Fingerprint]struct{}
 }
@@ -172,7 +193,9 @@
 	if duty {
 		node.writeSuspects(least)
 	}
-	if !node.stored.read || (duty && node.quarantine.Fresh(least, suspectsFresh)) {
+	due := node.now()-node.stored.readAt >= suspectsTick/2
+	if due && (!node.stored.read || (duty && node.quarantine.Fresh(least, suspectsFresh))) {
+		node.stored.readAt = node.now()
 		node.stored.read = node.readSuspects()
 	}
 }
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -228,8 +228,12 @@
 	node.changed()
 }
 
-// loseGroup moves the calls of a group that lost a member.
+// loseGroup moves the calls of a group that lost a member. Those that left it when it
+// stood still lie under an end of a server now.
 func (node *Node) loseGroup(group string) {
+	for _, fingerprint := range node.quarantine.Lost(group) {
+		node.suspected(fingerprint)
+	}
 	if moved := node.board.Lose(group); moved > 0 {
 		node.logger.Info("gateway: the calls of a lost group go on elsewhere.", "Group", group, "Calls", moved)
 	}
--- a/internal/serve/forward/suspect.go
+++ b/internal/serve/forward/suspect.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/quarantine"
 )
 
@@ -20,10 +21,7 @@
 	}
 	forwarder := exchange.forwarder
 	forwarder.Counts.ServerEnds.Add(1)
-	ends, news := forwarder.Quarantine.Ended(exchange.fingerprint, leg.target.Run())
-	if news {
-		forwarder.Suspected(exchange.fingerprint)
-	}
+	ends := exchange.suspect(leg.target, leg.use.Moved())
 	forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server ended under a request.",
 		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Ends", ends), slog.String("Server", leg.target.ID), slog.String("Group", leg.target.Group),
@@ -31,6 +29,21 @@
 		slog.Int64("SentMillisecondsAgo", (forwarder.Now()-leg.sent).Milliseconds()), slog.String("Cause", err.Error()))
 }
 
+// suspect notes that a target's server ended under the request, and returns how many did.
+// Of a group that only stood still that is to be confirmed.
+func (exchange *exchange) suspect(target *dispatch.Target, stoodStill bool) int {
+	list := exchange.forwarder.Quarantine
+	if stoodStill && !target.Lost() {
+		list.Doubt(exchange.fingerprint, target.Group, target.Run())
+		return 0
+	}
+	ends, news := list.Ended(exchange.fingerprint, target.Run())
+	if news {
+		exchange.forwarder.Suspected(exchange.fingerprint)
+	}
+	return ends
+}
+
 // serverEnded says whether a call broke off in a way that the end of its server does:
 // the connection was closed or reset, or the group lost a member and stood still. A
 // call that this node ended, or that took too long, says nothing of its server.
