feat(soak): the program as processes under faults, checked from both sides

Cause: promises were shown on nodes in one process and virtual time, never on processes that are stopped, paused and killed while what stands between them holds up, delays and resets.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 BIN := bin
 
-.PHONY: setup build test lint format generate bench trial soak fuzz ci
+.PHONY: setup build test lint format generate bench trial random soak fuzz ci
 
 setup: ## Download the modules and build the project's tools.
 	go mod download
@@ -36,10 +36,15 @@
 	$(BIN)/hazelslip trial
 
 ROUNDS ?= 200
-soak: ## Long random runs with a free seed, which is printed.
+random: ## Long random runs with a free seed, which is printed.
 	@seed=$$(od -An -N4 -tu4 /dev/urandom | tr -d ' '); echo "HAZELSLIP_SEED=$$seed"; \
 	HAZELSLIP_SEED=$$seed HAZELSLIP_ROUNDS=$(ROUNDS) go test -count=1 -timeout 2h -run 'Random' ./internal/state/booking ./internal/run/node ./platform/standin ./internal/fleet/formation
 
+SEEDS ?= 1
+SOAK_SEED = $(if $(filter command environment,$(firstword $(origin SEED))),$(SEED),$(shell od -An -N3 -tu4 /dev/urandom))
+soak: build ## Processes under faults; SEED=n plays a plan again, SEEDS=n so many, from that on.
+	$(BIN)/hazelslip soak --seed $(SOAK_SEED) --seeds $(SEEDS) --length 30s
+
 FUZZTIME ?= 30s
 FUZZ := ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
 	./internal/state/stream:FuzzFolds ./internal/state/booking:FuzzTicketIssuer ./internal/run/settings:FuzzParse \
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -13,8 +13,9 @@
 )
 
 type gatewayCommand struct {
-	Settings string `env:"HAZELSLIP_NODE_FILE" required:"" type:"path" help:"The platform's TOML file with the node's settings."`
-	LogLevel string `default:"info" enum:"debug,info,warn,error" help:"Least level of the logs: ${enum}."`
+	Settings      string `env:"HAZELSLIP_NODE_FILE" required:"" type:"path" help:"The platform's TOML file with the node's settings."`
+	AdvertisePeer string `placeholder:"HOST:PORT" help:"Where other nodes reach this one's peer port, if it isn't the address that it listens at."`
+	LogLevel      string `default:"info" enum:"debug,info,warn,error" help:"Least level of the logs: ${enum}."`
 }
 
 // Help gives an example.
@@ -39,6 +40,7 @@
 	if err != nil {
 		return exitWith(ExitUsage, err)
 	}
+	settings.Listen.PeerAdvertised = command.AdvertisePeer
 	debug.SetGCPercent(collectAt)
 	if settings.Limits.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(float64(settings.Limits.MemoryBytes) * memoryPart))
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -48,6 +48,7 @@
 	State         stateCommand         `cmd:"" help:"Dump the state of a node."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file."`
 	Trial         trialCommand         `cmd:"" hidden:"" help:"Measure targets under surges and faults beside simpler rules."`
+	Soak          soakCommand          `cmd:"" hidden:"" help:"Run processes under faults and check what is promised."`
 	Load          loadCommand          `cmd:"" help:"Send a mix of requests and measure the answers."`
 }
 
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -149,7 +149,7 @@
 		dial = node.dial
 	}
 	peers.overlay = overlay.New(listener, overlay.Parts{
-		Self:        tree.Member{Address: settings.Listen.Peer, DataCentre: settings.DataCentre, Capacity: settings.Limits.Processor},
+		Self:        tree.Member{Address: settings.Listen.advertised(), DataCentre: settings.DataCentre, Capacity: settings.Limits.Processor},
 		Incarnation: node.Incarnation, Seeds: settings.Seeds, FirstStart: settings.FirstStart, Relays: node.relays,
 		Register: peers.register, Known: peers.known,
 		Compose: peers.compose, Take: peers.take, Ended: peers.ended, Changed: peers.changed,
@@ -168,7 +168,7 @@
 func (peers *peers) register(ctx context.Context) error {
 	settings := &peers.node.settings
 	return peers.node.platform.Store.Register(ctx, Introduction{
-		Address: settings.Listen.Peer, DataCentre: settings.DataCentre, Capacity: settings.Limits.Processor,
+		Address: settings.Listen.advertised(), DataCentre: settings.DataCentre, Capacity: settings.Limits.Processor,
 	})
 }
 
--- a/internal/run/gateway/settings.go
+++ b/internal/run/gateway/settings.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings is what a gateway node is told of itself and its deployment.
 type Settings struct {
@@ -30,6 +33,14 @@
 	Operator string
 	// Peer is for other nodes.
 	Peer string
+	// PeerAdvertised is where other nodes reach Peer, where that is another address;
+	// empty for the same.
+	PeerAdvertised string
+}
+
+// advertised is where other nodes reach this one.
+func (listen *Listen) advertised() string {
+	return cmp.Or(listen.PeerAdvertised, listen.Peer)
 }
 
 // Limits bounds what the process may use.
--- a/internal/testlib/suite/suite.go
+++ b/internal/testlib/suite/suite.go
@@ -30,7 +30,7 @@
 }
 
 // RoundsVariable names the environment variable that sets how many random runs
-// a test makes, for `make soak`.
+// a test makes, for `make random`.
 const RoundsVariable = "HAZELSLIP_ROUNDS"
 
 // Rounds returns how many random runs to make.
