--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -100,21 +100,6 @@
 	uses map[*Use]struct{}
 }
 
-// Use is one call at a target. End must be called once.
-type Use struct {
-	load   *load
-	sent   time.Duration
-	tokens int64
-	// tag tells what the call asks.
-	tag     uint64
-	running atomic.Bool
-	moved   atomic.Bool
-	// withdrawn says that the call was ended for what it asks.
-	withdrawn atomic.Bool
-	// end stops the call from another goroutine.
-	end func()
-}
-
 // pool is the targets that can do the same work.
 type pool struct {
 	targets []*Target
@@ -225,73 +210,6 @@
 	return filled, ok
 }
 
-// Share is what one node has at a server: calls, and the prompt tokens of
-// those that have had no event; and how its calls there ended lately, in
-// hundredths of a call.
-type Share struct {
-	Calls    int
-	Unread   int
-	Failed   int
-	Answered int
-}
-
-// Plus is what two nodes have together.
-func (share Share) Plus(other Share) Share {
-	return Share{
-		Calls: share.Calls + other.Calls, Unread: share.Unread + other.Unread,
-		Failed: share.Failed + other.Failed, Answered: share.Answered + other.Answered,
-	}
-}
-
-// Minus is a sum without a part of it. No count goes below zero.
-func (share Share) Minus(part Share) Share {
-	return Share{
-		Calls: max(0, share.Calls-part.Calls), Unread: max(0, share.Unread-part.Unread),
-		Failed: max(0, share.Failed-part.Failed), Answered: max(0, share.Answered-part.Answered),
-	}
-}
-
-// WorthTelling is how many failures, in hundredths, make a server worth telling
-// of on which the node has no calls.
-const WorthTelling = 25
-
-// PeerLoads takes what all peers together have at each server.
-func (board *Board) PeerLoads(shares map[string]Share) {
-	board.PeerLoadsBy(func(target *Target) Share { return shares[target.ID] })
-}
-
-// PeerLoadsBy takes what all peers together have at each target, as the function
-// tells.
-func (board *Board) PeerLoadsBy(share func(target *Target) Share) {
-	for _, target := range board.layout.Load().all {
-		told := share(target)
-		target.peers.Store(int32(told.Calls))
-		target.peersUnread.Store(int64(told.Unread))
-		target.peersFailed.Store(int64(told.Failed))
-		target.peersAnswered.Store(int64(told.Answered))
-	}
-}
-
-// Shares returns what this node has at each server, for its peers.
-func (board *Board) Shares() map[string]Share {
-	shares := map[string]Share{}
-	now := board.now()
-	for _, target := range board.layout.Load().all {
-		if target.Group == "" && target.former.Load() {
-			continue
-		}
-		failed, answered := target.ends.read(now)
-		share := Share{
-			Calls: int(target.mine.Load()), Unread: int(target.unread.Load()),
-			Failed: int(failed * hundredths), Answered: int(answered * hundredths),
-		}
-		if share.Calls > 0 || share.Failed >= WorthTelling {
-			shares[target.ID] = shares[target.ID].Plus(share)
-		}
-	}
-	return shares
-}
-
 // TargetState is a target in the state dump.
 type TargetState struct {
 	Server, Address, Group, DataCentre string
@@ -333,79 +251,6 @@
 	return loadKey(target.Spec)
 }
 
-// Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
-// function given ends it from another goroutine.
-func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
-	use := &Use{load: target.load, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
-	target.mu.Lock()
-	defer target.mu.Unlock()
-	target.mine.Add(1)
-	target.unread.Add(use.tokens)
-	target.uses[use] = struct{}{}
-	return use
-}
-
-// Event tells that something came of the call; the first makes it a running
-// stream.
-func (use *Use) Event() {
-	use.load.progress.Store(int64(use.load.now()))
-	if !use.running.Swap(true) {
-		use.load.running.Add(1)
-		use.load.unread.Add(-use.tokens)
-	}
-}
-
-// End uncounts the call.
-func (use *Use) End() {
-	load := use.load
-	load.mu.Lock()
-	defer load.mu.Unlock()
-	if _, ok := load.uses[use]; !ok {
-		return
-	}
-	delete(load.uses, use)
-	load.mine.Add(-1)
-	if use.running.Load() {
-		load.running.Add(-1)
-		return
-	}
-	load.unread.Add(-use.tokens)
-}
-
-// Moved says whether the call was ended because its target was given up.
-func (use *Use) Moved() bool {
-	return use.moved.Load()
-}
-
-// Withdrawn says whether the call was ended for what it asks.
-func (use *Use) Withdrawn() bool {
-	return use.withdrawn.Load()
-}
-
-// Withdraw ends the calls with a tag of which nothing has come yet, and returns how
-// many there were. They may still wait at their servers, which then never run them.
-func (board *Board) Withdraw(tag uint64) int {
-	ended := 0
-	for _, target := range board.layout.Load().all {
-		ended += target.withdraw(tag)
-	}
-	return ended
-}
-
-func (load *load) withdraw(tag uint64) int {
-	load.mu.Lock()
-	defer load.mu.Unlock()
-	ended := 0
-	for use := range load.uses {
-		if use.tag == tag && !use.running.Load() {
-			use.withdrawn.Store(true)
-			use.end()
-			ended++
-		}
-	}
-	return ended
-}
-
 // Avoid keeps new calls off the target for a while, after it failed one.
 func (target *Target) Avoid(span time.Duration) {
 	target.avoidUntil.Store(int64(target.now() + span))
@@ -415,26 +260,3 @@
 func (target *Target) Avoided(now time.Duration) bool {
 	return target.lost.Load() || time.Duration(target.avoidUntil.Load()) > now
 }
-
-// move ends the calls of a target so that they go on elsewhere.
-func (load *load) move() int {
-	load.mu.Lock()
-	defer load.mu.Unlock()
-	for use := range load.uses {
-		use.moved.Store(true)
-		use.end()
-	}
-	return len(load.uses)
-}
-
-// Lose gives a group up: no new calls, and its calls go on elsewhere. It
-// returns how many calls there were.
-func (board *Board) Lose(group string) int {
-	moved := 0
-	for _, target := range board.layout.Load().all {
-		if target.Group == group && !target.lost.Swap(true) {
-			moved += target.move()
-		}
-	}
-	return moved
-}
--- /dev/null
+++ b/internal/policy/dispatch/use.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Use is one call at a target. End must be called once.
+type Use struct {
+	load   *load
+	sent   time.Duration
+	tokens int64
+	// tag tells what the call asks.
+	tag     uint64
+	running atomic.Bool
+	moved   atomic.Bool
+	// withdrawn says that the call was ended for what it asks.
+	withdrawn atomic.Bool
+	// end stops the call from another goroutine.
+	end func()
+}
+
+// Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
+// function given ends it from another goroutine.
+func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
+	use := &Use{load: target.load, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.mine.Add(1)
+	target.unread.Add(use.tokens)
+	target.uses[use] = struct{}{}
+	return use
+}
+
+// Event tells that something came of the call; the first makes it a running
+// stream.
+func (use *Use) Event() {
+	use.load.progress.Store(int64(use.load.now()))
+	if !use.running.Swap(true) {
+		use.load.running.Add(1)
+		use.load.unread.Add(-use.tokens)
+	}
+}
+
+// End uncounts the call.
+func (use *Use) End() {
+	load := use.load
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	if _, ok := load.uses[use]; !ok {
+		return
+	}
+	delete(load.uses, use)
+	load.mine.Add(-1)
+	if use.running.Load() {
+		load.running.Add(-1)
+		return
+	}
+	load.unread.Add(-use.tokens)
+}
+
+// Moved says whether the call was ended because its target was given up.
+func (use *Use) Moved() bool {
+	return use.moved.Load()
+}
+
+// Withdrawn says whether the call was ended for what it asks.
+func (use *Use) Withdrawn() bool {
+	return use.withdrawn.Load()
+}
+
+// Withdraw ends the calls with a tag of which nothing has come yet, and returns how
+// many there were. They may still wait at their servers, which then never run them.
+func (board *Board) Withdraw(tag uint64) int {
+	ended := 0
+	for _, target := range board.layout.Load().all {
+		ended += target.withdraw(tag)
+	}
+	return ended
+}
+
+func (load *load) withdraw(tag uint64) int {
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	ended := 0
+	for use := range load.uses {
+		if use.tag == tag && !use.running.Load() {
+			use.withdrawn.Store(true)
+			use.end()
+			ended++
+		}
+	}
+	return ended
+}
+
+// move ends the calls of a target so that they go on elsewhere.
+func (load *load) move() int {
+	load.mu.Lock()
+	defer load.mu.Unlock()
+	for use := range load.uses {
+		use.moved.Store(true)
+		use.end()
+	}
+	return len(load.uses)
+}
+
+// Lose gives a group up: no new calls, and its calls go on elsewhere. It
+// returns how many calls there were.
+func (board *Board) Lose(group string) int {
+	moved := 0
+	for _, target := range board.layout.Load().all {
+		if target.Group == group && !target.lost.Swap(true) {
+			moved += target.move()
+		}
+	}
+	return moved
+}
--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -34,15 +34,6 @@
 // ErrSilent is how a call to a server that doesn't answer ends.
 var ErrSilent = errors.New("the server doesn't answer")
 
-// Faults are what goes wrong with orders at one server.
-type Faults struct {
-	// LostAnswers is the share of orders that are carried out and not answered.
-	LostAnswers float64
-	// Late is the share that are not answered and carried out LateBy later.
-	Late   float64
-	LateBy time.Duration
-}
-
 // server is one backend server.
 type server struct {
 	id, domain, dataCentre string
@@ -128,22 +119,6 @@
 	world.servers[id] = &server{id: id, domain: domain, dataCentre: dataCentre, cut: map[string]bool{}, staged: staged}
 }
 
-// Kill ends a server for good, without a word.
-func (world *World) Kill(id string) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].dead = true
-}
-
-// End ends a server's process, which breaks its connections off, and starts it again
-// after a while.
-func (world *World) End(id string, down time.Duration) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].dead, world.servers[id].ended = true, true
-	time.AfterFunc(down, func() { world.Restart(id) })
-}
-
 // Members returns the servers of the group that a server is in, the head first.
 func (world *World) Members(id string) []string {
 	world.mu.Lock()
@@ -151,54 +126,6 @@
 	return slices.Clone(world.servers[id].group.members)
 }
 
-// Restart ends a server's process and starts it again under its ID: it is in no
-// group, has taken no order and seen no term. What lies on its host stays.
-func (world *World) Restart(id string) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	found := world.servers[id]
-	world.settle(found)
-	world.servers[id] = &server{
-		id: id, domain: found.domain, dataCentre: found.dataCentre, cut: found.cut, staged: found.staged,
-		born: found.born + 1 + world.now().Milliseconds(),
-	}
-}
-
-// Put replaces what lies on a server's host.
-func (world *World) Put(id, model string) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].staged = []string{model}
-}
-
-// Drain makes a server announce that it is leaving.
-func (world *World) Drain(id string) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].draining = true
-}
-
-// Unlist takes a server's entry out of the registry while it goes on.
-func (world *World) Unlist(id string) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].unlisted = true
-}
-
-// Cut cuts a server off from a caller, or mends that.
-func (world *World) Cut(id, caller string, cut bool) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].cut[caller] = cut
-}
-
-// SetFaults switches faults of a server's orders on.
-func (world *World) SetFaults(id string, faults Faults) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	world.servers[id].faults = faults
-}
-
 // Violations returns what must never happen and did.
 func (world *World) Violations() []string {
 	world.mu.Lock()
@@ -336,169 +263,6 @@
 	return roster.Membership{Name: group.name, Epoch: group.epoch, Rank: group.rank, State: group.state}
 }
 
-// Order takes an order, or loses its answer, or carries it out late.
-func (world *World) Order(caller, id string, order formation.Order) (formation.Result, error) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	found, err := world.reach(caller, id)
-	if err != nil {
-		return formation.Invalid, err
-	}
-	if world.draw.Float64() < found.faults.Late {
-		time.AfterFunc(found.faults.LateBy, func() { world.carryOut(id, order) })
-		return formation.Invalid, errors.Wrapf(ErrSilent, "order to %s", id)
-	}
-	result := world.take(found, order)
-	if world.draw.Float64() < found.faults.LostAnswers {
-		return formation.Invalid, errors.Wrapf(ErrSilent, "order to %s", id)
-	}
-	return result, nil
-}
-
-func (world *World) carryOut(id string, order formation.Order) {
-	world.mu.Lock()
-	defer world.mu.Unlock()
-	found := world.servers[id]
-	if found == nil || found.dead {
-		return
-	}
-	world.settle(found)
-	world.take(found, order)
-}
-
-func (world *World) take(found *server, order formation.Order) formation.Result {
-	if order.Term < found.term {
-		return formation.Outdated
-	}
-	found.term = order.Term
-	if order.Expected >= 0 && order.Expected != found.orders {
-		return formation.Conflict
-	}
-	world.turn(found)
-	switch order.Kind {
-	case formation.Join:
-		return world.join(found, order)
-	case formation.Stage:
-		return world.stage(found, order.Model)
-	}
-	group := &found.group
-	if group.name != order.Group || group.epoch != order.Epoch {
-		return formation.Conflict
-	}
-	return world.change(found, order.Kind)
-}
-
-// stage loads a model onto a host, one at a time.
-func (world *World) stage(found *server, name string) formation.Result {
-	model, ok := world.engine.Model(name)
-	switch {
-	case !ok:
-		return formation.Invalid
-	case found.loading != "":
-		return formation.Conflict
-	}
-	found.orders++
-	world.loads = append(world.loads, world.now())
-	found.loading, found.loadedAt = name, world.now()+model.LoadTime
-	return formation.Begun
-}
-
-// change carries out an order about the group that a server is in.
-func (world *World) change(found *server, kind formation.Kind) formation.Result {
-	group := &found.group
-	switch kind {
-	case formation.Leave:
-		found.group = membership{}
-	case formation.Open:
-		if group.state == roster.Open {
-			return formation.Done
-		}
-		if group.state != roster.Ready || group.rank != 0 {
-			return formation.Conflict
-		}
-		group.state, group.openAt = roster.Open, world.now()
-		world.checkWhole(group)
-	case formation.Close:
-		if group.state == roster.Ready {
-			return formation.Done
-		}
-		group.state = roster.Ready
-	default:
-		return formation.Invalid
-	}
-	found.orders++
-	return formation.Begun
-}
-
-// checkWhole notes a head that is opened before every member was ready.
-func (world *World) checkWhole(group *membership) {
-	model, _ := world.engine.Model(group.model)
-	if len(group.members) != model.Size || len(world.ready[readyKey(group)]) != model.Size {
-		world.violations = append(world.violations, "a head was opened before all its members were ready: "+readyKey(group))
-	}
-}
-
-func (world *World) join(found *server, order formation.Order) formation.Result {
-	group := &found.group
-	if order.Epoch < found.epoch {
-		return formation.Outdated
-	}
-	if group.name == order.Group && group.epoch == order.Epoch {
-		return formation.Done
-	}
-	world.checkFree(found, order)
-	rank := 0
-	for number, id := range order.Members {
-		if id == found.id {
-			rank = number
-		}
-	}
-	found.epoch = order.Epoch
-	found.orders++
-	takes, loads := world.joinTime(found, order.Model)
-	found.group = membership{
-		name: order.Group, epoch: order.Epoch, model: order.Model, members: order.Members, rank: rank,
-		state: roster.Joining, readyAt: world.now() + takes, loads: loads,
-	}
-	return formation.Begun
-}
-
-// joinTime is how long a server takes to be ready for a model, and whether it must
-// load it: it starts the one that it ran last fastest, whatever lies on its host.
-func (world *World) joinTime(found *server, name string) (takes time.Duration, loads bool) {
-	model, _ := world.engine.Model(name)
-	switch {
-	case found.lastModel == name:
-		return lastModelTime, false
-	case len(found.staged) > 0 && found.staged[0] == name:
-		return model.WarmupTime, false
-	case found.loading == name:
-		return found.loadedAt - world.now() + model.WarmupTime, false
-	}
-	world.loads = append(world.loads, world.now())
-	world.joinLoads++
-	return model.LoadTime, true
-}
-
-// lastModelTime is what a server takes to start the model that it ran last.
-const lastModelTime = 200 * time.Millisecond
-
-// checkFree notes a server that is taken out of a group that may serve.
-func (world *World) checkFree(found *server, order formation.Order) {
-	if found.group.name == "" || found.group.rank == 0 {
-		return
-	}
-	head, ok := world.servers[found.group.members[0]]
-	if !ok || head.dead || head.group.name != found.group.name || head.group.epoch != found.group.epoch {
-		return
-	}
-	world.settle(head)
-	if head.group.state == roster.Open || head.group.state == roster.Closing {
-		world.violations = append(world.violations, fmt.Sprintf("server %s was joined to %s while %s of %s was open",
-			found.id, order.Group, found.group.name, head.id))
-	}
-}
-
 // Standing is what a head can do with calls.
 type Standing int
 
