--- a/internal/run/soak/fault.go
+++ b/internal/run/soak/fault.go
@@ -31,6 +31,9 @@
 	ServerKill  Kind = "server-kill"  // a server falls silent, and starts again under its ID
 	ServerReset Kind = "server-reset" // connections to a server are reset
 	ServerMute  Kind = "server-mute"  // nothing passes to a server, or from it
+	PlainReset  Kind = "plain-reset"  // the same of a plain server's connections
+	PlainMute   Kind = "plain-mute"   // nothing passes to a plain server, or from it
+	PlainLost   Kind = "plain-lost"   // its answers are lost, what it is asked runs
 	PlainDrain  Kind = "plain-drain"  // a plain server announces that it leaves
 	Configure   Kind = "configure"    // the operator writes a version
 	// Harmful: callers insist on a request that ends each server that runs it.
@@ -84,6 +87,9 @@
 	{ServerKill, 4, 4 * time.Second, 6 * time.Second},
 	{ServerReset, 3, 0, 0},
 	{ServerMute, 3, 300 * time.Millisecond, 4 * time.Second},
+	{PlainReset, 2, 0, 0},
+	{PlainMute, 2, 300 * time.Millisecond, 3 * time.Second},
+	{PlainLost, 3, 300 * time.Millisecond, 3 * time.Second},
 	{PlainDrain, 1, 0, 0},
 	{Configure, 3, 0, 0},
 }
@@ -148,7 +154,7 @@
 	switch kind {
 	case ServerEnd, ServerKill, ServerReset, ServerMute:
 		return engines
-	case PlainDrain:
+	case PlainReset, PlainMute, PlainLost, PlainDrain:
 		return plain
 	}
 	return nodes
--- a/internal/run/soak/fleet.go
+++ b/internal/run/soak/fleet.go
@@ -280,6 +280,12 @@
 		return holding(fleet.servers[target], 1, 1)
 	case ServerReset:
 		return fleet.servers[target].resetAll, nil
+	case PlainReset:
+		return fleet.servers[len(fleet.engines)+target].resetAll, nil
+	case PlainMute:
+		return holding(fleet.servers[len(fleet.engines)+target], 1, 1)
+	case PlainLost:
+		return holding(fleet.servers[len(fleet.engines)+target], 0, 1)
 	}
 	return fleet.asked(fault)
 }
