fix(soak): a port that is taken is told, and nothing is stopped that never started

Cause: a soak that began while another still stopped ended with a panic: it stopped the stand-in's process, which it had not started.

Change: a process that never ran isn't stopped; test.

Not measured: no promise is checked otherwise.

--- a/internal/run/soak/process.go
+++ b/internal/run/soak/process.go
@@ -147,7 +147,11 @@
 func (process *process) stop() {
 	process.mu.Lock()
 	process.stopping = true
+	started := process.running != nil
 	process.mu.Unlock()
+	if !started {
+		return
+	}
 	process.signal(syscall.SIGCONT)
 	process.terminate()
 	process.workers.Wait()
--- a/internal/run/soak/soak_test.go
+++ b/internal/run/soak/soak_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"fmt"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -103,3 +106,15 @@
 		expect.Expect(bad.Check()).To(gomega.MatchError(ErrOptions))
 	}
 }
+
+// Another program has a port of the soak, as the last soak has while it stops. It must say
+// so, and end; it ended with a panic, since it stopped a process that it had never started.
+func TestBusyPortIsToldAndNothingIsStarted(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	const base = 25900
+	busy, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", base))
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	defer busy.Close()
+	_, err = Run(t.Context(), Options{Program: "/proc/self/exe", Length: time.Second, Nodes: 1, BasePort: base, Folder: t.TempDir(), Out: io.Discard})
+	expect.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("address already in use")))
+}
