--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -72,8 +72,8 @@
 		return errors.Wrapf(ErrOptions, "%d nodes; 1 to %d", options.Nodes, nodesMost)
 	case options.Length < time.Second || options.Length > time.Hour:
 		return errors.Wrapf(ErrOptions, "a length of %s; 1 s to 1 h", options.Length)
-	case options.BasePort < 1024 || options.BasePort > 60000:
-		return errors.Wrapf(ErrOptions, "base port %d; 1024 to 60000", options.BasePort)
+	case options.BasePort < 1024 || options.BasePort > basePortMost:
+		return errors.Wrapf(ErrOptions, "base port %d; 1024 to %d: above that lie the ports of outgoing connections", options.BasePort, basePortMost)
 	}
 	if _, err := os.Stat(options.Program); err != nil {
 		return errors.Wrapf(ErrOptions, "no program at %s: %v", options.Program, err)
@@ -88,6 +88,9 @@
 	servedWithin = 40 * time.Second
 	// stateEvery is how often each node's state is read.
 	stateEvery = 250 * time.Millisecond
+	// basePortMost keeps all ports below those that the system gives to outgoing
+	// connections, from 32768 on: one of them may hold any port there.
+	basePortMost = 32000
 	// firstVersion is the version of the configuration at the start.
 	firstVersion = 1
 )
