refactor(soak): one count of late sends; the store's topics are named in platform/ alone

Cause: the count stood in the tests and in the soak, and the soak named the platform's topics. Change: standin.LateSends; the stand-in's control forgets histories by one word. Not measured: no behaviour of a node changes; tests of both pass.

--- a/internal/run/soak/check.go
+++ b/internal/run/soak/check.go
@@ -84,22 +84,7 @@
 
 // checkHarmful finds a request that went on to servers after it had ended three.
 func checkHarmful(seen standin.Observed) []string {
-	ends := []time.Duration{}
-	for _, call := range seen.Harmful {
-		if call.EndedAt > 0 {
-			ends = append(ends, call.EndedAt)
-		}
-	}
-	slices.Sort(ends)
-	if len(ends) < 3 {
-		return nil
-	}
-	late := 0
-	for _, call := range seen.Harmful {
-		if call.At > ends[2]+toldWithin {
-			late++
-		}
-	}
+	late := standin.LateSends(seen.Harmful, toldWithin)
 	if late <= lateMost {
 		return nil
 	}
--- a/internal/run/soak/fleet.go
+++ b/internal/run/soak/fleet.go
@@ -308,7 +308,7 @@
 	case StoreSlow:
 		return telling("/store?slow=" + slowed), telling("/store?slow=0s")
 	case StoreForget:
-		return func() { fleet.tell("/store?forget=keyed.servers"); fleet.tell("/store?forget=keyed.op") }, nil
+		return telling("/store?forget=true"), nil
 	case ServerEnd:
 		return telling("/servers/" + fleet.engines[fault.Target] + "/end"), nil
 	case ServerKill:
