feat(forward): a request waits a moment at a node that has just started

Cause: nodes listen before they know a configuration. After all were killed, 418 requests came within 0.3 s of the start and were refused; their callers had already been refused by a closed port once, came back no more, and were lost. Change: a request waits until the node knows a configuration and the servers, 0.5 s and a quarter of its caller's time at most. Nodes start in 0.1 to 0.3 s. Ruled out: listening later, since connections that are refused use the return as well.

--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -89,6 +89,8 @@
 	dirty         chan struct{}
 	looking       chan struct{}
 	suspectsNews  chan struct{}
+	known         chan struct{}
+	knownOnce     sync.Once
 	stopping      atomic.Bool
 	reading       atomic.Bool
 	storeAway     atomic.Bool
@@ -162,7 +164,7 @@
 		Part: lifecycle.New("gateway"), Incarnation: rand.Uint64() | 1, settings: settings, platform: platform,
 		logger: slog.New(slog.DiscardHandler), now: clock.Boot, listen: listenTCP,
 		configuration: configuration.NewTable(), servers: roster.New(), budgets: map[string]*retry.Window{},
-		dirty: make(chan struct{}, 1), looking: make(chan struct{}, 1), suspectsNews: make(chan struct{}, 1), measures: newMeasures(), relays: tree.Relays,
+		dirty: make(chan struct{}, 1), known: make(chan struct{}), looking: make(chan struct{}, 1), suspectsNews: make(chan struct{}, 1), measures: newMeasures(), relays: tree.Relays,
 	}
 	node.services.Store(&engineServices{version: -1})
 	node.readAt.Store(int64(-never))
@@ -211,7 +213,7 @@
 func (node *Node) forwarderParts() forward.Parts {
 	return forward.Parts{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
-		DataCentre: node.settings.DataCentre, Budget: node.budget, Stopping: node.stopping.Load,
+		DataCentre: node.settings.DataCentre, Budget: node.budget, Ready: node.known, Stopping: node.stopping.Load,
 		Quarantine: node.quarantine, Suspected: node.suspected, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -79,6 +79,9 @@
 		}
 	}
 	node.board.Update(pools)
+	if len(pools) > 0 {
+		node.knownOnce.Do(func() { close(node.known) })
+	}
 }
 
 // rows returns the servers that take calls: as the node above tells, or by the list
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -80,6 +80,7 @@
 // admit finds the route, the workspace and the service of the request.
 func (exchange *exchange) admit() bool {
 	request := exchange.request
+	exchange.awaitReady()
 	exchange.snapshot = exchange.forwarder.Configuration.Load()
 	if !exchange.snapshot.Known() {
 		exchange.refuse(NoConfiguration, retryUnknown, "no configuration is known yet")
@@ -107,6 +108,39 @@
 	return true
 }
 
+const (
+	// startWait is how long a request waits at a node that has just started and knows no
+	// configuration or no servers yet: a little more than that takes where all nodes
+	// start at once. A caller that was refused instead found no node a second time.
+	startWait = 500 * time.Millisecond
+	// startPart is the part of the caller's time that it may be, as a divisor.
+	startPart = 4
+)
+
+// awaitReady waits a moment for a node that has just started.
+func (exchange *exchange) awaitReady() {
+	ready := exchange.forwarder.Ready
+	select {
+	case <-ready:
+		return
+	default:
+	}
+	if ready == nil {
+		return
+	}
+	wait := startWait
+	if left := exchange.request.Left; left > 0 {
+		wait = min(wait, left/startPart)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ready:
+	case <-timer.C:
+	case <-exchange.inbound.Context().Done():
+	}
+}
+
 // identify finds the workspace that holds the caller's key. What the caller
 // itself says of its workspace is never looked at.
 func (exchange *exchange) identify() bool {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -69,6 +69,8 @@
 	DataCentre string
 	// Budget returns the window of repeats of a service.
 	Budget func(service string) *retry.Window
+	// Ready is closed once the node knows a configuration and the servers.
+	Ready <-chan struct{}
 	// Stopping says that the node is shutting down.
 	Stopping func() bool
 	// Ended is told of each request that ended.
