feat(dispatch): a data centre that isn't reached is left as one failure

Cause: while a data centre was cut off (33.5 to 39.6 s), its nodes went on across the cut call by call: 0.4 s to connect or 0.8 to 1.6 s for an answer, then the next server behind the same cut. Of 1,400 calls there 480 ended with their callers gone, 270 late. Change: two servers of another data centre at which calls time out, or three streams at two groups that stand still, with nothing heard from any since, make a node doubt the way there; it connects to up to three servers, and if none answers its streams there go on at home and new calls stay at home, until one answers (tried every 0.4 s). Believing it without connecting: a burst would look alike.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -30,6 +30,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -339,6 +340,19 @@
 	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}, nil
 }
 
+// Reaches says whether a server takes a connection within a time. One that it takes is
+// kept for calls; one that it refuses shows that its host is reached.
+func (pool *Pool) Reaches(address string, within time.Duration) bool {
+	pool.Counts.Dialled.Add(1)
+	dialled, err := pool.dial(address, within)
+	if err != nil {
+		pool.Counts.DialFailed.Add(1)
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	pool.put(address, &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}, idleUnsaid)
+	return true
+}
+
 // take returns the connection used last, which is the least likely to have
 // been closed.
 func (pool *Pool) take(address string) *conn {
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -63,6 +63,8 @@
 type Target struct {
 	Spec
 	*load
+	// reach is the way to the target's data centre, nil for the node's own.
+	reach *reach
 	// goneAt is when the target was first in no pool, 0 while it is in one; the
 	// board's lock guards it.
 	goneAt time.Duration
@@ -113,13 +115,17 @@
 	// list of servers, often before its silence is noticed: its calls would
 	// wait for nothing until their deadline if nobody watched them.
 	all []*Target
+	// reaches are the ways to other data centres.
+	reaches map[string]*reach
 }
 
 // Board holds the pools.
 type Board struct {
 	layout atomic.Pointer[layout]
-	random func(n int) int
-	now    clock.Now
+	// dataCentre is the node's.
+	dataCentre string
+	random     func(n int) int
+	now        clock.Now
 
 	mu sync.Mutex
 	// known are the targets by loadKey.
@@ -134,6 +140,11 @@
 	return func(board *Board) { board.now = now }
 }
 
+// DataCentre sets where the node is.
+func DataCentre(name string) Option {
+	return func(board *Board) { board.dataCentre = name }
+}
+
 // Random sets how a number below n is drawn; it is called from many goroutines.
 func Random(draw func(n int) int) Option {
 	return func(board *Board) { board.random = draw }
@@ -161,12 +172,12 @@
 func (board *Board) Update(pools map[string][]Spec) {
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	next := &layout{pools: make(map[string]*pool, len(pools))}
+	next := &layout{pools: make(map[string]*pool, len(pools)), reaches: map[string]*reach{}}
 	listed := map[string]*Target{}
 	for name, specs := range pools {
 		filled := &pool{}
 		for _, spec := range specs {
-			target := &Target{Spec: spec, load: board.load(loadKey(spec))}
+			target := &Target{Spec: spec, load: board.load(loadKey(spec)), reach: board.reach(spec.DataCentre, next)}
 			target.former.Store(false)
 			listed[loadKey(spec)] = target
 			filled.targets = append(filled.targets, target)
@@ -179,12 +190,28 @@
 			target.former.Store(true)
 			listed[key] = target
 			next.all = append(next.all, target)
+			board.reach(target.DataCentre, next)
 		}
 	}
 	board.known = listed
 	board.layout.Store(next)
 }
 
+// reach returns the way to a data centre, and notes it in the next layout.
+func (board *Board) reach(dataCentre string, next *layout) *reach {
+	if dataCentre == board.dataCentre || board.dataCentre == "" {
+		return nil
+	}
+	if next.reaches[dataCentre] == nil {
+		held := board.layout.Load().reaches[dataCentre]
+		if held == nil {
+			held = &reach{timedOut: map[string]struct{}{}, heard: board.now()}
+		}
+		next.reaches[dataCentre] = held
+	}
+	return next.reaches[dataCentre]
+}
+
 // goneKept is how long a target that is in no pool any more is kept without
 // calls: one may have been chosen for it just before and not have begun.
 const goneKept = time.Second
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -14,6 +14,8 @@
 	// Beyond is how many calls more than its slots a target may have. They
 	// wait at the server, which takes the most urgent first.
 	Beyond int
+	// anywhere also takes data centres that are not reached.
+	anywhere bool
 	// Proven asks for a group whose streams this node has just seen going on,
 	// if there is one with a place. A stream that was moved has mostly one more
 	// attempt: servers are lost several at a time, and an idle group beside the
@@ -59,7 +61,7 @@
 	costs := make([]time.Duration, len(filled.targets))
 	for number, target := range filled.targets {
 		costs[number] = never
-		if target.Avoided(now) || slices.Contains(wish.Exclude, target.ID) {
+		if target.Avoided(now) || slices.Contains(wish.Exclude, target.ID) || (!wish.anywhere && target.reach.away()) {
 			continue
 		}
 		usable++
@@ -75,6 +77,9 @@
 		}
 	}
 	switch {
+	case usable == 0 && !wish.anywhere:
+		wish.anywhere = true
+		return board.Pick(name, wish)
 	case usable == 0:
 		return nil, None
 	case best == never:
--- /dev/null
+++ b/internal/policy/dispatch/reach.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+// Servers of one data centre that fall silent together are one failure: the way there is
+// cut. Call by call, each of them was found silent anew, after a time-out, and the next
+// call went to the next server behind the same cut, until its caller had left.
+//
+// So each node notes when anything last came from a data centre, and doubts that it
+// reaches it when calls to two servers there time out, or the streams of two groups
+// stand still, and nothing has come from any since. Whoever runs the board then connects
+// to servers there, which takes milliseconds where the way is whole. While no server
+// answers, calls go elsewhere as long as there is an elsewhere.
+
+const (
+	// doubtSilence is how long nothing may come of running streams of a data centre, at
+	// least; silentPasses goes for it as for one group.
+	doubtSilence = 300 * time.Millisecond
+	// doubtStreams and doubtTargets are how many streams must stand still, and at how many
+	// groups, and doubtTargets at how many servers calls must have timed out.
+	doubtStreams = 3
+	doubtTargets = 2
+	// probeEvery is how often a data centre that isn't reached is tried.
+	probeEvery = 400 * time.Millisecond
+	// probesAtOnce is how many servers are tried for it: one may have ended.
+	probesAtOnce = 3
+)
+
+// standing is what a node believes of the way to a data centre.
+type standing int
+
+const (
+	// reached: nothing speaks against it.
+	reached standing = iota
+	// doubted: it is being tried; calls go elsewhere meanwhile.
+	doubted
+	// cut: no server there could be connected to.
+	cut
+)
+
+// reach is the way to another data centre.
+type reach struct {
+	mu       sync.Mutex
+	standing standing
+	// heard is when anything last came from a server there.
+	heard time.Duration
+	// timedOut are the servers at which calls timed out that were sent after that.
+	timedOut map[string]struct{}
+	// triedAt is when servers there were last tried.
+	triedAt time.Duration
+}
+
+// away says whether calls should go elsewhere.
+func (reach *reach) away() bool {
+	if reach == nil {
+		return false
+	}
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	return reach.standing != reached
+}
+
+// hear notes that something came.
+func (reach *reach) hear(now time.Duration) {
+	if reach == nil {
+		return
+	}
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	reach.heard, reach.standing = now, reached
+	if len(reach.timedOut) > 0 {
+		clear(reach.timedOut)
+	}
+}
+
+// missed notes a call that timed out.
+func (reach *reach) missed(server string, sent time.Duration) {
+	if reach == nil {
+		return
+	}
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	if reach.heard > sent {
+		return
+	}
+	reach.timedOut[server] = struct{}{}
+	if reach.standing == reached && len(reach.timedOut) >= doubtTargets {
+		reach.standing = doubted
+	}
+}
+
+// still notes that streams stand still there.
+func (reach *reach) still(now time.Duration, pass time.Duration, streams, groups int) {
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	silent := now-reach.heard >= max(doubtSilence, silentPasses*pass)
+	if reach.standing == reached && silent && streams >= doubtStreams && groups >= doubtTargets {
+		reach.standing = doubted
+	}
+}
+
+// due says whether servers there are to be tried, and notes that they are.
+func (reach *reach) due(now time.Duration) bool {
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	if reach.standing == reached || (reach.triedAt != 0 && now-reach.triedAt < probeEvery) {
+		return false
+	}
+	reach.triedAt = now
+	return true
+}
+
+// fail notes that no server there could be connected to, and says whether that is news.
+func (reach *reach) fail() bool {
+	reach.mu.Lock()
+	defer reach.mu.Unlock()
+	news := reach.standing == doubted
+	if news {
+		reach.standing = cut
+	}
+	return news
+}
+
+// Trial is a data centre that may be cut off, with servers to try.
+type Trial struct {
+	DataCentre string
+	Addresses  []string
+
+	board *Board
+	reach *reach
+}
+
+// Trials returns the data centres to be tried now.
+func (board *Board) Trials() []Trial {
+	now := board.now()
+	held := board.layout.Load()
+	board.noteStill(held, now)
+	trials := []Trial{}
+	for name, reach := range held.reaches {
+		if !reach.due(now) {
+			continue
+		}
+		trial := Trial{DataCentre: name, board: board, reach: reach}
+		addresses := []string{}
+		for _, target := range held.all {
+			if target.DataCentre == name {
+				addresses = append(addresses, target.Address)
+			}
+		}
+		for count := min(probesAtOnce, len(addresses)); count > 0; count-- {
+			chosen := board.random(len(addresses))
+			trial.Addresses = append(trial.Addresses, addresses[chosen])
+			addresses = append(addresses[:chosen], addresses[chosen+1:]...)
+		}
+		trials = append(trials, trial)
+	}
+	return trials
+}
+
+// noteStill looks for data centres of which all streams stand still.
+func (board *Board) noteStill(held *layout, now time.Duration) {
+	for name, reach := range held.reaches {
+		streams, groups, pass := 0, 0, time.Duration(0)
+		for _, target := range held.all {
+			if running := int(target.running.Load()); target.DataCentre == name && running > 0 {
+				streams, groups, pass = streams+running, groups+1, max(pass, target.Pass)
+			}
+		}
+		reach.still(now, pass, streams, groups)
+	}
+}
+
+// Done tells how a trial ended. Where no server answered, the streams that run there go
+// on elsewhere; it returns how many calls were moved, and whether that is news.
+func (trial *Trial) Done(answered bool) (moved int, news bool) {
+	if answered {
+		trial.reach.hear(trial.board.now())
+		return 0, false
+	}
+	if !trial.reach.fail() {
+		return 0, false
+	}
+	for _, target := range trial.board.layout.Load().all {
+		if target.DataCentre == trial.DataCentre && target.Group != "" {
+			moved += target.move()
+		}
+	}
+	return moved, true
+}
+
+// Heard tells that something came of a call at the target.
+func (target *Target) Heard() {
+	target.reach.hear(target.now())
+}
+
+// Missed tells that a call at the target, sent at a time, timed out.
+func (target *Target) Missed(sent time.Duration) {
+	target.reach.missed(target.ID, sent)
+}
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -8,6 +8,7 @@
 // Use is one call at a target. End must be called once.
 type Use struct {
 	load   *load
+	reach  *reach
 	sent   time.Duration
 	tokens int64
 	// tag tells what the call asks.
@@ -23,7 +24,7 @@
 // Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
 // function given ends it from another goroutine.
 func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
-	use := &Use{load: target.load, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
+	use := &Use{load: target.load, reach: target.reach, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.mine.Add(1)
@@ -35,7 +36,9 @@
 // Event tells that something came of the call; the first makes it a running
 // stream.
 func (use *Use) Event() {
-	use.load.progress.Store(int64(use.load.now()))
+	now := use.load.now()
+	use.load.progress.Store(int64(now))
+	use.reach.hear(now)
 	if !use.running.Swap(true) {
 		use.load.running.Add(1)
 		use.load.unread.Add(-use.tokens)
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -82,13 +82,14 @@
 	peers         *peers
 	quarantine    *quarantine.List
 	// stored is used by the part that keeps it alone.
-	stored        storedSuspects
-	measures      *measures
-	services      atomic.Pointer[engineServices]
-	startedAt     time.Duration
-	dirty         chan struct{}
-	looking       chan struct{}
-	suspectsNews  chan struct{}
+	stored       storedSuspects
+	measures     *measures
+	services     atomic.Pointer[engineServices]
+	startedAt    time.Duration
+	dirty        chan struct{}
+	looking      chan struct{}
+	suspectsNews chan struct{}
+	// known is closed once the node knows a configuration and the servers.
 	known         chan struct{}
 	knownOnce     sync.Once
 	stopping      atomic.Bool
@@ -175,7 +176,7 @@
 	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
 	node.quarantine = quarantine.New(quarantine.Clock(node.now))
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
-	node.board = dispatch.New(dispatch.Clock(node.now))
+	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
 	node.former = formation.New(node.formerParts())
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -208,8 +208,12 @@
 	return occupancy.Taken, occupancy.Places
 }
 
-// watch looks for groups that stand still and tells whoever mends them.
+// watch looks for groups that stand still and tells whoever mends them, and for data
+// centres that this node may be cut off from.
 func (node *Node) watch() {
+	for _, trial := range node.board.Trials() {
+		node.GoAs("trial", func() { node.try(&trial) })
+	}
 	for _, found := range node.board.Watch() {
 		if !node.peers.freshSilence(found.Group) {
 			continue
@@ -221,6 +225,26 @@
 	}
 }
 
+// trialTime bounds connecting to a server of a data centre that may be cut off: many
+// times what it takes where it isn't.
+const trialTime = 150 * time.Millisecond
+
+// try connects to servers of a data centre.
+func (node *Node) try(trial *dispatch.Trial) {
+	answers := make(chan bool, len(trial.Addresses))
+	for _, address := range trial.Addresses {
+		node.GoAs("trial", func() { answers <- node.pool.Reaches(address, trialTime) })
+	}
+	answered := false
+	for range trial.Addresses {
+		answered = <-answers || answered
+	}
+	moved, news := trial.Done(answered)
+	if news {
+		node.logger.Warn("gateway: a data centre is not reached.", "DataCentre", trial.DataCentre, "Tried", len(trial.Addresses), "CallsMoved", moved)
+	}
+}
+
 // callFailed is told of a server that could not be reached, or that refused a
 // call because its group is not whole.
 func (node *Node) callFailed(target *dispatch.Target, culprit string) {
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -92,9 +93,13 @@
 	reply, err := exchange.forwarder.Pool.Send(call)
 	if err == nil {
 		exchange.arrivals++
+		target.Heard()
 		leg.Reply = reply
 		return leg
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !exchange.gone() && !leg.use.Moved() {
+		target.Missed(leg.sent)
+	}
 	exchange.cause = err.Error()
 	exchange.exclude = append(exchange.exclude, target.ID)
 	if errors.Is(err, backendserver.ErrNotSent) {
