feat(formation): a domain loads for all groups that it lacks

Cause: servers stood idle beside a burst: a domain with one large and one small group and six free servers staged for the large model loaded two of them at a time, one group after the other, 12 s each (12 to 25 of 156 servers for more than 10 s), while the weight store takes twenty at once and served two or four. Change: the plan asks for the loads of every group that a domain lacks, those that complete one soonest first; the bounds on loads are as before. In the test the plan loads 2 servers of the 4 that its groups lack without it, 4 with it.

--- a/internal/fleet/formation/loads.go
+++ b/internal/fleet/formation/loads.go
@@ -45,19 +45,21 @@
 	pool := append([]Spare{}, site.Spares...)
 	for model := range planner.demands {
 		demand := &planner.demands[model]
-		missing := site.chosen[model] - site.has(demand.Name)
-		if missing <= 0 {
-			continue
+		coming := site.Loading[demand.Name] + site.Soon[demand.Name] + site.prepared(demand)
+		for missing := site.chosen[model] - site.has(demand.Name); missing > 0; missing-- {
+			found = append(found, planner.forGroup(site, demand, &pool, &coming)...)
 		}
-		found = append(found, planner.forGroup(site, demand, &pool)...)
 	}
 	return append(found, planner.forSpares(site, pool)...)
 }
 
 // forGroup returns the loads that a group lacks that the domain should have. It
-// takes the servers of the group out of the pool.
-func (planner *planner) forGroup(site *site, demand *Demand, pool *[]Spare) []want {
-	rest, lacking := []Spare{}, demand.Size-site.Loading[demand.Name]-site.Soon[demand.Name]
+// takes the servers of the group out of the pool, and out of those that come with the
+// model.
+func (planner *planner) forGroup(site *site, demand *Demand, pool *[]Spare, coming *int) []want {
+	used := min(*coming, demand.Size)
+	*coming -= used
+	rest, lacking := []Spare{}, demand.Size-used
 	for _, spare := range *pool {
 		if spare.has(demand.Name) && lacking > 0 {
 			lacking--
@@ -65,8 +67,6 @@
 		}
 		rest = append(rest, spare)
 	}
-	prepared := site.prepared(demand)
-	lacking = max(0, lacking-prepared)
 	score := completes * float64(demand.Size) / float64(1+lacking)
 	found := []want{}
 	sort.SliceStable(rest, func(i, j int) bool { return len(rest[i].Staged) < len(rest[j].Staged) })
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -257,3 +257,24 @@
 	expect.Expect(sum / fleets).To(gomega.BeNumerically("<", 0.01))
 	expect.Expect(worst).To(gomega.BeNumerically("<", 0.25))
 }
+
+// A domain holds a large group and one small group, and six servers staged for the large
+// model stand idle beside them, while small groups are wanted by a burst. It took a load
+// time for each pair: the plan loaded for one group of a domain at a time, although the
+// weight store had room for all.
+func TestDomainLoadsForAllGroupsThatItLacks(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	idle := domain(6, 0, 0)
+	idle.Groups["large"], idle.Groups["small"], idle.Servers = 1, 1, 12
+	domains := []formation.Domain{idle}
+	steps := formation.Plan(domains, demands(1, 1, 1, 4), false)
+	lacking := domains[0].Planned["small"] - 1
+	expect.Expect(lacking).To(gomega.BeNumerically(">", 1))
+	urgent := 0
+	for _, step := range steps {
+		if step.Stage && step.Urgent && step.Model == "small" {
+			urgent++
+		}
+	}
+	expect.Expect(urgent).To(gomega.Equal(2 * lacking))
+}
