feat(formation): the work seen weighs more while a model's places are idle

Cause: the sheet states half of the servers for each model; the work has shifted, and the large one's places are a third taken while a burst of the small one finds none (33 groups of 40 wanted, calls late by their target). The stated shares weighed 0.7 whatever was seen. Change: while the least taken model has under 0.45 of its places taken and another is above, the work seen weighs up to all (at 0.30); else 0.3 as before. Comments tell no measurement.

--- a/internal/fleet/formation/work.go
+++ b/internal/fleet/formation/work.go
@@ -6,9 +6,8 @@
 )
 
 const (
-	// demandTrust is how much the work seen weighs beside the stated shares. Calls
-	// under way tell little of a model that is short: at 0.7 in place of 0.3 the
-	// mean worth of 15 days with trouble was 0.558 in place of 0.572.
+	// demandTrust is how much the work seen weighs beside the stated shares, while no
+	// model is idle. Calls under way tell little of a model that is short.
 	demandTrust = 0.3
 	// seenOver is the time over which the work seen is averaged. A plan that
 	// followed every swing of some seconds would end groups for it, and have them
@@ -26,7 +25,31 @@
 // a time.
 type sight struct {
 	shares map[string]float64
-	at     time.Duration
+	// taken is the part of each model's places that is taken.
+	taken map[string]float64
+	at    time.Duration
+}
+
+const (
+	// usedTaken is the part of a model's places below which it has more groups than its
+	// work needs, losses included; at idleTaken the work seen alone counts.
+	usedTaken = 0.45
+	idleTaken = 0.30
+)
+
+// trust is how much the work seen weighs. Where the places of one model stand idle beside
+// those of another that is in use, the stated shares are not those of the work any more:
+// a burst of the one found no places, and the other's servers waited for nothing.
+func (held sight) trust() float64 {
+	least, most := 1.0, 0.0
+	for _, taken := range held.taken {
+		least, most = min(least, taken), max(most, taken)
+	}
+	if most < usedTaken {
+		return demandTrust
+	}
+	idle := (usedTaken - least) / (usedTaken - idleTaken)
+	return demandTrust + (1-demandTrust)*min(1, max(0, idle))
 }
 
 // shares returns the part of the servers that each model should have: what the
@@ -44,16 +67,17 @@
 	for _, model := range service.Engine.Models {
 		stated[model.Name] = model.Share / max(sum, 1e-9)
 	}
-	seen := former.average(service, stated)
+	held := former.average(service, stated)
+	trust := held.trust()
 	shares := map[string]float64{}
 	for _, model := range service.Engine.Models {
-		shares[model.Name] = (1-demandTrust)*stated[model.Name] + demandTrust*seen[model.Name]
+		shares[model.Name] = (1-trust)*stated[model.Name] + trust*held.shares[model.Name]
 	}
 	return shares
 }
 
 // average takes the shares of the work that is under way into the average.
-func (former *Former) average(service Service, stated map[string]float64) map[string]float64 {
+func (former *Former) average(service Service, stated map[string]float64) sight {
 	now := former.Now()
 	former.mu.Lock()
 	defer former.mu.Unlock()
@@ -61,26 +85,30 @@
 	if !known {
 		held = sight{shares: stated, at: now}
 	}
-	work, full := map[string]float64{}, map[string]bool{}
+	work, full, part := map[string]float64{}, map[string]bool{}, map[string]float64{}
 	for _, model := range service.Engine.Models {
 		taken, places := former.Load(service.Name, model.Name)
 		work[model.Name] = float64(taken*model.Size) / float64(max(1, service.Engine.Slots))
 		full[model.Name] = float64(taken) >= saturated*float64(places)
+		part[model.Name] = min(1, float64(taken)/float64(max(1, places)))
 	}
-	held = held.next(work, full, now)
+	held = held.next(work, full, part, now)
 	former.seen[service.Name] = held
-	return held.shares
+	return held
 }
 
 // next is the average with the work of each model, in servers, that is seen now.
 // Full says whose places are all taken.
-func (held sight) next(work map[string]float64, full map[string]bool, now time.Duration) sight {
+func (held sight) next(work map[string]float64, full map[string]bool, part map[string]float64, now time.Duration) sight {
 	sum := 0.0
 	for name := range held.shares {
 		sum += work[name]
 	}
 	weight := 1 - math.Exp(-float64(now-held.at)/float64(seenOver))
-	next := sight{shares: map[string]float64{}, at: now}
+	next := sight{shares: map[string]float64{}, taken: map[string]float64{}, at: now}
+	for name, taken := range part {
+		next.taken[name] = held.taken[name] + weight*(taken-held.taken[name])
+	}
 	for name, share := range held.shares {
 		next.shares[name] = share
 		if sum < leastSeen {
