--- a/internal/fleet/catalogue/catalogue.go
+++ b/internal/fleet/catalogue/catalogue.go
@@ -5,8 +5,7 @@
 // A relay works the catalogue out from the registry and the news of groups, and
 // tells its leaves what changes in it. Each row has a number, so that the loads of
 // all rows are two short arrays. A leaf then spends on a fleet what its groups
-// change, some times a second, in place of what every server writes to the
-// registry: at 760 servers some 2 KB a second in place of 40.
+// change, some times a second, in place of what every server writes to the registry.
 //
 // Catalogue is the relay's side, Copy the leaf's. Deltas reach a copy in order, or
 // not at all: a copy that missed one is given everything.
--- a/internal/fleet/formation/layout.go
+++ b/internal/fleet/formation/layout.go
@@ -15,9 +15,8 @@
 const (
 	// bareShare is the part of a group's time that is lost in a domain without a
 	// server to spare, and spareRelief what of that is left with each server that
-	// the domain has to spare. A group of six of 66 servers, of which one is lost
-	// every three seconds, is hit every 33 s; it stands again after 16 s with a
-	// load and after two or three with a staged spare.
+	// the domain has to spare: a group that lost a member stands again after a load
+	// without one, and after a warm start with one.
 	bareShare   = 0.30
 	spareRelief = 0.35
 	// horizon is how long a layout should last at least: servers that a change
--- a/internal/fleet/formation/loads.go
+++ b/internal/fleet/formation/loads.go
@@ -110,9 +110,8 @@
 // has a group of a model and nothing to replace its members. A server starts what
 // it ran last without the weights on its host, so it loses nothing by another's.
 //
-// It is one load a model and domain: with the other model loaded beside the work of
-// every member, the mean worth of 30 days with trouble was 0.559 beside 0.569
-// without any.
+// It is one load a model and domain: more of them keep the weight store from groups
+// that wait.
 func (planner *planner) besideWork(site *site, have []int) []want {
 	found := []want{}
 	for model := range planner.demands {
--- a/internal/fleet/overlay/directory.go
+++ b/internal/fleet/overlay/directory.go
@@ -261,8 +261,8 @@
 
 // boot finds the other nodes. When all start for the first time nobody knows them yet: each
 // makes itself known to one seed, and asks again when all have. A node that took its
-// place by what it knew at first was a relay or a root for seconds: 282 of 295 nodes were,
-// each with calls to the store and more connections.
+// place by what it knew at first was a relay or a root for seconds, with calls to the
+// store and more connections, as nearly all nodes were.
 func (overlay *Overlay) boot() {
 	if !overlay.FirstStart || !overlay.askSeed() {
 		overlay.discover()
--- a/internal/fleet/overlay/link.go
+++ b/internal/fleet/overlay/link.go
@@ -222,9 +222,8 @@
 	// so that a relay with many sends as often as one with few: a frame costs it some
 	// 0.05 ms, at both ends.
 	perLeaf = 2500 * time.Microsecond
-	// leafLeast and leafMost bound the interval of leaves. Between 50 ms here and 25 ms
-	// between relays, and twice to four times as much, the mean worth of six days of a
-	// fleet of 77 nodes was 0.596 and 0.562: calls go where others' went just before.
+	// leafLeast and leafMost bound the interval of leaves. With longer ones calls go where
+	// others' went just before.
 	leafLeast = 50 * time.Millisecond
 	leafMost  = 200 * time.Millisecond
 	// perCore, coreLeast and coreMost are the same between relays and roots, over
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -42,8 +42,7 @@
 	near = 15 * time.Millisecond
 	// abroad is what a target in another data centre counts: more than near, so that
 	// one of the own data centre is chosen among those nearly as good, and less than
-	// two prompts of usual length. When a data centre is cut off, the calls that went
-	// across stand still; worth 0.551 to 0.558 in the mean of 15 days with trouble.
+	// two prompts of usual length. Calls that went across stand still when it is cut off.
 	abroad = 25 * time.Millisecond
 	// never marks a target that can't be chosen.
 	never = time.Duration(-1)
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -40,10 +40,8 @@
 const (
 	// endsMost is under how many ends of servers a request is refused. One is chance,
 	// and so is a second in a wave of losses, in which a stream that goes on elsewhere
-	// soon breaks off again; a third is rare even there, and each costs a group. On days
-	// with many losses 4 to 25 of 10,000 innocent requests lay under two, and three of 62,238
-	// under three. Of a request that ends all its servers one caller ended 15
-	// within 20 s without the bound, and 3 with it (three nodes in virtual time).
+	// soon breaks off again; a third is rare even there, and each costs a group. Without
+	// the bound one caller goes on to end servers for as long as it returns.
 	endsMost = 3
 	// remembered is for how long an end counts. Who sends such a request comes back after
 	// seconds or minutes; after this a fault that was mended meanwhile holds nobody up.
@@ -61,9 +59,8 @@
 	endsKept = 8
 	// servedFor is for how long an answered request is known as harmless, and servedMost
 	// how many are kept, by their fingerprints' last bits, sixteen bytes each. Where all
-	// callers of a fleet sent the same body and three groups lost their heads within a
-	// tenth of a second, 9 of 167 were refused without it, and none with it (three
-	// nodes in virtual time).
+	// callers of a fleet send the same body and some groups lose their heads at once, innocent
+	// requests would be refused without it.
 	servedFor  = 30 * time.Second
 	servedMost = 1024
 )
--- a/internal/run/gateway/store.go
+++ b/internal/run/gateway/store.go
@@ -78,8 +78,8 @@
 	readerWait = 800 * time.Millisecond
 	// informedCheck is how often a node that others bring a fresh list of servers asks
 	// for the configuration all the same, and informedLook how often it looks whether
-	// that is still so. Each call to the store has a price, and 77 nodes waiting there
-	// were woken by each change.
+	// that is still so. Each call to the store has a price, and nodes that wait there are
+	// all woken by each change.
 	informedCheck = 30 * time.Second
 	informedLook  = 200 * time.Millisecond
 	startLook     = 20 * time.Millisecond
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -20,8 +20,8 @@
 	// look is first looked at by then, which is less than any silence that counts.
 	watchIdle = 200 * time.Millisecond
 	// leafTick is how often a node that is told all that it needs looks whether that is
-	// still so, in place of what the other nodes do several times in that time. Of some 120
-	// times a second that a leaf woke, 50 were for looks at nothing.
+	// still so, in place of what the other nodes do several times in that time: most of
+	// these looks would find nothing.
 	leafTick = 500 * time.Millisecond
 	// tenureTick is how often the right to give orders is looked at.
 	tenureTick = 100 * time.Millisecond
