--- a/internal/policy/dispatch/reach.go
+++ b/internal/policy/dispatch/reach.go
@@ -124,8 +124,8 @@
 	return news
 }
 
-// Trial is a data centre that may be cut off, with servers to try.
-type Trial struct {
+// Probe is a data centre that may be cut off, with servers to try.
+type Probe struct {
 	DataCentre string
 	Addresses  []string
 
@@ -133,17 +133,17 @@
 	reach *reach
 }
 
-// Trials returns the data centres to be tried now.
-func (board *Board) Trials() []Trial {
+// Probes returns the data centres to be tried now.
+func (board *Board) Probes() []Probe {
 	now := board.now()
 	held := board.layout.Load()
 	board.noteStill(held, now)
-	trials := []Trial{}
+	probes := []Probe{}
 	for name, reach := range held.reaches {
 		if !reach.due(now) {
 			continue
 		}
-		trial := Trial{DataCentre: name, board: board, reach: reach}
+		probe := Probe{DataCentre: name, board: board, reach: reach}
 		addresses := []string{}
 		for _, target := range held.all {
 			if target.DataCentre == name {
@@ -152,12 +152,12 @@
 		}
 		for count := min(probesAtOnce, len(addresses)); count > 0; count-- {
 			chosen := board.random(len(addresses))
-			trial.Addresses = append(trial.Addresses, addresses[chosen])
+			probe.Addresses = append(probe.Addresses, addresses[chosen])
 			addresses = append(addresses[:chosen], addresses[chosen+1:]...)
 		}
-		trials = append(trials, trial)
+		probes = append(probes, probe)
 	}
-	return trials
+	return probes
 }
 
 // noteStill looks for data centres of which all streams stand still.
@@ -173,18 +173,18 @@
 	}
 }
 
-// Done tells how a trial ended. Where no server answered, the streams that run there go
+// Done tells how a probe ended. Where no server answered, the streams that run there go
 // on elsewhere; it returns how many calls were moved, and whether that is news.
-func (trial *Trial) Done(answered bool) (moved int, news bool) {
+func (probe *Probe) Done(answered bool) (moved int, news bool) {
 	if answered {
-		trial.reach.hear(trial.board.now())
+		probe.reach.hear(probe.board.now())
 		return 0, false
 	}
-	if !trial.reach.fail() {
+	if !probe.reach.fail() {
 		return 0, false
 	}
-	for _, target := range trial.board.layout.Load().all {
-		if target.DataCentre == trial.DataCentre && target.Group != "" {
+	for _, target := range probe.board.layout.Load().all {
+		if target.DataCentre == probe.DataCentre && target.Group != "" {
 			moved += target.move()
 		}
 	}
--- a/internal/policy/dispatch/reach_test.go
+++ b/internal/policy/dispatch/reach_test.go
@@ -49,7 +49,7 @@
 		time.Sleep(400 * time.Millisecond)
 		first := far(board)
 		first.Missed(sent)
-		expect.Expect(board.Trials()).To(gomega.BeEmpty(), "one server may have ended")
+		expect.Expect(board.Probes()).To(gomega.BeEmpty(), "one server may have ended")
 		other := chosen(board, "near", first.ID)
 		target, _ := board.Pick("p", dispatch.Wish{DataCentre: "west", Exclude: []string{"near", first.ID}})
 		target.Missed(sent)
@@ -57,18 +57,18 @@
 		for range 20 {
 			expect.Expect(chosen(board)).To(gomega.Equal("near"))
 		}
-		trials := board.Trials()
-		expect.Expect(trials).To(gomega.HaveLen(1))
-		expect.Expect(trials[0].DataCentre).To(gomega.Equal("east"))
-		expect.Expect(trials[0].Addresses).To(gomega.ConsistOf("far-1:1", "far-2:1"))
-		_, news := trials[0].Done(false)
+		probes := board.Probes()
+		expect.Expect(probes).To(gomega.HaveLen(1))
+		expect.Expect(probes[0].DataCentre).To(gomega.Equal("east"))
+		expect.Expect(probes[0].Addresses).To(gomega.ConsistOf("far-1:1", "far-2:1"))
+		_, news := probes[0].Done(false)
 		expect.Expect(news).To(gomega.BeTrue())
 		expect.Expect(chosen(board, "near")).NotTo(gomega.BeEmpty(), "there is nowhere else to go")
 		time.Sleep(500 * time.Millisecond)
-		again := board.Trials()
+		again := board.Probes()
 		expect.Expect(again).To(gomega.HaveLen(1))
 		again[0].Done(true)
-		expect.Expect(board.Trials()).To(gomega.BeEmpty())
+		expect.Expect(board.Probes()).To(gomega.BeEmpty())
 		expect.Expect(chosen(board, "near", first.ID)).To(gomega.Equal(other))
 	})
 }
@@ -87,7 +87,7 @@
 		first.Missed(sent)
 		target, _ := board.Pick("p", dispatch.Wish{DataCentre: "west", Exclude: []string{"near", first.ID}})
 		target.Missed(sent)
-		expect.Expect(board.Trials()).To(gomega.BeEmpty())
+		expect.Expect(board.Probes()).To(gomega.BeEmpty())
 	})
 }
 
@@ -105,11 +105,11 @@
 				target.Begin(100, 1, func() { ended++ }).Event()
 			}
 			time.Sleep(200 * time.Millisecond)
-			expect.Expect(board.Trials()).To(gomega.BeEmpty())
+			expect.Expect(board.Probes()).To(gomega.BeEmpty())
 			time.Sleep(200 * time.Millisecond)
-			trials := board.Trials()
-			expect.Expect(trials).To(gomega.HaveLen(1))
-			moved, _ := trials[0].Done(answered)
+			probes := board.Probes()
+			expect.Expect(probes).To(gomega.HaveLen(1))
+			moved, _ := probes[0].Done(answered)
 			if answered {
 				expect.Expect(moved + ended).To(gomega.BeZero())
 				return
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -211,8 +211,8 @@
 // watch looks for groups that stand still and tells whoever mends them, and for data
 // centres that this node may be cut off from.
 func (node *Node) watch() {
-	for _, trial := range node.board.Trials() {
-		node.GoAs("trial", func() { node.try(&trial) })
+	for _, probe := range node.board.Probes() {
+		node.GoAs("probe", func() { node.probe(&probe) })
 	}
 	for _, found := range node.board.Watch() {
 		if !node.peers.freshSilence(found.Group) {
@@ -225,23 +225,22 @@
 	}
 }
 
-// trialTime bounds connecting to a server of a data centre that may be cut off: many
+// probeTime bounds connecting to a server of a data centre that may be cut off: many
 // times what it takes where it isn't.
-const trialTime = 150 * time.Millisecond
+const probeTime = 150 * time.Millisecond
 
-// try connects to servers of a data centre.
-func (node *Node) try(trial *dispatch.Trial) {
-	answers := make(chan bool, len(trial.Addresses))
-	for _, address := range trial.Addresses {
-		node.GoAs("trial", func() { answers <- node.pool.Reaches(address, trialTime) })
+// probe connects to servers of a data centre.
+func (node *Node) probe(probe *dispatch.Probe) {
+	answers := make(chan bool, len(probe.Addresses))
+	for _, address := range probe.Addresses {
+		node.GoAs("probe", func() { answers <- node.pool.Reaches(address, probeTime) })
 	}
 	answered := false
-	for range trial.Addresses {
+	for range probe.Addresses {
 		answered = <-answers || answered
 	}
-	moved, news := trial.Done(answered)
-	if news {
-		node.logger.Warn("gateway: a data centre is not reached.", "DataCentre", trial.DataCentre, "Tried", len(trial.Addresses), "CallsMoved", moved)
+	if moved, news := probe.Done(answered); news {
+		node.logger.Warn("gateway: a data centre is not reached.", "DataCentre", probe.DataCentre, "Tried", len(probe.Addresses), "CallsMoved", moved)
 	}
 }
 
