fix(gateway): requests at a node that starts wait for both configuration and servers

Change: the wait ends when both are known. Ruled out: a longer wait: nodes knew a version 0.03 to 0.26 s after their start.

--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -79,7 +79,8 @@
 		}
 	}
 	node.board.Update(pools)
-	if len(pools) > 0 {
+	// A leaf may be told of the servers before it has the configuration.
+	if len(pools) > 0 && node.configuration.Load().Known() {
 		node.knownOnce.Do(func() { close(node.known) })
 	}
 }
