refactor(dispatch): whether a data centre is reached is read without a lock

Behaviour is the same. Lint, the tests of policy, serve, gateway and platform with the race detector, and the whole-node tests pass.

--- a/internal/policy/dispatch/reach.go
+++ b/internal/policy/dispatch/reach.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,7 +31,7 @@
 )
 
 // standing is what a node believes of the way to a data centre.
-type standing int
+type standing = int32
 
 const (
 	// reached: nothing speaks against it.
@@ -43,8 +44,10 @@
 
 // reach is the way to another data centre.
 type reach struct {
-	mu       sync.Mutex
-	standing standing
+	// standing changes under the lock, and is read without it while a call is routed.
+	standing atomic.Int32
+
+	mu sync.Mutex
 	// heard is when anything last came from a server there.
 	heard time.Duration
 	// timedOut are the servers at which calls timed out that were sent after that.
@@ -55,12 +58,7 @@
 
 // away says whether calls should go elsewhere.
 func (reach *reach) away() bool {
-	if reach == nil {
-		return false
-	}
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	return reach.standing != reached
+	return reach != nil && reach.standing.Load() != reached
 }
 
 // hear notes that something came.
@@ -70,7 +68,8 @@
 	}
 	reach.mu.Lock()
 	defer reach.mu.Unlock()
-	reach.heard, reach.standing = now, reached
+	reach.heard = now
+	reach.standing.Store(reached)
 	if len(reach.timedOut) > 0 {
 		clear(reach.timedOut)
 	}
@@ -87,8 +86,8 @@
 		return
 	}
 	reach.timedOut[server] = struct{}{}
-	if reach.standing == reached && len(reach.timedOut) >= doubtTargets {
-		reach.standing = doubted
+	if reach.standing.Load() == reached && len(reach.timedOut) >= doubtTargets {
+		reach.standing.Store(doubted)
 	}
 }
 
@@ -97,8 +96,8 @@
 	reach.mu.Lock()
 	defer reach.mu.Unlock()
 	silent := now-reach.heard >= max(doubtSilence, silentPasses*pass)
-	if reach.standing == reached && silent && streams >= doubtStreams && groups >= doubtTargets {
-		reach.standing = doubted
+	if reach.standing.Load() == reached && silent && streams >= doubtStreams && groups >= doubtTargets {
+		reach.standing.Store(doubted)
 	}
 }
 
@@ -106,7 +105,7 @@
 func (reach *reach) due(now time.Duration) bool {
 	reach.mu.Lock()
 	defer reach.mu.Unlock()
-	if reach.standing == reached || (reach.triedAt != 0 && now-reach.triedAt < probeEvery) {
+	if reach.standing.Load() == reached || (reach.triedAt != 0 && now-reach.triedAt < probeEvery) {
 		return false
 	}
 	reach.triedAt = now
@@ -117,9 +116,9 @@
 func (reach *reach) fail() bool {
 	reach.mu.Lock()
 	defer reach.mu.Unlock()
-	news := reach.standing == doubted
+	news := reach.standing.Load() == doubted
 	if news {
-		reach.standing = cut
+		reach.standing.Store(cut)
 	}
 	return news
 }
