feat(ratelimit): limits that servers name are read and told, and change nothing yet

The nodes' logs told of no limit, so that 'nobody reads it', 'each node keeps it for itself' and 'learnt too late' looked alike. Now each answer's limit is decoded in platform/ (one decimal number; all else is told once a server and counted, and is no limit), kept for one run of the server's process, and a line tells when it is learnt, changes or ends, with the answer that told it and what this node sent there lately. /state and two counters show the same. Where a request goes is unchanged.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -93,6 +93,16 @@
 	Culprit string
 	// KeepAlive is how long the server keeps the connection; 0 if it didn't say.
 	KeepAlive time.Duration
+	Limit     Limit
+}
+
+// Limit is how much the server says it takes.
+type Limit struct {
+	// Rate is in requests a second, from all nodes together, where one is Named.
+	Rate  float64
+	Named bool
+	// Unreadable is a value that is no limit, quoted; empty if there is none.
+	Unreadable string
 }
 
 // Codec speaks for the pool: names of headers and what they mean.
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"hazelslip/internal/common/clock"
+	"hazelslip/internal/policy/ratelimit"
 )
 
 // Spec describes a target for Update.
@@ -74,6 +75,8 @@
 // lists of targets and is the same object in each.
 type load struct {
 	now clock.Now
+	// gate is that of the server, whatever groups it heads.
+	gate *ratelimit.Gate
 	// mine and peers count the calls under way.
 	mine  atomic.Int32
 	peers atomic.Int32
@@ -126,6 +129,7 @@
 	dataCentre string
 	random     func(n int) int
 	now        clock.Now
+	gate       func(run ratelimit.Run) *ratelimit.Gate
 
 	mu sync.Mutex
 	// known are the targets by loadKey.
@@ -150,9 +154,14 @@
 	return func(board *Board) { board.random = draw }
 }
 
+// Limits sets the limits of servers to keep to.
+func Limits(limits *ratelimit.Limits) Option {
+	return func(board *Board) { board.gate = limits.Gate }
+}
+
 // New returns a board with no targets.
 func New(options ...Option) *Board {
-	board := &Board{random: rand.IntN, now: clock.Boot, known: map[string]*Target{}}
+	board := &Board{random: rand.IntN, now: clock.Boot, gate: ratelimit.New().Gate, known: map[string]*Target{}}
 	board.layout.Store(&layout{})
 	for _, option := range options {
 		option(board)
@@ -177,7 +186,7 @@
 	for name, specs := range pools {
 		filled := &pool{}
 		for _, spec := range specs {
-			target := &Target{Spec: spec, load: board.load(loadKey(spec)), reach: board.reach(spec.DataCentre, next)}
+			target := &Target{Spec: spec, load: board.load(spec), reach: board.reach(spec.DataCentre, next)}
 			target.former.Store(false)
 			listed[loadKey(spec)] = target
 			filled.targets = append(filled.targets, target)
@@ -225,11 +234,24 @@
 	return target.mine.Load() > 0 || now-target.goneAt < goneKept
 }
 
-func (board *Board) load(key string) *load {
-	if target, ok := board.known[key]; ok {
+func (board *Board) load(spec Spec) *load {
+	if target, ok := board.known[loadKey(spec)]; ok {
 		return target.load
 	}
-	return &load{now: board.now, uses: map[*Use]struct{}{}}
+	return &load{now: board.now, gate: board.gate(spec.serverRun()), uses: map[*Use]struct{}{}}
+}
+
+func (spec *Spec) serverRun() ratelimit.Run {
+	return ratelimit.Run{Server: spec.ID, Born: spec.Born}
+}
+
+// ServerRuns are the runs of servers that targets stand for.
+func (board *Board) ServerRuns() map[ratelimit.Run]struct{} {
+	runs := map[ratelimit.Run]struct{}{}
+	for _, target := range board.layout.Load().all {
+		runs[target.serverRun()] = struct{}{}
+	}
+	return runs
 }
 
 func (board *Board) pool(name string) (*pool, bool) {
@@ -278,6 +300,11 @@
 	return loadKey(target.Spec)
 }
 
+// ServerRun names the run of the server, whatever group it heads.
+func (target *Target) ServerRun() ratelimit.Run {
+	return target.serverRun()
+}
+
 // Avoid keeps new calls off the target for a while, after it failed one.
 func (target *Target) Avoid(span time.Duration) {
 	target.avoidUntil.Store(int64(target.now() + span))
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/quarantine"
+	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/serve/forward"
 	"hazelslip/internal/state/configuration"
@@ -83,6 +84,7 @@
 	forwarder     *forward.Forwarder
 	peers         *peers
 	quarantine    *quarantine.List
+	limits        *ratelimit.Limits
 	// stored is used by the part that keeps it alone.
 	stored       storedSuspects
 	storeCalls   *store.Calls
@@ -165,7 +167,8 @@
 	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
 	node.quarantine = quarantine.New(quarantine.Clock(node.now))
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
-	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre))
+	node.limits = ratelimit.New(ratelimit.Clock(node.now))
+	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Limits(node.limits))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
 	node.former = formation.New(node.formerParts())
@@ -205,7 +208,7 @@
 	return forward.Parts{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Ready: node.known, Stopping: node.stopping.Load,
-		Quarantine: node.quarantine, Suspected: node.suspected, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
+		Quarantine: node.quarantine, Suspected: node.suspected, Limits: node.limits, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
 
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -12,6 +12,7 @@
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/quarantine"
+	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/serve/forward"
 	"hazelslip/internal/state/storelog"
@@ -47,6 +48,8 @@
 	// Suspects are the requests under which servers ended and that were not answered
 	// since, as far as this node knows.
 	Suspects []quarantine.State
+	// Limits are those that servers name, as far as this node knows.
+	Limits []ratelimit.State
 }
 
 // State returns the dump of the node's state.
@@ -59,7 +62,7 @@
 		ListAgeMilliseconds: node.follower.ListAge().Milliseconds(), Servers: len(servers.Servers),
 		Targets: node.board.State(), Former: node.former.State(),
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
-		Suspects: node.quarantine.State(),
+		Suspects: node.quarantine.State(), Limits: node.limits.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -108,6 +111,7 @@
 	return map[string]uint64{
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
+		"LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
 		"GroupsLent": formed.Lent.Load(), "Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -8,6 +8,7 @@
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/serve/forward"
 	"hazelslip/internal/state/configuration"
 	"hazelslip/internal/wire/frame"
@@ -310,6 +311,8 @@
 // take no calls any more.
 func (node *Node) sweep() {
 	node.quarantine.Sweep()
+	runs := node.board.ServerRuns()
+	node.limits.Sweep(func(run ratelimit.Run) bool { _, used := runs[run]; return used })
 	listed := map[string]bool{}
 	for _, pool := range node.board.State() {
 		for _, target := range pool {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -28,6 +28,7 @@
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/quarantine"
+	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/state/configuration"
 )
@@ -79,6 +80,8 @@
 	Quarantine *quarantine.List
 	// Suspected is told of a request of which the Quarantine learned something here.
 	Suspected func(fingerprint quarantine.Fingerprint)
+	// Limits are those that servers name.
+	Limits *ratelimit.Limits
 	// Failed is told of a server that refused or broke a call of a group.
 	Failed func(target *dispatch.Target, culprit string)
 	Logger *slog.Logger
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -95,6 +95,7 @@
 		exchange.arrivals++
 		target.Heard()
 		leg.Reply = reply
+		exchange.noteLimit(leg)
 		return leg
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !exchange.gone() && !leg.use.Moved() {
