fix(ratelimit): nodes keep the limits that servers name, together

What callers saw: nothing yet, but a server that asked for relief got as many requests as before, from every node, until it might have failed the requests it had.

Cause: the limit was read by nobody, and there was nothing by which nodes keep a bound on what all of them do together: repeats have a part for each node by their number, which can't be less than one request a node, where a limit may be one request a second for all.

Change: while a server names a limit each request to it needs a permit. The root of the server's data centre issues them at the limit's rate; relays and leaves borrow them with the frames that pass anyway (at once where a request waits), and what isn't used goes back. What is lent and not used is bounded by what the server bears beyond its limit, so that the bound holds whatever the timing; what was sent before the limit was known counts. A limit is told to all nodes. A home that hears a part of the fleet issues that part of the limit. Choice takes a target for which there is a permit first, passes by those without; where nothing else could serve, a request waits an eighth of its target for a permit, and is then refused (Limited) with a Retry-After that leads callers back one after the other at the limit's rate.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -245,11 +245,11 @@
 	return ratelimit.Run{Server: spec.ID, Born: spec.Born}
 }
 
-// ServerRuns are the runs of servers that targets stand for.
-func (board *Board) ServerRuns() map[ratelimit.Run]struct{} {
-	runs := map[ratelimit.Run]struct{}{}
+// ServerRuns are the runs of servers that targets stand for, with their data centres.
+func (board *Board) ServerRuns() map[ratelimit.Run]string {
+	runs := map[ratelimit.Run]string{}
 	for _, target := range board.layout.Load().all {
-		runs[target.serverRun()] = struct{}{}
+		runs[target.serverRun()] = target.DataCentre
 	}
 	return runs
 }
@@ -305,6 +305,12 @@
 	return target.serverRun()
 }
 
+// Await counts a call that waits for a permit of the target's server until the function
+// is called.
+func (target *Target) Await() (done func()) {
+	return target.gate.Await()
+}
+
 // Avoid keeps new calls off the target for a while, after it failed one.
 func (target *Target) Avoid(span time.Duration) {
 	target.avoidUntil.Store(int64(target.now() + span))
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -33,6 +33,9 @@
 	None
 	// Full means that every target has all the calls that it may have.
 	Full
+	// Limited means that only servers could take the call that name a limit, and that this
+	// node has no permit for any. The target returned with it is one to wait for.
+	Limited
 )
 
 const (
@@ -48,17 +51,29 @@
 	never = time.Duration(-1)
 )
 
-// Pick chooses a target of a pool.
+// Pick chooses a target of a pool. The call must be sent: it counts against the limit of
+// the target's server.
 func (board *Board) Pick(name string, wish Wish) (*Target, Verdict) {
 	filled, ok := board.pool(name)
 	if !ok || len(filled.targets) == 0 {
 		return nil, None
 	}
-	now := board.now()
-	best := never
-	usable := 0
-	costs := make([]time.Duration, len(filled.targets))
-	for number, target := range filled.targets {
+	costs, usable := wish.costs(filled.targets, board.now())
+	switch {
+	case usable == 0 && !wish.anywhere:
+		wish.anywhere = true
+		return board.Pick(name, wish)
+	case usable == 0:
+		return nil, None
+	}
+	return board.choose(filled.targets, costs)
+}
+
+// costs returns what each target costs, never for those that can't be chosen, and how many
+// could be if they had a place.
+func (wish *Wish) costs(targets []*Target, now time.Duration) (costs []time.Duration, usable int) {
+	costs = make([]time.Duration, len(targets))
+	for number, target := range targets {
 		costs[number] = never
 		if target.Avoided(now) || slices.Contains(wish.Exclude, target.ID) || (!wish.anywhere && target.reach.away()) {
 			continue
@@ -71,20 +86,31 @@
 		if wish.Proven && !target.proven(now) {
 			costs[number] += unproven
 		}
-		if best == never || costs[number] < best {
-			best = costs[number]
-		}
 	}
-	switch {
-	case usable == 0 && !wish.anywhere:
-		wish.anywhere = true
-		return board.Pick(name, wish)
-	case usable == 0:
-		return nil, None
-	case best == never:
-		return nil, Full
+	return costs, usable
+}
+
+// choose draws among the cheapest targets until its server's limit lets a call through.
+func (board *Board) choose(targets []*Target, costs []time.Duration) (*Target, Verdict) {
+	var limited *Target
+	for {
+		number := board.draw(targets, costs)
+		switch {
+		case number < 0 && limited != nil:
+			return limited, Limited
+		case number < 0:
+			return nil, Full
+		case targets[number].gate.Take():
+			if limited != nil {
+				limited.gate.Ask()
+			}
+			return targets[number], Chosen
+		}
+		if limited == nil {
+			limited = targets[number]
+		}
+		costs[number] = never
 	}
-	return board.draw(filled.targets, costs, best+near), Chosen
 }
 
 const (
@@ -115,25 +141,40 @@
 	return cost
 }
 
-// draw picks at random among the targets that cost at most so much.
-func (board *Board) draw(targets []*Target, costs []time.Duration, most time.Duration) *Target {
-	count := 0
+// draw picks at random among the targets that cost little more than the cheapest, and
+// returns its place, -1 for none. One for which there is a permit comes first: permits run
+// out, and its server has nothing to spare for a call without one.
+func (board *Board) draw(targets []*Target, costs []time.Duration) int {
+	most := never
 	for _, cost := range costs {
-		if cost != never && cost <= most {
-			count++
+		if cost != never && (most == never || cost+near < most) {
+			most = cost + near
+		}
+	}
+	cheap, permitted := 0, -1
+	for number, cost := range costs {
+		if cost == never || cost > most {
+			continue
+		}
+		cheap++
+		if gate := targets[number].gate; gate.Limited() && gate.Open() && (permitted < 0 || cost < costs[permitted]) {
+			permitted = number
 		}
 	}
-	chosen := board.random(count)
+	if cheap == 0 || permitted >= 0 {
+		return permitted
+	}
+	chosen := board.random(cheap)
 	for number, cost := range costs {
 		if cost == never || cost > most {
 			continue
 		}
 		if chosen == 0 {
-			return targets[number]
+			return number
 		}
 		chosen--
 	}
-	return nil
+	return -1
 }
 
 // Occupancy is what of a pool is taken.
@@ -141,6 +182,17 @@
 	Targets int
 	Places  int
 	Taken   int
+	// Limit is what the servers that name limits take together, in requests a second.
+	Limit float64
+}
+
+// places is how many calls the target has places for. A server that names a limit has
+// none beside those that are taken.
+func (target *Target) places() int {
+	if target.gate.Limited() {
+		return min(target.Slots, target.Taken())
+	}
+	return target.Slots
 }
 
 // Occupancy returns how much of a pool's places is taken.
@@ -156,7 +208,8 @@
 			continue
 		}
 		occupancy.Targets++
-		occupancy.Places += target.Slots
+		occupancy.Places += target.places()
+		occupancy.Limit += target.gate.Rate()
 		occupancy.Taken += target.Taken()
 	}
 	return occupancy
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -30,7 +30,6 @@
 	target.mine.Add(1)
 	target.unread.Add(use.tokens)
 	target.uses[use] = struct{}{}
-	target.gate.Sent()
 	return use
 }
 
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -1,20 +1,30 @@
-// Package ratelimit knows the limits that backend servers name: how many requests a
+// Package ratelimit keeps to the limits that backend servers name: how many requests a
 // second a server takes from all nodes together.
 //
 // A limit is learnt from answers, and holds for one run of a server's process until an
 // answer names none. A server that starts again and one that takes over its address have
 // none until they name one.
 //
+// While a server names a limit, each request to it needs a permit. One node, the server's
+// home, issues them at the rate of the limit; the others borrow them over the connections
+// that there are, each for the nodes behind it. A permit that isn't used goes back and is
+// lent anew. A node that hears from no lender sends nothing, and a home that hears only a
+// part of the nodes issues that part of the limit: so two homes that don't hear each other
+// keep the limit together.
+//
 // # Usage
 //
-//	limits := ratelimit.New(ratelimit.Clock(clock.Boot))
+//	limits := ratelimit.New(ratelimit.Clock(clock.Boot), ratelimit.Incarnation(incarnation))
 //	gate := limits.Gate(ratelimit.Run{Server: "i-1", Born: 7})
-//	gate.Sent()
 //	limits.Answered(run, ratelimit.Answer{Named: true, Rate: 2.5, Began: began})
+//	limits.Refresh(func(ratelimit.Run) ratelimit.Duty { return ratelimit.Duty{Home: true, Part: 1} })
+//	if gate.Take() { ... }
 package ratelimit
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -73,6 +83,8 @@
 	gate   *Gate
 	limit  Limit
 	spoilt bool
+	// account has the permits, nil while there is no limit.
+	account *account
 	// unused says that no target stood for the run at the last sweep.
 	unused bool
 }
@@ -92,9 +104,12 @@
 
 	// known counts the limits in force, so that answers cost nothing while there are none.
 	known atomic.Int32
+	// incarnation begins the numbers of sessions of this node's loans.
+	incarnation uint64
 
-	mu      sync.Mutex
-	entries map[Run]*entry
+	mu       sync.Mutex
+	sessions uint64
+	entries  map[Run]*entry
 }
 
 // Option changes how Limits are built.
@@ -105,6 +120,11 @@
 	return func(limits *Limits) { limits.now = now }
 }
 
+// Incarnation sets a number that no other node has.
+func Incarnation(number uint64) Option {
+	return func(limits *Limits) { limits.incarnation = number }
+}
+
 // New returns limits of which none is known.
 func New(options ...Option) *Limits {
 	limits := &Limits{now: clock.Boot, entries: map[Run]*entry{}}
@@ -164,7 +184,7 @@
 func (limits *Limits) entryLocked(run Run) *entry {
 	held, ok := limits.entries[run]
 	if !ok {
-		held = &entry{gate: &Gate{now: limits.now}}
+		held = &entry{gate: newGate(limits.now)}
 		limits.entries[run] = held
 	}
 	return held
@@ -176,10 +196,174 @@
 	if was, is := held.inForce(), !limit.Ended; was != is {
 		limits.known.Add(map[bool]int32{true: 1, false: -1}[is])
 	}
-	if !limit.Ended {
-		limits.Counts.Learnt.Add(1)
-	}
 	held.limit = limit
+	switch {
+	case limit.Ended:
+		held.account = nil
+		held.gate.lift()
+		return
+	case held.account == nil:
+		held.account = newAccount(held.gate, max(limit.Rate, leastRate), limits.now())
+	}
+	held.account.rate = max(limit.Rate, leastRate)
+	held.gate.rate.Store(math.Float64bits(held.account.rate))
+	limits.Counts.Learnt.Add(1)
+}
+
+// leastRate is the least limit that is kept to, in requests a second: by less, and by none
+// at all, nobody would learn when the limit ends.
+const leastRate = 0.2
+
+// Take takes a limit that another node knows, and says whether it is news.
+func (limits *Limits) Take(limit Limit) bool {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	held := limits.entryLocked(limit.Run)
+	if limit.At <= held.limit.At {
+		return false
+	}
+	news := held.limit.At == 0 || held.limit.Ended != limit.Ended || held.limit.Rate != limit.Rate
+	if news {
+		limits.setLocked(limit)
+	}
+	held.limit.At = limit.At
+	return news
+}
+
+// Known returns what is known of a run's limit, also that it ended.
+func (limits *Limits) Known(run Run) (Limit, bool) {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	held, ok := limits.entries[run]
+	if !ok || held.limit.At == 0 {
+		return Limit{}, false
+	}
+	return held.limit, true
+}
+
+// All returns the limits in force.
+func (limits *Limits) All() []Limit {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	all := []Limit{}
+	for _, held := range limits.entries {
+		if held.inForce() {
+			all = append(all, held.limit)
+		}
+	}
+	return all
+}
+
+// Any says whether any limit is in force.
+func (limits *Limits) Any() bool {
+	return limits.known.Load() > 0
+}
+
+// Refresh brings all permits up to now, by this node's duties, and returns the neighbours
+// that should hear of it at once.
+func (limits *Limits) Refresh(duty func(run Run) Duty) []Neighbour {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	return limits.refreshLocked(slices.Collect(maps.Keys(limits.entries)), duty)
+}
+
+func (limits *Limits) refreshLocked(runs []Run, duty func(run Run) Duty) []Neighbour {
+	now := limits.now()
+	hasten := []Neighbour{}
+	for _, run := range runs {
+		held := limits.entries[run]
+		if held == nil || held.account == nil {
+			continue
+		}
+		held.account.assign(duty(run), now, limits.session)
+		hasten = append(hasten, held.account.refresh(now)...)
+		if lender, due := held.account.hastens(now); due {
+			hasten = append(hasten, lender)
+		}
+	}
+	slices.Sort(hasten)
+	return slices.Compact(hasten)
+}
+
+func (limits *Limits) session() uint64 {
+	limits.sessions++
+	return limits.incarnation + limits.sessions
+}
+
+// TakeClaims takes what a borrower tells, and returns the neighbours that should hear of it
+// at once.
+func (limits *Limits) TakeClaims(from Neighbour, claims []Claim, duty func(run Run) Duty) []Neighbour {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	runs := make([]Run, 0, len(claims))
+	for number := range claims {
+		claim := &claims[number]
+		if held := limits.entries[claim.Run]; held != nil && held.account != nil {
+			held.account.takeClaim(from, claim)
+			runs = append(runs, claim.Run)
+		}
+	}
+	return limits.refreshLocked(runs, duty)
+}
+
+// TakeLoans takes what a lender tells, and returns the neighbours that should hear of it at
+// once.
+func (limits *Limits) TakeLoans(from Neighbour, loans []Loan, duty func(run Run) Duty) []Neighbour {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	runs := make([]Run, 0, len(loans))
+	for number := range loans {
+		loan := &loans[number]
+		if held := limits.entries[loan.Run]; held != nil && held.account != nil {
+			held.account.takeLoan(from, loan, limits.now(), limits.session)
+			runs = append(runs, loan.Run)
+		}
+	}
+	return limits.refreshLocked(runs, duty)
+}
+
+// Claims returns what a neighbour is to be told as the lender.
+func (limits *Limits) Claims(to Neighbour) []Claim {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	claims := []Claim{}
+	for run, held := range limits.entries {
+		if held.account != nil && !held.account.duty.Home && held.account.duty.Lender == to {
+			claim := held.account.claim()
+			claim.Run = run
+			claims = append(claims, claim)
+		}
+	}
+	return claims
+}
+
+// Loans returns what a neighbour is to be told as a borrower.
+func (limits *Limits) Loans(to Neighbour) []Loan {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	loans := []Loan{}
+	for run, held := range limits.entries {
+		if held.account == nil || held.account.session == 0 || (!held.account.duty.Home && held.account.duty.Lender == to) {
+			continue
+		}
+		loan := Loan{Run: run, Session: held.account.session}
+		if borrower := held.account.borrowers[to]; borrower != nil {
+			loan.Lent = borrower.lent
+		}
+		loans = append(loans, loan)
+	}
+	return loans
+}
+
+// Lose takes the end of the link to a neighbour.
+func (limits *Limits) Lose(neighbour Neighbour) {
+	limits.mu.Lock()
+	defer limits.mu.Unlock()
+	for _, held := range limits.entries {
+		if held.account != nil {
+			held.account.lose(neighbour, limits.now())
+		}
+	}
 }
 
 func (entry *entry) inForce() bool {
@@ -224,6 +408,11 @@
 	// node sent the server within the last four seconds.
 	AgeMilliseconds int64
 	SentLately      int
+	// Home says that this node issues the permits, for a Part of the limit. Permits are on
+	// hand, Outstanding lent to others, Waiting and Wanted what is asked for.
+	Home                                  bool
+	Part                                  float64
+	Permits, Outstanding, Waiting, Wanted int
 }
 
 // State returns the limits in force, by server.
@@ -235,9 +424,11 @@
 		if !held.inForce() {
 			continue
 		}
+		claim := held.account.claim()
 		states = append(states, State{
 			Server: run.Server, Rate: held.limit.Rate, AgeMilliseconds: (limits.now() - held.limit.At).Milliseconds(),
-			SentLately: held.gate.SentLately(),
+			SentLately: held.gate.SentLately(), Home: held.account.duty.Home, Part: held.account.duty.Part,
+			Permits: int(held.gate.permits.Load()), Outstanding: held.account.outstanding(), Waiting: claim.Waiting, Wanted: claim.Wanted,
 		})
 	}
 	slices.SortFunc(states, func(one, other State) int { return cmp.Compare(one.Server, other.Server) })
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -80,6 +80,7 @@
 		Listing: peers.listing(channel), Suspects: peers.suspectsFor(channel),
 	}
 	channel.news, channel.silences = nil, nil
+	peers.addPermits(told, channel)
 	if held := peers.holder; held.term != 0 {
 		told.Holder = &frame.Holder{Term: held.term, Beat: held.beat, Released: held.released}
 	}
@@ -110,14 +111,14 @@
 	own := peers.node.board.Shares()
 	version := peers.node.configuration.Load().Configuration.Version
 	same := version == channel.reportedVersion && maps.Equal(own, channel.reported)
-	if optional && same && len(channel.silences) == 0 && len(channel.suspects) == 0 {
+	told := &frame.Frame{}
+	permits := peers.addPermits(told, channel)
+	if optional && same && !permits && len(channel.silences) == 0 && len(channel.suspects) == 0 {
 		return nil
 	}
 	channel.reported, channel.reportedVersion = own, version
-	told := &frame.Frame{
-		Sequence: channel.reports.Add(own), Nodes: 1, Loads: loadsOf(own), SilentHeads: channel.silences,
-		ConfigurationVersion: version, Suspects: peers.suspectsFor(channel),
-	}
+	told.Sequence, told.Nodes, told.Loads, told.SilentHeads = channel.reports.Add(own), 1, loadsOf(own), channel.silences
+	told.ConfigurationVersion, told.Suspects = version, peers.suspectsFor(channel)
 	channel.silences = nil
 	return told
 }
@@ -133,11 +134,14 @@
 		held = peers.encodeLeafFrame(channel.catalogueSent, now)
 		peers.encoded = held
 	}
-	if optional && held.from == held.to && held.news == channel.leafNews && len(channel.suspects) == 0 {
+	told := &frame.Frame{}
+	permits := peers.addPermits(told, channel)
+	if optional && held.from == held.to && held.news == channel.leafNews && !permits && len(channel.suspects) == 0 {
 		return nil
 	}
 	channel.catalogueSent, channel.leafNews = held.to, held.news
-	included := peers.encode(&frame.Frame{Included: channel.sequence, Suspects: peers.suspectsFor(channel)})
+	told.Included, told.Suspects = channel.sequence, peers.suspectsFor(channel)
+	included := peers.encode(told)
 	return append(append(make([]byte, 0, len(held.body)+2*len(included)), held.body...), included...)
 }
 
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -167,7 +167,7 @@
 	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
 	node.quarantine = quarantine.New(quarantine.Clock(node.now))
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
-	node.limits = ratelimit.New(ratelimit.Clock(node.now))
+	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation))
 	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Limits(node.limits))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
@@ -208,7 +208,8 @@
 	return forward.Parts{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Ready: node.known, Stopping: node.stopping.Load,
-		Quarantine: node.quarantine, Suspected: node.suspected, Limits: node.limits, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
+		Quarantine: node.quarantine, Suspected: node.suspected, Limits: node.limits, LimitNews: node.limitNews,
+		AskPermits: node.refreshPermits, Returns: ratelimit.NewReturns(node.now), Nodes: func() int { return node.peers.nodes() }, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
 
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -111,7 +111,7 @@
 	return map[string]uint64{
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
-		"LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
+		"Limited": node.forwarder.Counts.Limited.Load(), "LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
 		"GroupsLent": formed.Lent.Load(), "Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -16,6 +16,7 @@
 	"hazelslip/internal/fleet/tree"
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/quarantine"
+	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/state/storelog"
 	"hazelslip/internal/wire/frame"
 )
@@ -74,6 +75,7 @@
 	news     []*frame.GroupNews
 	silences []*frame.SilentHead
 	suspects map[quarantine.Fingerprint]struct{}
+	permits  permits
 }
 
 // core says whether the link is one over which everything is told.
@@ -128,11 +130,13 @@
 	newer    atomic.Pointer[newerVersion]
 	fetching fetches
 
-	mu       sync.Mutex
-	channels map[*overlay.Link]*channel
-	sums     *sums
-	encoded  *leafFrame
-	holder   holder
+	mu sync.Mutex
+	// lastNeighbour numbers the links.
+	lastNeighbour ratelimit.Neighbour
+	channels      map[*overlay.Link]*channel
+	sums          *sums
+	encoded       *leafFrame
+	holder        holder
 	// ownTerm is the last under which this node gave orders.
 	ownTerm int64
 	// silent is when each silent group was last told of.
@@ -227,6 +231,9 @@
 func (peers *peers) ended(link *overlay.Link) {
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
+	if held := peers.channels[link]; held != nil {
+		peers.node.limits.Lose(held.permits.number)
+	}
 	delete(peers.channels, link)
 	peers.sums = nil
 }
@@ -237,7 +244,11 @@
 	if known {
 		return held
 	}
-	held = &channel{link: link, shares: tally.Shares{}, copied: catalogue.NewCopy(), suspects: map[quarantine.Fingerprint]struct{}{}}
+	peers.lastNeighbour++
+	held = &channel{
+		link: link, shares: tally.Shares{}, copied: catalogue.NewCopy(), suspects: map[quarantine.Fingerprint]struct{}{},
+		permits: newPermits(peers.lastNeighbour, peers.node.limits.All()),
+	}
 	if core(link) {
 		held.news = peers.node.recentNews()
 	}
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -31,6 +31,7 @@
 	}
 	peers.takeSilences(link, received.SilentHeads)
 	peers.takeSuspects(link, received.Suspects)
+	peers.takePermits(link, received)
 }
 
 // takeReport takes what a leaf has under way.
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -42,7 +42,7 @@
 }
 
 func (node *Node) watchPause() time.Duration {
-	if node.board.Idle() {
+	if node.board.Idle() && !node.limits.Any() {
 		return watchIdle
 	}
 	return watchTick
@@ -210,9 +210,10 @@
 	return occupancy.Taken, occupancy.Places
 }
 
-// watch looks for groups that stand still and tells whoever mends them, and for data
-// centres that this node may be cut off from.
+// watch looks for groups that stand still and tells whoever mends them, for data centres
+// that this node may be cut off from, and for permits that have run out.
 func (node *Node) watch() {
+	node.refreshPermits()
 	for _, probe := range node.board.Probes() {
 		node.GoAs("probe", func() { node.probe(&probe) })
 	}
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -44,8 +44,8 @@
 // the caller and can be asked for again.
 func (exchange *exchange) call() {
 	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
-		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
-			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: plainBeyond,
+		target, verdict := exchange.pickWithin(exchange.placeWait(), plainBeyond, func(verdict dispatch.Verdict) bool {
+			return verdict == dispatch.Limited
 		})
 		if verdict != dispatch.Chosen {
 			exchange.noTarget(verdict)
@@ -61,12 +61,19 @@
 
 // noTarget notes why no server was chosen, after what was tried before.
 func (exchange *exchange) noTarget(verdict dispatch.Verdict) {
-	exchange.outcome = NoServer
-	if verdict == dispatch.Full {
-		exchange.outcome = Full
-	}
 	occupancy := exchange.forwarder.Board.Occupancy(exchange.pool())
 	reason := fmt.Sprintf("pool %s has %d of %d places taken at %d targets", exchange.pool(), occupancy.Taken, occupancy.Places, occupancy.Targets)
+	switch verdict {
+	case dispatch.Full:
+		exchange.outcome = Full
+	case dispatch.Limited:
+		exchange.outcome = Limited
+		exchange.forwarder.Counts.Limited.Add(1)
+		exchange.again = exchange.forwarder.Returns.After(exchange.pool(), occupancy.Limit/float64(exchange.forwarder.Nodes()))
+		reason += fmt.Sprintf(", whose servers take %.2f requests a second by the limits that they name", occupancy.Limit)
+	default:
+		exchange.outcome = NoServer
+	}
 	if exchange.cause != "" {
 		reason = exchange.cause + "; " + reason
 	}
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -80,8 +80,15 @@
 	Quarantine *quarantine.List
 	// Suspected is told of a request of which the Quarantine learned something here.
 	Suspected func(fingerprint quarantine.Fingerprint)
-	// Limits are those that servers name.
-	Limits *ratelimit.Limits
+	// Limits are those that servers name, LimitNews is told of a run whose limit was learnt,
+	// changed or ended here. AskPermits is called when a request waits for a permit.
+	Limits     *ratelimit.Limits
+	LimitNews  func(run ratelimit.Run)
+	AskPermits func()
+	// Returns tells callers refused for a limit when to come back, Nodes how many nodes
+	// share it.
+	Returns *ratelimit.Returns
+	Nodes   func() int
 	// Failed is told of a server that refused or broke a call of a group.
 	Failed func(target *dispatch.Target, culprit string)
 	Logger *slog.Logger
@@ -95,7 +102,9 @@
 	// Quarantined are the requests that were refused, or not tried again, since servers
 	// end that run them; ServerEnds the ends of servers under requests.
 	Quarantined atomic.Uint64
-	ServerEnds  atomic.Uint64
+	// Limited are the requests that were refused for limits that servers name.
+	Limited    atomic.Uint64
+	ServerEnds atomic.Uint64
 }
 
 // Forwarder is an http.Handler.
--- a/internal/serve/forward/limit.go
+++ b/internal/serve/forward/limit.go
@@ -25,6 +25,9 @@
 	if change == ratelimit.Unchanged {
 		return
 	}
+	if change != ratelimit.Spoilt {
+		exchange.forwarder.LimitNews(run)
+	}
 	exchange.forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelInfo, limitLines[change],
 		slog.String("Server", leg.target.ID), slog.String("Group", leg.target.Group),
 		slog.Float64("Rate", told.Rate), slog.Float64("Before", before.Rate), slog.String("Value", told.Unreadable),
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -61,19 +61,37 @@
 
 // pick chooses a group, and waits a little for a place if all are full.
 func (exchange *exchange) pick(beyond int) (*dispatch.Target, dispatch.Verdict) {
-	wait := time.Duration(waitShare * float64(exchange.route.Target))
+	wait := exchange.placeWait()
 	if exchange.begun {
 		wait = waitResumed
 	}
+	return exchange.pickWithin(wait, beyond, func(verdict dispatch.Verdict) bool {
+		return verdict != dispatch.Chosen && (verdict != dispatch.None || exchange.begun)
+	})
+}
+
+// placeWait is how long a request that was not begun may wait here for a place.
+func (exchange *exchange) placeWait() time.Duration {
+	return time.Duration(waitShare * float64(exchange.route.Target))
+}
+
+// pickWithin chooses a target, and looks again for some time after the verdicts that are
+// worth it.
+func (exchange *exchange) pickWithin(wait time.Duration, beyond int, worth func(verdict dispatch.Verdict) bool) (*dispatch.Target, dispatch.Verdict) {
 	until := exchange.forwarder.Now() + wait
+	var done func()
 	for {
 		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
 			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond, Proven: exchange.mayHaveRun,
 		})
-		enough := verdict == dispatch.Chosen || (verdict == dispatch.None && !exchange.begun)
-		if enough || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
+		if !worth(verdict) || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
 			return target, verdict
 		}
+		if verdict == dispatch.Limited && done == nil {
+			done = target.Await()
+			defer done()
+			exchange.forwarder.AskPermits()
+		}
 		time.Sleep(waitStep)
 	}
 }
