fix(ratelimit): changes of limits that cross on their way leave all nodes with the same

What would be seen: a node that goes on keeping to a limit that has ended and gets no permit any more, or one that sends without permits while the others need them.

Cause: changes were ordered by the time of the answer that told them, which each hop takes anew; an end and a late answer with the limit that crossed left two nodes with one each, and a lender that knows of no limit ignored claims. Now each change has a version, of two made at once the stricter holds, a node that is told what it knows better answers with that, and a claim carries the limit. Limits that are no rate are dropped, and permits are looked at for the servers that name limits only, so that servers that name none cost nothing.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -120,6 +120,8 @@
 	all []*Target
 	// reaches are the ways to other data centres.
 	reaches map[string]*reach
+	// runs are those of the servers, with their data centres.
+	runs map[ratelimit.Run]string
 }
 
 // Board holds the pools.
@@ -202,6 +204,10 @@
 			board.reach(target.DataCentre, next)
 		}
 	}
+	next.runs = make(map[ratelimit.Run]string, len(next.all))
+	for _, target := range next.all {
+		next.runs[target.serverRun()] = target.DataCentre
+	}
 	board.known = listed
 	board.layout.Store(next)
 }
@@ -247,11 +253,7 @@
 
 // ServerRuns are the runs of servers that targets stand for, with their data centres.
 func (board *Board) ServerRuns() map[ratelimit.Run]string {
-	runs := map[ratelimit.Run]string{}
-	for _, target := range board.layout.Load().all {
-		runs[target.serverRun()] = target.DataCentre
-	}
-	return runs
+	return board.layout.Load().runs
 }
 
 func (board *Board) pool(name string) (*pool, bool) {
--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -27,6 +27,10 @@
 // Claim is what a borrower tells its lender. Counts are of the lender's session.
 type Claim struct {
 	Run
+	// Rate and Version are of the limit as the borrower knows it: a lender that doesn't
+	// would leave it without permits.
+	Rate    float64
+	Version uint64
 	Session uint64
 	// Used and Returned count permits since the session began.
 	Used, Returned uint64
@@ -130,11 +134,9 @@
 	hastenedAt time.Duration
 }
 
-func newAccount(gate *Gate, rate float64, now time.Duration) *account {
+func newAccount(gate *Gate, now time.Duration) *account {
 	gate.limit()
-	account := &account{gate: gate, rate: rate, borrowers: map[Neighbour]*borrower{Self: {}}, filledAt: now}
-	account.opensAt = now + learnTime
-	return account
+	return &account{gate: gate, borrowers: map[Neighbour]*borrower{Self: {}}, filledAt: now, opensAt: now + learnTime}
 }
 
 // reset takes back all permits, after which those that were lent count for nothing.
--- a/internal/policy/ratelimit/fleet_test.go
+++ b/internal/policy/ratelimit/fleet_test.go
@@ -137,7 +137,7 @@
 // name makes all nodes know a limit.
 func (fleet *fleet) name(rate float64) {
 	for _, node := range fleet.nodes {
-		node.limits.Take(ratelimit.Limit{Run: run, Rate: rate, At: fleet.clock.at})
+		node.limits.Take(ratelimit.Limit{Run: run, Rate: rate, Version: 1, At: fleet.clock.at})
 	}
 }
 
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -47,10 +47,24 @@
 	Rate float64
 	// Ended says that the server names none any more.
 	Ended bool
+	// Version rises with each change, wherever it is learnt; 0 if nothing was.
+	Version uint64
 	// At is when the answer came that told it.
 	At time.Duration
 }
 
+// newer says whether the limit replaces another. Of two changes that were learnt at the same
+// time at two nodes all nodes keep the stricter one.
+func (limit *Limit) newer(other *Limit) bool {
+	switch {
+	case limit.Version != other.Version:
+		return limit.Version > other.Version
+	case limit.Ended != other.Ended:
+		return other.Ended
+	}
+	return !limit.Ended && limit.Rate < other.Rate
+}
+
 // Answer is what one answer of a server says of its limit.
 type Answer struct {
 	// Named says that it names one, Rate in requests a second.
@@ -110,6 +124,8 @@
 	mu       sync.Mutex
 	sessions uint64
 	entries  map[Run]*entry
+	// limited are the entries with a limit in force.
+	limited map[Run]*entry
 }
 
 // Option changes how Limits are built.
@@ -127,7 +143,7 @@
 
 // New returns limits of which none is known.
 func New(options ...Option) *Limits {
-	limits := &Limits{now: clock.Boot, entries: map[Run]*entry{}}
+	limits := &Limits{now: clock.Boot, entries: map[Run]*entry{}, limited: map[Run]*entry{}}
 	for _, option := range options {
 		option(limits)
 	}
@@ -157,10 +173,10 @@
 	case answer.Unreadable != "":
 		return limits.spoilLocked(held)
 	case answer.Named && !held.inForce():
-		limits.setLocked(Limit{Run: run, Rate: answer.Rate, At: limits.now()})
+		limits.setLocked(Limit{Run: run, Rate: answer.Rate, Version: held.limit.Version + 1, At: limits.now()})
 		return Learnt
 	case answer.Named && held.limit.Rate != answer.Rate:
-		limits.setLocked(Limit{Run: run, Rate: answer.Rate, At: limits.now()})
+		limits.setLocked(Limit{Run: run, Rate: answer.Rate, Version: held.limit.Version + 1, At: limits.now()})
 		return Changed
 	case answer.Named:
 		held.limit.At = limits.now()
@@ -168,7 +184,7 @@
 	case !held.inForce() || answer.Refused || answer.Began <= held.limit.At:
 		return Unchanged
 	}
-	limits.setLocked(Limit{Run: run, Rate: held.limit.Rate, Ended: true, At: limits.now()})
+	limits.setLocked(Limit{Run: run, Rate: held.limit.Rate, Version: held.limit.Version + 1, Ended: true, At: limits.now()})
 	return Ended
 }
 
@@ -193,41 +209,70 @@
 // setLocked puts a limit in force, or ends it.
 func (limits *Limits) setLocked(limit Limit) {
 	held := limits.entryLocked(limit.Run)
-	if was, is := held.inForce(), !limit.Ended; was != is {
-		limits.known.Add(map[bool]int32{true: 1, false: -1}[is])
-	}
 	held.limit = limit
-	switch {
-	case limit.Ended:
+	if limit.Ended {
 		held.account = nil
 		held.gate.lift()
+		limits.forgetLocked(limit.Run)
 		return
-	case held.account == nil:
-		held.account = newAccount(held.gate, max(limit.Rate, leastRate), limits.now())
 	}
-	held.account.rate = max(limit.Rate, leastRate)
+	if held.account == nil {
+		held.account = newAccount(held.gate, limits.now())
+		limits.limited[limit.Run] = held
+		limits.known.Store(int32(len(limits.limited)))
+	}
+	held.account.rate = min(max(limit.Rate, leastRate), mostRate)
 	held.gate.rate.Store(math.Float64bits(held.account.rate))
 	limits.Counts.Learnt.Add(1)
 }
 
-// leastRate is the least limit that is kept to, in requests a second: by less, and by none
-// at all, nobody would learn when the limit ends.
-const leastRate = 0.2
+func (limits *Limits) forgetLocked(run Run) {
+	delete(limits.limited, run)
+	limits.known.Store(int32(len(limits.limited)))
+}
+
+const (
+	// leastRate is the least limit that is kept to, in requests a second: by less, and by
+	// none at all, nobody would learn when the limit ends.
+	leastRate = 0.2
+	// mostRate is more than a fleet sends one server.
+	mostRate = 1e5
+)
+
+// Word is what a limit that another node tells is to this one.
+type Word int
+
+// The words.
+const (
+	// Same: this node knew it.
+	Same Word = iota
+	// News: it replaces what this node knew.
+	News
+	// Old: this node knows better, and should tell.
+	Old
+)
 
-// Take takes a limit that another node knows, and says whether it is news.
-func (limits *Limits) Take(limit Limit) bool {
+// Take takes a limit that another node knows.
+func (limits *Limits) Take(limit Limit) Word {
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
-	held := limits.entryLocked(limit.Run)
-	if limit.At <= held.limit.At {
-		return false
+	return limits.takeLocked(limit)
+}
+
+func (limits *Limits) takeLocked(limit Limit) Word {
+	if !(limit.Rate >= 0) || math.IsInf(limit.Rate, 1) {
+		return Same
 	}
-	news := held.limit.At == 0 || held.limit.Ended != limit.Ended || held.limit.Rate != limit.Rate
-	if news {
+	held := limits.entryLocked(limit.Run)
+	switch {
+	case limit.newer(&held.limit):
 		limits.setLocked(limit)
+		return News
+	case held.limit.newer(&limit):
+		return Old
 	}
-	held.limit.At = limit.At
-	return news
+	held.limit.At = max(held.limit.At, limit.At)
+	return Same
 }
 
 // Known returns what is known of a run's limit, also that it ended.
@@ -235,7 +280,7 @@
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
 	held, ok := limits.entries[run]
-	if !ok || held.limit.At == 0 {
+	if !ok || held.limit.Version == 0 {
 		return Limit{}, false
 	}
 	return held.limit, true
@@ -246,10 +291,8 @@
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
 	all := []Limit{}
-	for _, held := range limits.entries {
-		if held.inForce() {
-			all = append(all, held.limit)
-		}
+	for _, held := range limits.limited {
+		all = append(all, held.limit)
 	}
 	return all
 }
@@ -264,15 +307,15 @@
 func (limits *Limits) Refresh(duty func(run Run) Duty) []Neighbour {
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
-	return limits.refreshLocked(slices.Collect(maps.Keys(limits.entries)), duty)
+	return limits.refreshLocked(slices.Collect(maps.Keys(limits.limited)), duty)
 }
 
 func (limits *Limits) refreshLocked(runs []Run, duty func(run Run) Duty) []Neighbour {
 	now := limits.now()
 	hasten := []Neighbour{}
 	for _, run := range runs {
-		held := limits.entries[run]
-		if held == nil || held.account == nil {
+		held := limits.limited[run]
+		if held == nil {
 			continue
 		}
 		held.account.assign(duty(run), now, limits.session)
@@ -291,14 +334,14 @@
 }
 
 // TakeClaims takes what a borrower tells, and returns the neighbours that should hear of it
-// at once.
+// at once. Limits that it claims permits for are to be taken before.
 func (limits *Limits) TakeClaims(from Neighbour, claims []Claim, duty func(run Run) Duty) []Neighbour {
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
 	runs := make([]Run, 0, len(claims))
 	for number := range claims {
 		claim := &claims[number]
-		if held := limits.entries[claim.Run]; held != nil && held.account != nil {
+		if held := limits.limited[claim.Run]; held != nil {
 			held.account.takeClaim(from, claim)
 			runs = append(runs, claim.Run)
 		}
@@ -314,7 +357,7 @@
 	runs := make([]Run, 0, len(loans))
 	for number := range loans {
 		loan := &loans[number]
-		if held := limits.entries[loan.Run]; held != nil && held.account != nil {
+		if held := limits.limited[loan.Run]; held != nil {
 			held.account.takeLoan(from, loan, limits.now(), limits.session)
 			runs = append(runs, loan.Run)
 		}
@@ -327,10 +370,10 @@
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
 	claims := []Claim{}
-	for run, held := range limits.entries {
-		if held.account != nil && !held.account.duty.Home && held.account.duty.Lender == to {
+	for run, held := range limits.limited {
+		if !held.account.duty.Home && held.account.duty.Lender == to {
 			claim := held.account.claim()
-			claim.Run = run
+			claim.Run, claim.Rate, claim.Version = run, held.limit.Rate, held.limit.Version
 			claims = append(claims, claim)
 		}
 	}
@@ -342,8 +385,8 @@
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
 	loans := []Loan{}
-	for run, held := range limits.entries {
-		if held.account == nil || held.account.session == 0 || (!held.account.duty.Home && held.account.duty.Lender == to) {
+	for run, held := range limits.limited {
+		if held.account.session == 0 || (!held.account.duty.Home && held.account.duty.Lender == to) {
 			continue
 		}
 		loan := Loan{Run: run, Session: held.account.session}
@@ -359,15 +402,13 @@
 func (limits *Limits) Lose(neighbour Neighbour) {
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
-	for _, held := range limits.entries {
-		if held.account != nil {
-			held.account.lose(neighbour, limits.now())
-		}
+	for _, held := range limits.limited {
+		held.account.lose(neighbour, limits.now())
 	}
 }
 
 func (entry *entry) inForce() bool {
-	return entry.limit.At > 0 && !entry.limit.Ended
+	return entry.limit.Version > 0 && !entry.limit.Ended
 }
 
 // Limit returns the limit in force of a run.
@@ -392,9 +433,7 @@
 		if !held.unused || !wasUnused {
 			continue
 		}
-		if held.inForce() {
-			limits.known.Add(-1)
-		}
+		limits.forgetLocked(run)
 		delete(limits.entries, run)
 	}
 }
@@ -420,10 +459,7 @@
 	limits.mu.Lock()
 	defer limits.mu.Unlock()
 	states := []State{}
-	for run, held := range limits.entries {
-		if !held.inForce() {
-			continue
-		}
+	for run, held := range limits.limited {
 		claim := held.account.claim()
 		states = append(states, State{
 			Server: run.Server, Rate: held.limit.Rate, AgeMilliseconds: (limits.now() - held.limit.At).Milliseconds(),
--- a/internal/run/gateway/limits.go
+++ b/internal/run/gateway/limits.go
@@ -35,7 +35,7 @@
 
 // limitNews makes known what this node learnt of a limit.
 func (node *Node) limitNews(run ratelimit.Run) {
-	node.peers.tellLimit(run, nil)
+	node.peers.tellLimit(run, func(*overlay.Link) bool { return true })
 	node.refreshPermits()
 }
 
@@ -46,16 +46,16 @@
 	}
 }
 
-// tellLimit passes on what is known of a limit, at once.
-func (peers *peers) tellLimit(run ratelimit.Run, from *overlay.Link) {
+// tellLimit tells what is known of a limit over some links, at once.
+func (peers *peers) tellLimit(run ratelimit.Run, over func(link *overlay.Link) bool) {
 	peers.mu.Lock()
 	for link, channel := range peers.channels {
-		if link != from {
+		if over(link) {
 			channel.permits.limits[run] = struct{}{}
 		}
 	}
 	peers.mu.Unlock()
-	peers.overlay.Poke(func(link *overlay.Link) bool { return link != from })
+	peers.overlay.Poke(over)
 }
 
 // hasten sends frames at once to some neighbours.
@@ -166,6 +166,9 @@
 	peers.mu.Lock()
 	number := peers.channel(link).permits.number
 	peers.mu.Unlock()
+	for _, claim := range received.Claims {
+		peers.takeLimit(link, &frame.ServerLimit{Server: claim.Server, Born: claim.Born, Rate: claim.Rate, Version: claim.Version})
+	}
 	duties := peers.duties()
 	limits := peers.node.limits
 	peers.hasten(limits.TakeClaims(number, claimsFromWire(received.Claims), duties))
@@ -177,12 +180,17 @@
 	node := peers.node
 	age := time.Duration(told.AgeMs) * time.Millisecond
 	run := ratelimit.Run{Server: told.Server, Born: told.Born}
-	if !node.limits.Take(ratelimit.Limit{Run: run, Rate: told.Rate, Ended: told.Ended, At: node.now() - age}) {
+	limit := ratelimit.Limit{Run: run, Rate: told.Rate, Version: told.Version, Ended: told.Ended, At: node.now() - age}
+	switch node.limits.Take(limit) {
+	case ratelimit.Same:
+		return
+	case ratelimit.Old:
+		peers.tellLimit(run, func(other *overlay.Link) bool { return other == link })
 		return
 	}
 	node.logger.Info("gateway: a limit was told.", "Server", told.Server, "Rate", told.Rate, "Ended", told.Ended,
 		"AgeMilliseconds", told.AgeMs, "From", link.Remote.Address, "SentLately", node.limits.Gate(run).SentLately())
-	peers.tellLimit(run, link)
+	peers.tellLimit(run, func(other *overlay.Link) bool { return other != link })
 	node.refreshPermits()
 }
 
@@ -190,7 +198,7 @@
 	told := make([]*frame.ServerLimit, 0, len(runs))
 	for run := range runs {
 		if limit, known := limits.Known(run); known {
-			told = append(told, &frame.ServerLimit{Server: run.Server, Born: run.Born, Rate: limit.Rate, Ended: limit.Ended, AgeMs: milliseconds(now - limit.At)})
+			told = append(told, &frame.ServerLimit{Server: run.Server, Born: run.Born, Rate: limit.Rate, Version: limit.Version, Ended: limit.Ended, AgeMs: milliseconds(now - limit.At)})
 		}
 	}
 	return told
@@ -199,7 +207,7 @@
 func claimToWire(claim *ratelimit.Claim) *frame.PermitClaim {
 	return &frame.PermitClaim{
 		Server: claim.Server, Born: claim.Born, Session: claim.Session, Used: claim.Used, Returned: claim.Returned,
-		Wanted: uint32(claim.Wanted), Waiting: uint32(claim.Waiting), SentFree: uint32(claim.SentFree),
+		Rate: claim.Rate, Version: claim.Version, Wanted: uint32(claim.Wanted), Waiting: uint32(claim.Waiting), SentFree: uint32(claim.SentFree),
 	}
 }
 
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -85,6 +85,8 @@
 	// Serving counts the servers and heads of groups that take calls, by what they
 	// serve.
 	Serving map[string]int
+	// Limits are those that servers name.
+	Limits []ratelimit.State
 }
 
 // Metrics returns the node's metrics.
@@ -92,6 +94,7 @@
 	metrics := Metrics{
 		Outcomes: node.measures.byRoute(), Latencies: node.measures.latencies(), Counters: node.counters(),
 		Ages: map[string]int64{"ServerList": -1, "Configuration": -1}, Term: node.keeper.Term(), Budgets: node.budgetStates(), Serving: map[string]int{},
+		Limits: node.limits.State(),
 	}
 	servers := node.servers.Load()
 	if servers.Known() {
--- a/internal/serve/forward/limit.go
+++ b/internal/serve/forward/limit.go
@@ -17,6 +17,9 @@
 // noteLimit takes what an answer says of its server's limit.
 func (exchange *exchange) noteLimit(leg *leg) {
 	limits, told := exchange.forwarder.Limits, leg.Limit
+	if !told.Named && told.Unreadable == "" && !limits.Any() {
+		return
+	}
 	run := leg.target.ServerRun()
 	before, _ := limits.Limit(run)
 	change := limits.Answered(run, ratelimit.Answer{
