fix(ratelimit): what a lost node sent before a limit was known still counts

What would be seen: a server that names a limit and gets a few requests too many when a relay or root is lost within four seconds after it.

Cause: a home counts what all nodes sent before they knew of the limit, by what each tells; with the link to a node what it had told was forgotten, and the home issued permits beside. Now it counts on for a window. What counts is what lies within a window that can be judged, by the operator's bound on how long nodes may take to act (Settle, from the settings), so that a limit in a fleet with a longer bound is used at once.

--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -118,8 +118,9 @@
 	session   uint64
 	borrowers map[Neighbour]*borrower
 	// own are the permits of this node's own requests, stock those that it borrowed and
-	// has not lent, strays those of neighbours that were lost.
-	own, stock, strays []batch
+	// has not lent, strays those of neighbours that were lost, strayFree what these sent
+	// without permits.
+	own, stock, strays, strayFree []batch
 	// lenderSession, received, used and returned are counts of the session of the lender.
 	lenderSession  uint64
 	received       uint64
@@ -213,6 +214,7 @@
 func (account *account) lose(neighbour Neighbour, now time.Duration) {
 	if held := account.borrowers[neighbour]; held != nil && neighbour != Self {
 		account.strays = append(account.strays, batch{count: held.held(), until: now + strayTime})
+		account.strayFree = append(account.strayFree, batch{count: held.sentFree, until: now + window})
 		delete(account.borrowers, neighbour)
 	}
 }
@@ -223,8 +225,8 @@
 	for _, borrower := range account.borrowers {
 		claim.Wanted += max(borrower.wanted, borrower.waiting)
 		claim.Waiting += borrower.waiting
-		claim.SentFree += borrower.sentFree
 	}
+	claim.SentFree = account.sentFree()
 	return claim
 }
 
@@ -232,6 +234,7 @@
 // neighbours at which requests wait for what they were lent.
 func (account *account) refresh(now time.Duration) []Neighbour {
 	account.refreshOwn(now)
+	take(&account.strayFree, now)
 	for _, expired := range take(&account.strays, now) {
 		account.settle(expired.count, 0)
 	}
@@ -242,7 +245,7 @@
 	for _, expired := range take(&account.stock, now) {
 		account.settle(0, expired.count)
 	}
-	return account.lend(account.inStock(), now)
+	return account.lend(inBatches(account.stock), now)
 }
 
 // refreshOwn takes what this node's own requests used, and gives back what they don't use.
@@ -294,9 +297,9 @@
 	}
 }
 
-func (account *account) inStock() int {
+func inBatches(batches []batch) int {
 	count := 0
-	for _, batch := range account.stock {
+	for _, batch := range batches {
 		count += batch.count
 	}
 	return count
@@ -328,27 +331,29 @@
 	if now < account.opensAt {
 		return 0
 	}
-	sentFree := 0
-	for _, borrower := range account.borrowers {
-		sentFree += borrower.sentFree
-	}
 	most := min(int(account.tokens), int(account.slack()-account.depth()-reserve)-account.outstanding())
-	if sentFree > 0 {
+	if sentFree := account.sentFree(); sentFree > 0 {
 		borne := int(account.limit()*window.Seconds() + account.slack() - reserve)
 		most = min(most, borne-sentFree-account.issued.sum(now))
 	}
 	return max(0, most)
 }
 
+// sentFree counts what this node and those behind it sent lately without permits.
+func (account *account) sentFree() int {
+	sum := inBatches(account.strayFree)
+	for _, borrower := range account.borrowers {
+		sum += borrower.sentFree
+	}
+	return sum
+}
+
 // outstanding counts the permits that were lent and may still be used.
 func (account *account) outstanding() int {
-	sum := 0
+	sum := inBatches(account.strays)
 	for _, borrower := range account.borrowers {
 		sum += borrower.held()
 	}
-	for _, batch := range account.strays {
-		sum += batch.count
-	}
 	return sum
 }
 
--- a/internal/policy/ratelimit/gate.go
+++ b/internal/policy/ratelimit/gate.go
@@ -128,6 +128,13 @@
 	return expected
 }
 
+// trim forgets the requests without a permit that were sent longer ago.
+func (gate *Gate) trim(span time.Duration) {
+	gate.mu.Lock()
+	defer gate.mu.Unlock()
+	gate.free.trim(gate.now(), span)
+}
+
 // grant adds permits.
 func (gate *Gate) grant(count int) {
 	gate.permits.Add(int64(count))
@@ -187,6 +194,14 @@
 	return sum
 }
 
+// trim clears the slots that lie a span back.
+func (counter *counter) trim(now, span time.Duration) {
+	counter.turn(now)
+	for passed := max(0, int64(span/slotTime)+1); passed < slots; passed++ {
+		counter.counts[(counter.slot-passed+slots)%slots] = 0
+	}
+}
+
 // turn clears the slots that have passed since it was last used.
 func (counter *counter) turn(now time.Duration) {
 	slot := int64(now / slotTime)
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -120,6 +120,7 @@
 	known atomic.Int32
 	// incarnation begins the numbers of sessions of this node's loans.
 	incarnation uint64
+	settle      time.Duration
 
 	mu       sync.Mutex
 	sessions uint64
@@ -141,6 +142,12 @@
 	return func(limits *Limits) { limits.incarnation = number }
 }
 
+// Settle sets how long all nodes may take to keep to a limit. What was sent so long before
+// the end of a window doesn't count against it; without it the whole window does.
+func Settle(span time.Duration) Option {
+	return func(limits *Limits) { limits.settle = span }
+}
+
 // New returns limits of which none is known.
 func New(options ...Option) *Limits {
 	limits := &Limits{now: clock.Boot, entries: map[Run]*entry{}, limited: map[Run]*entry{}}
@@ -217,6 +224,7 @@
 		return
 	}
 	if held.account == nil {
+		held.gate.trim(window - limits.settle + learnTime)
 		held.account = newAccount(held.gate, limits.now())
 		limits.limited[limit.Run] = held
 		limits.known.Store(int32(len(limits.limited)))
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -167,7 +167,7 @@
 	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
 	node.quarantine = quarantine.New(quarantine.Clock(node.now))
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
-	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation))
+	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation), ratelimit.Settle(settings.Bounds.Settle))
 	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Limits(node.limits))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
--- a/internal/run/gateway/settings.go
+++ b/internal/run/gateway/settings.go
@@ -65,6 +65,9 @@
 	RetryRatio  float64
 	RetryLeast  float64
 	RetryWindow time.Duration
+	// Settle is how long all nodes may take to act on what has changed; 0 if it isn't
+	// known.
+	Settle time.Duration
 }
 
 // Check returns what is missing or out of range, in words.
