--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -7,8 +7,8 @@
 // and servers ran: at most once, a true "not run", whole answers in order and never
 // another's, no server in two groups, no part of a group that serves, no configuration that
 // goes back, no calls to servers that have left, the budget of repeats, no more than a
-// few sends of a request that ends servers, and that every node serves again when the
-// faults have ended. It checks promises, not speed.
+// few sends of a request that ends servers, and that every node serves again, and a limit
+// that a server names is kept, when the faults have ended. It checks promises, not speed.
 //
 // A seed gives the whole plan, which is printed first. It ends only processes that it
 // started, by their IDs; they die with it.
@@ -169,6 +169,10 @@
 		watchers.Go(func() { soak.watch(watching, node) })
 	}
 	soak.callers.start(plan.Seed)
+	limiting, stopLimiting := context.WithCancel(ctx)
+	defer stopLimiting()
+	limits := conc.WaitGroup{}
+	limits.Go(func() { soak.nameLimits(limiting, plan.Seed) })
 	strikes := conc.WaitGroup{}
 	began := time.Now()
 	for _, fault := range plan.Faults {
@@ -182,11 +186,14 @@
 		strikes.Go(func() { soak.strike(ctx, fault) })
 	}
 	strikes.Wait()
+	stopLimiting()
+	limits.Wait()
 	if ctx.Err() == nil && !soak.allServe("last", servedWithin) {
 		soak.note("not every node serves %s after the faults", servedWithin)
 	}
 	if ctx.Err() == nil {
 		soak.allCurrent()
+		soak.keepLimit(ctx, plan.Seed)
 	}
 	answers := soak.callers.stop()
 	stopWatching()
@@ -206,6 +213,7 @@
 	report.Wrong = append(report.Wrong, checkBudget(seen)...)
 	report.Wrong = append(report.Wrong, checkHarmful(seen)...)
 	report.Wrong = append(report.Wrong, checkDrains(soak.drains, seen)...)
+	report.Wrong = append(report.Wrong, checkLimits(soak.judgedServer(plan.Seed), seen)...)
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
 	report.Wrong = append(report.Wrong, soak.wrong...)
--- a/internal/run/soak/soak_test.go
+++ b/internal/run/soak/soak_test.go
@@ -118,3 +118,10 @@
 	_, err = Run(t.Context(), Options{Program: "/proc/self/exe", Length: time.Second, Nodes: 1, BasePort: base, Folder: t.TempDir(), Out: io.Discard})
 	expect.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("address already in use")))
 }
+
+func TestLimitOfTheJudgedServerIsChecked(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	seen := standin.Observed{LimitBreaches: []standin.Breach{{Server: "l-1", Calls: 9, Allowed: 8}}}
+	expect.Expect(checkLimits("l-1", seen)).To(gomega.HaveLen(1))
+	expect.Expect(checkLimits("l-2", seen)).To(gomega.BeEmpty())
+}
