--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -273,6 +273,9 @@
 
 // take removes the batches that have run out.
 func take(batches *[]batch, now time.Duration) []batch {
+	if len(*batches) == 0 {
+		return nil
+	}
 	expired := []batch{}
 	*batches = slices.DeleteFunc(*batches, func(batch batch) bool {
 		if batch.until > now {
@@ -374,6 +377,9 @@
 // lend gives up to so many permits to those that need them, and returns the neighbours at
 // which requests wait for them.
 func (account *account) lend(count int, now time.Duration) []Neighbour {
+	if count <= 0 || !account.needed() {
+		return nil
+	}
 	given := map[Neighbour]int{}
 	order := slices.Sorted(maps.Keys(account.borrowers))
 	for ; count > 0; count-- {
@@ -404,6 +410,16 @@
 	return lent
 }
 
+// needed says whether anybody needs permits.
+func (account *account) needed() bool {
+	for _, borrower := range account.borrowers {
+		if borrower.needs() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // next chooses who gets the next permit: in turn, by how many each needs, those first at
 // which requests wait.
 func (account *account) next(order []Neighbour) (Neighbour, bool) {
--- a/internal/policy/ratelimit/fleet_test.go
+++ b/internal/policy/ratelimit/fleet_test.go
@@ -25,9 +25,47 @@
 	links []*link
 	// sent are the times at which requests reached the server.
 	sent []time.Duration
-	// asked and refused count requests.
+	// asked and refused count requests, waited is how long those that were sent waited.
 	asked, refused int
-	frames         int
+	waited         time.Duration
+	// frames counts frames, entries the claims and loans in them that changed.
+	frames, entries int
+	// parts are the nodes' own buckets where each keeps an equal part of the limit; nil
+	// where they borrow permits.
+	parts *parts
+}
+
+// parts is the plain way to share a limit: each node keeps an equal part of it, and saves up
+// one request.
+type parts struct {
+	rate   float64
+	tokens []float64
+	filled []time.Duration
+}
+
+func (fleet *fleet) keepParts(rate float64) {
+	fleet.parts = &parts{rate: rate / float64(len(fleet.nodes)), tokens: make([]float64, len(fleet.nodes)), filled: make([]time.Duration, len(fleet.nodes))}
+	for node := range fleet.nodes {
+		fleet.parts.tokens[node], fleet.parts.filled[node] = fleet.draw.Float64(), fleet.clock.at
+	}
+}
+
+func (parts *parts) take(node int, now time.Duration) bool {
+	parts.tokens[node] = min(1, parts.tokens[node]+parts.rate*(now-parts.filled[node]).Seconds())
+	parts.filled[node] = now
+	if parts.tokens[node] < 1 {
+		return false
+	}
+	parts.tokens[node]--
+	return true
+}
+
+// take lets a request through at a node.
+func (fleet *fleet) take(node *node) bool {
+	if fleet.parts != nil {
+		return fleet.parts.take(node.number, fleet.clock.at)
+	}
+	return node.gate.Take()
 }
 
 // node is one node of the model.
@@ -47,8 +85,8 @@
 
 // request waits for a permit at a node.
 type request struct {
-	until time.Duration
-	done  func()
+	since, until time.Duration
+	done         func()
 }
 
 // link connects two nodes; the numbers are those by which each knows the other.
@@ -59,6 +97,8 @@
 	every time.Duration
 	dueAt [2]time.Duration
 	cut   bool
+	// told is what each end told last.
+	told [2]string
 	// pending are the frames on their way.
 	pending []packet
 }
@@ -163,11 +203,11 @@
 // ask is a request that reaches a node.
 func (fleet *fleet) ask(node *node) {
 	fleet.asked++
-	if node.gate.Take() {
+	if fleet.take(node) {
 		fleet.sent = append(fleet.sent, fleet.clock.at)
 		return
 	}
-	node.waiting = append(node.waiting, request{until: fleet.clock.at + patience, done: node.gate.Await()})
+	node.waiting = append(node.waiting, request{since: fleet.clock.at, until: fleet.clock.at + patience, done: node.gate.Await()})
 	fleet.hasten(node, node.limits.Refresh(node.duty))
 }
 
@@ -178,8 +218,9 @@
 	}
 	node.waiting = slices.DeleteFunc(node.waiting, func(request request) bool {
 		switch {
-		case node.gate.Take():
+		case fleet.take(node):
 			fleet.sent = append(fleet.sent, fleet.clock.at)
+			fleet.waited += fleet.clock.at - request.since
 		case request.until <= fleet.clock.at:
 			fleet.refused++
 		default:
@@ -210,10 +251,13 @@
 	sender, number := link.ends[from], ratelimit.Neighbour(link.number)
 	fleet.frames++
 	link.dueAt[from] = fleet.clock.at + link.every
+	sent := packet{at: fleet.clock.at + frameDelay, to: 1 - from, claims: sender.limits.Claims(number), loans: sender.limits.Loans(number)}
+	if told := fmt.Sprint(sent.claims, sent.loans); told != link.told[from] {
+		link.told[from] = told
+		fleet.entries += len(sent.claims) + len(sent.loans)
+	}
 	if !link.cut {
-		link.pending = append(link.pending, packet{
-			at: fleet.clock.at + frameDelay, to: 1 - from, claims: sender.limits.Claims(number), loans: sender.limits.Loans(number),
-		})
+		link.pending = append(link.pending, sent)
 	}
 }
 
@@ -238,6 +282,20 @@
 	}
 }
 
+// rush is the most requests in any four seconds when callers come back in numbers after a
+// time without any.
+func (fleet *fleet) rush(rate float64) float64 {
+	fleet.play(3*time.Second, 0)
+	if fleet.parts != nil {
+		for node := range fleet.parts.tokens {
+			fleet.parts.tokens[node] = 1
+		}
+	}
+	began := fleet.clock.at
+	fleet.play(3*time.Second, 20*rate+4*float64(len(fleet.nodes)))
+	return float64(fleet.worst(began))
+}
+
 // worst is the most requests in any four seconds that end after a time.
 func (fleet *fleet) worst(after time.Duration) int {
 	worst, first := 0, 0
@@ -304,3 +362,39 @@
 		}
 	}
 }
+
+// BenchmarkWaysToShareALimit compares permits with equal parts, and prints for each the
+// worst count in four seconds as a part of what the server bears, also when callers come back
+// in numbers after a time without any, the part of the limit that
+// is used where callers want twice as much, the mean wait of requests that were sent, and
+// frames and entries a second beside those without a limit.
+func BenchmarkWaysToShareALimit(b *testing.B) {
+	for _, size := range []struct{ nodes, centres int }{{8, 2}, {30, 3}, {100, 3}, {300, 5}} {
+		for _, rate := range []float64{0.2, 1.1, 5, 50, 500} {
+			for _, way := range []string{"permits", "parts"} {
+				b.Run(fmt.Sprintf("nodes=%d/rate=%v/%s", size.nodes, rate, way), func(b *testing.B) {
+					fleet := newFleet(suite.Seed(), size.nodes, size.centres)
+					fleet.play(2*time.Second, 0)
+					quiet := float64(fleet.frames) / 2
+					named := fleet.clock.at
+					if way == "parts" {
+						fleet.keepParts(rate)
+					} else {
+						fleet.name(rate)
+					}
+					fleet.play(4*time.Second, 2*rate)
+					frames, entries, settled := fleet.frames, fleet.entries, fleet.clock.at
+					span := 20 * time.Second
+					fleet.play(span, 2*rate)
+					b.ReportMetric(float64(fleet.worst(named+3*time.Second))/bearable(rate), "worst/bound")
+					b.ReportMetric(float64(fleet.sentSince(settled))/rate/span.Seconds(), "used")
+					b.ReportMetric(float64(fleet.waited.Milliseconds())/max(1, float64(len(fleet.sent))), "ms-waited")
+					b.ReportMetric(float64(fleet.frames-frames)/span.Seconds()-quiet, "frames/s")
+					b.ReportMetric(float64(fleet.entries-entries)/span.Seconds(), "entries/s")
+					b.ReportMetric(fleet.rush(rate)/bearable(rate), "rush/bound")
+					b.ReportMetric(0, "ns/op")
+				})
+			}
+		}
+	}
+}
