feat(ratelimit): more urgent requests get the permits of a scarce server first

Where requests wait at a node for a server that names a limit, whichever looked first after a permit had come took it: a draft of low priority could pass by one of the highest. A request now leaves the permits for which more urgent ones wait. Each node keeps the order among its own requests; between nodes permits go by how many wait, as before (open).

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -309,8 +309,8 @@
 
 // Await counts a call that waits for a permit of the target's server until the function
 // is called.
-func (target *Target) Await() (done func()) {
-	return target.gate.Await()
+func (target *Target) Await(urgency int) (done func()) {
+	return target.gate.Await(urgency)
 }
 
 // Avoid keeps new calls off the target for a while, after it failed one.
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -14,6 +14,9 @@
 	// Beyond is how many calls more than its slots a target may have. They
 	// wait at the server, which takes the most urgent first.
 	Beyond int
+	// Urgency ranks the call among those that wait for a server that names a limit, 0 the
+	// most urgent.
+	Urgency int
 	// anywhere also takes data centres that are not reached.
 	anywhere bool
 	// Proven asks for a group whose streams this node has just seen going on,
@@ -66,7 +69,7 @@
 	case usable == 0:
 		return nil, None
 	}
-	return board.choose(filled.targets, costs)
+	return board.choose(filled.targets, costs, wish.Urgency)
 }
 
 // costs returns what each target costs, never for those that can't be chosen, and how many
@@ -91,7 +94,7 @@
 }
 
 // choose draws among the cheapest targets until its server's limit lets a call through.
-func (board *Board) choose(targets []*Target, costs []time.Duration) (*Target, Verdict) {
+func (board *Board) choose(targets []*Target, costs []time.Duration, urgency int) (*Target, Verdict) {
 	var limited *Target
 	for {
 		number := board.draw(targets, costs)
@@ -100,7 +103,7 @@
 			return limited, Limited
 		case number < 0:
 			return nil, Full
-		case targets[number].gate.Take():
+		case targets[number].gate.Take(urgency):
 			if limited != nil {
 				limited.gate.Ask()
 			}
--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -251,7 +251,7 @@
 // refreshOwn takes what this node's own requests used, and gives back what they don't use.
 func (account *account) refreshOwn(now time.Duration) {
 	self := account.borrowers[Self]
-	self.wanted, self.waiting, self.sentFree = account.gate.wanted(), int(account.gate.waiting.Load()), account.gate.sentFree()
+	self.wanted, self.waiting, self.sentFree = account.gate.wanted(), int(account.gate.waitingBefore(urgencies)), account.gate.sentFree()
 	used := int(account.gate.used.Swap(0))
 	draw(&account.own, used)
 	returned, due := 0, now
--- a/internal/policy/ratelimit/cost_test.go
+++ b/internal/policy/ratelimit/cost_test.go
@@ -48,7 +48,7 @@
 			}
 			gate := limits.Gate(run)
 			for b.Loop() {
-				gate.Take()
+				gate.Take(0)
 				limits.Answered(run, ratelimit.Answer{})
 			}
 		})
--- a/internal/policy/ratelimit/fleet_test.go
+++ b/internal/policy/ratelimit/fleet_test.go
@@ -65,7 +65,7 @@
 	if fleet.parts != nil {
 		return fleet.parts.take(node.number, fleet.clock.at)
 	}
-	return node.gate.Take()
+	return node.gate.Take(0)
 }
 
 // node is one node of the model.
@@ -207,7 +207,7 @@
 		fleet.sent = append(fleet.sent, fleet.clock.at)
 		return
 	}
-	node.waiting = append(node.waiting, request{since: fleet.clock.at, until: fleet.clock.at + patience, done: node.gate.Await()})
+	node.waiting = append(node.waiting, request{since: fleet.clock.at, until: fleet.clock.at + patience, done: node.gate.Await(0)})
 	fleet.hasten(node, node.limits.Refresh(node.duty))
 }
 
--- a/internal/policy/ratelimit/gate.go
+++ b/internal/policy/ratelimit/gate.go
@@ -12,6 +12,13 @@
 // unlimited stands for the permits of a gate whose server names no limit.
 const unlimited = -1
 
+// urgencies is how many ranks of requests are told apart; all beyond are the least urgent.
+const urgencies = 12
+
+func rankOf(urgency int) int {
+	return min(max(urgency, 0), urgencies-1)
+}
+
 // Gate lets this node's requests through to one run of a server: all of them while the
 // server names no limit, else one for each permit.
 type Gate struct {
@@ -19,8 +26,8 @@
 	// permits are those on hand, used counts those that were used since it was last read.
 	permits atomic.Int64
 	used    atomic.Int64
-	// waiting counts the requests that wait for a permit.
-	waiting atomic.Int32
+	// waiting counts the requests that wait for a permit, by their urgency.
+	waiting [urgencies]atomic.Int32
 	// rate has the bits of the limit, in requests a second.
 	rate atomic.Uint64
 
@@ -52,15 +59,16 @@
 	return gate.permits.Load() != 0
 }
 
-// Take lets one request through, and returns false if it may not be sent.
-func (gate *Gate) Take() bool {
+// Take lets one request through, and returns false if it may not be sent: there is no
+// permit beside those for which more urgent requests wait. 0 is the most urgent.
+func (gate *Gate) Take(urgency int) bool {
 	for {
 		permits := gate.permits.Load()
 		switch {
 		case permits == unlimited:
 			gate.count(&gate.free)
 			return true
-		case permits == 0:
+		case permits <= gate.waitingBefore(rankOf(urgency)):
 			return false
 		case gate.permits.CompareAndSwap(permits, permits-1):
 			gate.used.Add(1)
@@ -79,10 +87,20 @@
 	gate.demand.add(gate.asked, 1)
 }
 
+// waitingBefore counts the requests that wait and are more urgent.
+func (gate *Gate) waitingBefore(rank int) int64 {
+	count := int64(0)
+	for more := range rank {
+		count += int64(gate.waiting[more].Load())
+	}
+	return count
+}
+
 // Await counts a request that waits for a permit until the function is called.
-func (gate *Gate) Await() (done func()) {
-	gate.waiting.Add(1)
-	return func() { gate.waiting.Add(-1) }
+func (gate *Gate) Await(urgency int) (done func()) {
+	waiting := &gate.waiting[rankOf(urgency)]
+	waiting.Add(1)
+	return func() { waiting.Add(-1) }
 }
 
 func (gate *Gate) count(sent *counter) {
--- a/internal/policy/ratelimit/permits_test.go
+++ b/internal/policy/ratelimit/permits_test.go
@@ -29,7 +29,7 @@
 // through is how many requests a gate lets through at once.
 func through(gate *ratelimit.Gate) int {
 	count := 0
-	for gate.Take() {
+	for gate.Take(0) {
 		count++
 	}
 	return count
@@ -40,9 +40,9 @@
 	_, limits := newLimits()
 	gate := limits.Gate(run)
 	expect.Expect(gate.Limited()).To(gomega.BeFalse())
-	expect.Expect(gate.Take()).To(gomega.BeTrue())
+	expect.Expect(gate.Take(0)).To(gomega.BeTrue())
 	limits.Refresh(whole)
-	expect.Expect(gate.Take()).To(gomega.BeTrue())
+	expect.Expect(gate.Take(0)).To(gomega.BeTrue())
 }
 
 // Guards against nodes that are left with one limit each where changes of two cross.
@@ -103,7 +103,7 @@
 	clock, limits := newLimits()
 	gate := limits.Gate(run)
 	for range 60 {
-		expect.Expect(gate.Take()).To(gomega.BeTrue())
+		expect.Expect(gate.Take(0)).To(gomega.BeTrue())
 	}
 	limits.Answered(run, ratelimit.Answer{Named: true, Rate: 10})
 	named, sent := clock.at, 0
@@ -217,3 +217,26 @@
 	clock.at += 2 * time.Second
 	expect.Expect(returns.After("pings", 5)).To(gomega.Equal(200 * time.Millisecond))
 }
+
+// Guards against requests that overtake more urgent ones at a server that takes few.
+func TestMoreUrgentRequestsGetPermitsFirst(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	clock := &clockAt{at: time.Minute}
+	limits, gate := newNode(clock, 1, 5)
+	done := gate.Await(3)
+	gate.Ask()
+	for !gate.Open() {
+		clock.at += 20 * time.Millisecond
+		limits.Refresh(whole)
+	}
+	expect.Expect(gate.Take(4)).To(gomega.BeFalse(), "a more urgent one waits")
+	expect.Expect(gate.Take(3)).To(gomega.BeTrue())
+	done()
+	limits.Refresh(whole)
+	for !gate.Open() {
+		clock.at += 20 * time.Millisecond
+		gate.Ask()
+		limits.Refresh(whole)
+	}
+	expect.Expect(gate.Take(4)).To(gomega.BeTrue())
+}
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -18,7 +18,7 @@
 //	gate := limits.Gate(ratelimit.Run{Server: "i-1", Born: 7})
 //	limits.Answered(run, ratelimit.Answer{Named: true, Rate: 2.5, Began: began})
 //	limits.Refresh(func(ratelimit.Run) ratelimit.Duty { return ratelimit.Duty{Home: true, Part: 1} })
-//	if gate.Take() { ... }
+//	if gate.Take(urgency) { ... }
 package ratelimit
 
 import (
--- a/internal/policy/ratelimit/ratelimit_test.go
+++ b/internal/policy/ratelimit/ratelimit_test.go
@@ -77,13 +77,13 @@
 	clock, limits := newLimits()
 	gate := limits.Gate(run)
 	for range 12 {
-		expect.Expect(gate.Take()).To(gomega.BeTrue())
+		expect.Expect(gate.Take(0)).To(gomega.BeTrue())
 		clock.at += 500 * time.Millisecond
 	}
 	expect.Expect(gate.SentLately()).To(gomega.BeNumerically("~", 8, 1))
 	clock.at += 4250 * time.Millisecond
 	expect.Expect(gate.SentLately()).To(gomega.BeZero())
 	clock.at += time.Hour
-	expect.Expect(gate.Take()).To(gomega.BeTrue())
+	expect.Expect(gate.Take(0)).To(gomega.BeTrue())
 	expect.Expect(gate.SentLately()).To(gomega.Equal(1))
 }
--- a/internal/serve/forward/pick_test.go
+++ b/internal/serve/forward/pick_test.go
@@ -12,6 +12,7 @@
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/quarantine"
+	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/state/configuration"
 )
 
@@ -78,3 +79,32 @@
 		expect.Expect(time.Since(began)).To(gomega.And(gomega.BeNumerically(">", 800*time.Millisecond), gomega.BeNumerically("<", 2*time.Second)))
 	})
 }
+
+// Guards against a request that is refused though a permit for a limited server is on its way,
+// and against one that waits for it longer than a fraction of its target.
+func TestRequestWaitsAMomentForAPermit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		exchange, _ := full()
+		limits := ratelimit.New(ratelimit.Clock(exchange.forwarder.Now))
+		board := dispatch.New(dispatch.Clock(exchange.forwarder.Now), dispatch.Limits(limits))
+		board.Update(map[string][]dispatch.Spec{PoolName("drafts", "large"): {{ID: "a", Group: "g", Slots: 8}}})
+		limits.Answered(ratelimit.Run{Server: "a"}, ratelimit.Answer{Named: true, Rate: 20})
+		asked := 0
+		exchange.forwarder.Board, exchange.forwarder.AskPermits = board, func() { asked++ }
+		began := time.Now()
+		_, verdict := exchange.pick(streamBeyond)
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Limited))
+		expect.Expect(time.Since(began)).To(gomega.BeNumerically("<=", 300*time.Millisecond/8))
+		expect.Expect(asked).To(gomega.Equal(1))
+		home := func(ratelimit.Run) ratelimit.Duty { return ratelimit.Duty{Home: true, Part: 1} }
+		limits.Refresh(home)
+		time.Sleep(time.Second)
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			limits.Refresh(home)
+		}()
+		_, verdict = exchange.pick(streamBeyond)
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Chosen))
+	})
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -83,12 +83,13 @@
 	for {
 		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
 			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond, Proven: exchange.mayHaveRun,
+			Urgency: exchange.urgency(),
 		})
 		if !worth(verdict) || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
 			return target, verdict
 		}
 		if verdict == dispatch.Limited && done == nil {
-			done = target.Await()
+			done = target.Await(exchange.urgency())
 			defer done()
 			exchange.forwarder.AskPermits()
 		}
