fix(ratelimit): a node that comes back to a lender borrows anew

What would be seen: a server that names a limit and gets dozens of requests at once when a root turns from one home to another and back over the same link.

Cause: a lender counts what it has lent over a link since its own session began. A borrower that had turned to another lender began at none, and took all that it had ever borrowed there for new; its own counts, begun anew as well, were refused from then on. Now the borrower has a session too: a lender that hears of a new one begins with it anew, and what the last one held counts until it has run out.

Found by reading. TestPermitsAreBorrowedAnewByANodeThatComesBack failed before (43 permits within 0.1 s at 20 a second) and passes. The other tests of the package pass; the one of a lender's new session says the borrower's session now as well, its assertions are the same.

--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -30,6 +30,8 @@
 
 // borrower is a neighbour that permits are lent to, or this node.
 type borrower struct {
+	// session is the neighbour's.
+	session              uint64
 	lent, used, returned uint64
 	wanted, waiting      int
 	sentFree             int
@@ -115,12 +117,16 @@
 }
 
 // takeClaim takes what a borrower tells.
-func (account *account) takeClaim(from Neighbour, claim *Claim) {
+func (account *account) takeClaim(from Neighbour, claim *Claim, now time.Duration) {
 	held := account.borrowers[from]
 	if held == nil {
-		held = &borrower{}
+		held = &borrower{session: claim.Borrower}
 		account.borrowers[from] = held
 	}
+	if held.session != claim.Borrower {
+		account.strays = append(account.strays, batch{count: held.held(), until: now + strayTime})
+		*held = borrower{session: claim.Borrower}
+	}
 	held.wanted, held.waiting, held.sentFree = claim.Wanted, claim.Waiting, claim.SentFree
 	if claim.Session != account.session || claim.Used+claim.Returned > held.lent || claim.Used < held.used || claim.Returned < held.returned {
 		return
@@ -145,9 +151,13 @@
 	if account.duty.Home || from != account.duty.Lender {
 		return
 	}
-	if loan.Session != account.lenderSession {
+	if account.lenderSession != 0 && loan.Session != account.lenderSession {
 		account.reset(session())
-		account.lenderSession = loan.Session
+	}
+	account.lenderSession = loan.Session
+	if loan.Borrower != account.session {
+		// Lent before this node began anew.
+		return
 	}
 	if fresh := int(loan.Lent - account.received); loan.Lent > account.received {
 		account.received = loan.Lent
@@ -166,7 +176,7 @@
 
 // claim is what is told to the lender.
 func (account *account) claim() Claim {
-	claim := Claim{Session: account.lenderSession, Used: account.used, Returned: account.returned}
+	claim := Claim{Session: account.lenderSession, Borrower: account.session, Used: account.used, Returned: account.returned}
 	for _, borrower := range account.borrowers {
 		claim.Wanted += max(borrower.wanted, borrower.waiting)
 		claim.Waiting += borrower.waiting
--- a/internal/policy/ratelimit/exchange.go
+++ b/internal/policy/ratelimit/exchange.go
@@ -22,15 +22,16 @@
 	Lender Neighbour
 }
 
-// Claim is what a borrower tells its lender. Counts are of the lender's session.
+// Claim is what a borrower tells its lender. Counts are of the lender's session and of the
+// borrower's: either begins a new one when it starts anew.
 type Claim struct {
 	Run
 	// Rate and Version are of the limit as the borrower knows it: a lender that doesn't
 	// would leave it without permits.
-	Rate    float64
-	Version uint64
-	Session uint64
-	// Used and Returned count permits since the session began.
+	Rate              float64
+	Version           uint64
+	Session, Borrower uint64
+	// Used and Returned count permits since both sessions began.
 	Used, Returned uint64
 	// Wanted is how many permits the borrower and those behind it should have on hand,
 	// Waiting how many requests wait for one.
@@ -40,12 +41,12 @@
 	SentFree int
 }
 
-// Loan is what a lender tells a borrower: how many permits it lent it since its session
-// began. A new session takes back what was lent before.
+// Loan is what a lender tells a borrower: how many permits it lent it since both sessions
+// began. A new session of the lender takes back what was lent before.
 type Loan struct {
 	Run
-	Session uint64
-	Lent    uint64
+	Session, Borrower uint64
+	Lent              uint64
 }
 
 // Refresh brings all permits up to now, by this node's duties, and returns the neighbours
@@ -88,7 +89,7 @@
 	for number := range claims {
 		run := claims[number].Run
 		if held := limits.limited[run]; held != nil {
-			held.account.takeClaim(from, &claims[number])
+			held.account.takeClaim(from, &claims[number], limits.now())
 			runs = append(runs, run)
 		}
 	}
@@ -136,7 +137,7 @@
 		}
 		loan := Loan{Run: run, Session: held.account.session}
 		if borrower := held.account.borrowers[to]; borrower != nil {
-			loan.Lent = borrower.lent
+			loan.Borrower, loan.Lent = borrower.session, borrower.lent
 		}
 		loans = append(loans, loan)
 	}
--- a/internal/policy/ratelimit/permits_test.go
+++ b/internal/policy/ratelimit/permits_test.go
@@ -163,19 +163,49 @@
 	limits, gate := newNode(clock, 1, 5)
 	gate.Ask()
 	limits.Refresh(borrows)
-	limits.TakeLoans(1, []ratelimit.Loan{{Run: run, Session: 7, Lent: 1}}, borrows)
+	lend := func(neighbour ratelimit.Neighbour, session, lent uint64) {
+		own := limits.Claims(1)[0].Borrower
+		limits.TakeLoans(neighbour, []ratelimit.Loan{{Run: run, Session: session, Borrower: own, Lent: lent}}, borrows)
+	}
+	lend(1, 7, 1)
 	expect.Expect(gate.Open()).To(gomega.BeTrue())
-	limits.TakeLoans(1, []ratelimit.Loan{{Run: run, Session: 8}}, borrows)
+	lend(1, 8, 0)
 	expect.Expect(gate.Open()).To(gomega.BeFalse(), "a new session")
-	limits.TakeLoans(1, []ratelimit.Loan{{Run: run, Session: 8, Lent: 1}}, borrows)
+	lend(1, 8, 1)
 	expect.Expect(gate.Open()).To(gomega.BeTrue())
 	limits.Refresh(func(ratelimit.Run) ratelimit.Duty { return ratelimit.Duty{} })
 	expect.Expect(gate.Open()).To(gomega.BeFalse(), "no lender")
-	limits.TakeLoans(1, []ratelimit.Loan{{Run: run, Session: 8, Lent: 2}}, borrows)
-	limits.TakeLoans(3, []ratelimit.Loan{{Run: run, Session: 8, Lent: 9}}, borrows)
+	limits.Refresh(borrows)
+	lend(1, 8, 2)
+	lend(3, 8, 9)
 	expect.Expect(through(gate)).To(gomega.BeNumerically("<=", 2), "of a neighbour that is no lender")
 }
 
+// Guards against a node that leaves its lender and comes back over the same link, and takes all
+// that it ever borrowed there for new.
+func TestPermitsAreBorrowedAnewByANodeThatComesBack(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	clock := &clockAt{at: time.Minute}
+	lender, _ := newNode(clock, 1, 20)
+	borrower, gate := newNode(clock, 2, 20)
+	exchange := func(times int) (taken int) {
+		for range times {
+			clock.at += 50 * time.Millisecond
+			gate.Ask()
+			borrower.Refresh(borrows)
+			lender.TakeClaims(1, borrower.Claims(1), whole)
+			borrower.TakeLoans(1, lender.Loans(1), borrows)
+			taken += through(gate)
+		}
+		return taken
+	}
+	expect.Expect(exchange(200)).To(gomega.BeNumerically(">", 50))
+	borrower.Refresh(func(ratelimit.Run) ratelimit.Duty { return ratelimit.Duty{Lender: 9} })
+	expect.Expect(exchange(2)).To(gomega.BeNumerically("<", 20))
+	clock.at += 2 * time.Second
+	expect.Expect(exchange(100)).To(gomega.BeNumerically(">", 20), "it gets permits again")
+}
+
 // Guards against claims of more than was lent, which would be issued anew.
 func TestClaimsOfMoreThanWasLentChangeNothing(t *testing.T) {
 	suite.FixRapid(t)
--- a/internal/run/gateway/limits.go
+++ b/internal/run/gateway/limits.go
@@ -149,7 +149,7 @@
 	for _, loan := range limits.Loans(permits.number) {
 		if before, known := permits.loans[loan.Run]; !known || before != loan {
 			permits.loans[loan.Run] = loan
-			told.Loans = append(told.Loans, &frame.PermitLoan{Server: loan.Server, Born: loan.Born, Session: loan.Session, Lent: loan.Lent})
+			told.Loans = append(told.Loans, loanToWire(&loan))
 		}
 	}
 	return len(told.Limits)+len(told.Claims)+len(told.Loans) > 0
@@ -207,7 +207,7 @@
 func claimToWire(claim *ratelimit.Claim) *frame.PermitClaim {
 	return &frame.PermitClaim{
 		Server: claim.Server, Born: claim.Born, Session: claim.Session, Used: claim.Used, Returned: claim.Returned,
-		Rate: claim.Rate, Version: claim.Version, Wanted: uint32(claim.Wanted), Waiting: uint32(claim.Waiting), SentFree: uint32(claim.SentFree),
+		Rate: claim.Rate, Version: claim.Version, Borrower: claim.Borrower, Wanted: uint32(claim.Wanted), Waiting: uint32(claim.Waiting), SentFree: uint32(claim.SentFree),
 	}
 }
 
@@ -215,17 +215,21 @@
 	claims := make([]ratelimit.Claim, 0, len(told))
 	for _, claim := range told {
 		claims = append(claims, ratelimit.Claim{
-			Run: ratelimit.Run{Server: claim.Server, Born: claim.Born}, Session: claim.Session, Used: claim.Used, Returned: claim.Returned,
-			Wanted: int(claim.Wanted), Waiting: int(claim.Waiting), SentFree: int(claim.SentFree),
+			Run: ratelimit.Run{Server: claim.Server, Born: claim.Born}, Session: claim.Session, Borrower: claim.Borrower,
+			Used: claim.Used, Returned: claim.Returned, Wanted: int(claim.Wanted), Waiting: int(claim.Waiting), SentFree: int(claim.SentFree),
 		})
 	}
 	return claims
 }
 
+func loanToWire(loan *ratelimit.Loan) *frame.PermitLoan {
+	return &frame.PermitLoan{Server: loan.Server, Born: loan.Born, Session: loan.Session, Borrower: loan.Borrower, Lent: loan.Lent}
+}
+
 func loansFromWire(told []*frame.PermitLoan) []ratelimit.Loan {
 	loans := make([]ratelimit.Loan, 0, len(told))
 	for _, loan := range told {
-		loans = append(loans, ratelimit.Loan{Run: ratelimit.Run{Server: loan.Server, Born: loan.Born}, Session: loan.Session, Lent: loan.Lent})
+		loans = append(loans, ratelimit.Loan{Run: ratelimit.Run{Server: loan.Server, Born: loan.Born}, Session: loan.Session, Borrower: loan.Borrower, Lent: loan.Lent})
 	}
 	return loans
 }
