fix(ratelimit): a part of a fleet uses its part of a small limit; limits that change with each answer flood nobody

What would be seen: after a data centre is lost a server that names a small limit gets nothing for a minute; and a server that names another limit with each answer makes every node send a frame and write a line for each.

Cause: a home that hears a part of the nodes kept back whole requests (two saved up, one in reserve) from its part of what the server bears, so that nothing was left at 0.57 of 1.1 a second. Now these are parts as well, and one permit may always be saved up. Limits are told at once fifty times a second at the most, else with the next frame, and a line is written where one differs by more than a tenth.

The bound stays arithmetic: depth and what is outstanding are at most the part of what the server bears.

--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -7,10 +7,10 @@
 	// and so many requests more.
 	factor = 1.5
 	extra  = 5
-	// depthTime is what of a limit may be saved up, beside depthLeast.
+	// depthTime is what of a limit may be saved up, beside depthLeast requests.
 	depthTime  = 200 * time.Millisecond
 	depthLeast = 2
-	// reserve is what a home keeps back of what the server bears.
+	// reserve is how many of those requests homes keep back.
 	reserve = 1
 	// learnTime is after which time a home that has just learnt a limit has heard what was
 	// sent before.
--- a/internal/policy/ratelimit/home.go
+++ b/internal/policy/ratelimit/home.go
@@ -7,13 +7,15 @@
 	return account.rate * account.duty.Part
 }
 
+// depth is how many permits may be saved up: one at least, or none would ever be issued.
 func (account *account) depth() float64 {
-	return depthLeast + account.limit()*depthTime.Seconds()
+	return max(1, depthLeast*account.duty.Part+account.limit()*depthTime.Seconds())
 }
 
-// slack is what the server bears beyond its limit within a window.
+// slack is what of the requests that the server bears beyond its limit within a window
+// this home may let through.
 func (account *account) slack() float64 {
-	return (factor-1)*account.limit()*window.Seconds() + extra*account.duty.Part
+	return (factor-1)*account.limit()*window.Seconds() + (extra-reserve)*account.duty.Part
 }
 
 func (account *account) fill(now time.Duration) {
@@ -28,9 +30,9 @@
 	if now < account.opensAt {
 		return 0
 	}
-	most := min(int(account.tokens), int(account.slack()-account.depth()-reserve)-account.outstanding())
+	most := min(int(account.tokens), int(account.slack()-account.depth())-account.outstanding())
 	if sentFree := account.sentFree(); sentFree > 0 {
-		borne := int(account.limit()*window.Seconds() + account.slack() - reserve)
+		borne := int(account.limit()*window.Seconds() + account.slack())
 		most = min(most, borne-sentFree-account.issued.sum(now))
 	}
 	return max(0, most)
--- a/internal/policy/ratelimit/permits_test.go
+++ b/internal/policy/ratelimit/permits_test.go
@@ -248,6 +248,27 @@
 	expect.Expect(returns.After("pings", 5)).To(gomega.Equal(200 * time.Millisecond))
 }
 
+// Guards against a part of a fleet that leaves a server unused, or uses what is the others'.
+func TestPartOfAFleetUsesItsPartOfALimit(t *testing.T) {
+	for _, rate := range []float64{0.2, 1.1, 5, 50} {
+		for _, part := range []float64{0.5, 0.86} {
+			expect := gomega.NewWithT(t)
+			clock := &clockAt{at: time.Minute}
+			limits, gate := newNode(clock, 1, rate)
+			sent, burst := 0, 0
+			for range 6000 {
+				clock.at += 10 * time.Millisecond
+				gate.Ask()
+				limits.Refresh(func(ratelimit.Run) ratelimit.Duty { return ratelimit.Duty{Home: true, Part: part} })
+				now := through(gate)
+				sent, burst = sent+now, max(burst, now)
+			}
+			expect.Expect(float64(sent)).To(gomega.BeNumerically("~", 60*rate*part, 3+rate*part), "%v a second, a part of %v", rate, part)
+			expect.Expect(float64(burst)).To(gomega.BeNumerically("<=", (2*rate+5)*part))
+		}
+	}
+}
+
 // Guards against requests that overtake more urgent ones at a server that takes few.
 func TestMoreUrgentRequestsGetPermitsFirst(t *testing.T) {
 	expect := gomega.NewWithT(t)
--- a/internal/policy/ratelimit/ratelimit.go
+++ b/internal/policy/ratelimit/ratelimit.go
@@ -52,6 +52,15 @@
 	At time.Duration
 }
 
+// differs is the part of a limit by which another must differ to be worth a line.
+const differs = 0.1
+
+// Differs says whether the limit is another one for whoever reads of it: a server may name
+// a slightly different one with each answer.
+func (limit *Limit) Differs(other *Limit) bool {
+	return limit.Ended != other.Ended || math.Abs(limit.Rate-other.Rate) > differs*other.Rate
+}
+
 // newer says whether the limit replaces another. Of two changes that were learnt at the same
 // time at two nodes all nodes keep the stricter one.
 func (limit *Limit) newer(other *Limit) bool {
--- a/internal/run/gateway/limits.go
+++ b/internal/run/gateway/limits.go
@@ -46,16 +46,28 @@
 	}
 }
 
-// tellLimit tells what is known of a limit over some links, at once.
+// limitPause is the least time between two limits that are told at once: a server may name
+// another one with each answer.
+const limitPause = 20 * time.Millisecond
+
+// tellLimit tells what is known of a limit over some links, at once if none was told so just
+// before.
 func (peers *peers) tellLimit(run ratelimit.Run, over func(link *overlay.Link) bool) {
+	now := peers.node.now()
 	peers.mu.Lock()
 	for link, channel := range peers.channels {
 		if over(link) {
 			channel.permits.limits[run] = struct{}{}
 		}
 	}
+	due := now-peers.limitToldAt >= limitPause
+	if due {
+		peers.limitToldAt = now
+	}
 	peers.mu.Unlock()
-	peers.overlay.Poke(over)
+	if due {
+		peers.overlay.Poke(over)
+	}
 }
 
 // hasten sends frames at once to some neighbours.
@@ -180,6 +192,7 @@
 	node := peers.node
 	age := time.Duration(told.AgeMs) * time.Millisecond
 	run := ratelimit.Run{Server: told.Server, Born: told.Born}
+	before, known := node.limits.Limit(run)
 	limit := ratelimit.Limit{Run: run, Rate: told.Rate, Version: told.Version, Ended: told.Ended, At: node.now() - age}
 	switch node.limits.Take(limit) {
 	case ratelimit.Same:
@@ -188,8 +201,10 @@
 		peers.tellLimit(run, func(other *overlay.Link) bool { return other == link })
 		return
 	}
-	node.logger.Info("gateway: a limit was told.", "Server", told.Server, "Rate", told.Rate, "Ended", told.Ended,
-		"AgeMilliseconds", told.AgeMs, "From", link.Remote.Address, "SentLately", node.limits.Gate(run).SentLately())
+	if !known || limit.Differs(&before) {
+		node.logger.Info("gateway: a limit was told.", "Server", told.Server, "Rate", told.Rate, "Ended", told.Ended,
+			"AgeMilliseconds", told.AgeMs, "From", link.Remote.Address, "SentLately", node.limits.Gate(run).SentLately())
+	}
 	peers.tellLimit(run, func(other *overlay.Link) bool { return other != link })
 	node.refreshPermits()
 }
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -131,8 +131,9 @@
 	fetching fetches
 
 	mu sync.Mutex
-	// lastNeighbour numbers the links.
+	// lastNeighbour numbers the links, limitToldAt is when limits were last told at once.
 	lastNeighbour ratelimit.Neighbour
+	limitToldAt   time.Duration
 	channels      map[*overlay.Link]*channel
 	sums          *sums
 	encoded       *leafFrame
--- a/internal/serve/forward/limit.go
+++ b/internal/serve/forward/limit.go
@@ -31,6 +31,9 @@
 	if change != ratelimit.Spoilt {
 		exchange.forwarder.LimitNews(run)
 	}
+	if now, _ := limits.Limit(run); change == ratelimit.Changed && !now.Differs(&before) {
+		return
+	}
 	exchange.forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelInfo, limitLines[change],
 		slog.String("Server", leg.target.ID), slog.String("Group", leg.target.Group),
 		slog.Float64("Rate", told.Rate), slog.Float64("Before", before.Rate), slog.String("Value", told.Unreadable),
