fix(ratelimit): claims whose counts overflow together are refused

Two counts of a claim were added before they were held against what was lent, and may wrap to a small sum. Found by reading; the random claims of TestClaimsOfMoreThanWasLentChangeNothing now draw the largest and the smallest numbers too.

--- a/internal/policy/ratelimit/account.go
+++ b/internal/policy/ratelimit/account.go
@@ -52,6 +52,13 @@
 	return borrower.waiting > borrower.held()
 }
 
+// allows says whether a claim goes on from what the borrower told before, and is of permits
+// that it was lent.
+func (borrower *borrower) allows(claim *Claim) bool {
+	return claim.Used >= borrower.used && claim.Returned >= borrower.returned &&
+		claim.Used <= borrower.lent && claim.Returned <= borrower.lent-claim.Used
+}
+
 // account is the permits of one run of a server at this node. A home issues them at the
 // rate of the limit; others borrow them. Each lends to the neighbours behind it what they
 // want. What is outstanding, lent and neither used nor returned, may all be used at once,
@@ -128,7 +135,7 @@
 		*held = borrower{session: claim.Borrower}
 	}
 	held.wanted, held.waiting, held.sentFree = claim.Wanted, claim.Waiting, claim.SentFree
-	if claim.Session != account.session || claim.Used+claim.Returned > held.lent || claim.Used < held.used || claim.Returned < held.returned {
+	if claim.Session != account.session || !held.allows(claim) {
 		return
 	}
 	used, returned := claim.Used-held.used, claim.Returned-held.returned
--- a/internal/policy/ratelimit/permits_test.go
+++ b/internal/policy/ratelimit/permits_test.go
@@ -213,6 +213,7 @@
 		clock := &clockAt{at: time.Minute}
 		limits, _ := newNode(clock, 1, 2)
 		issued := uint64(0)
+		counts := rapid.OneOf(rapid.Uint64(), rapid.Uint64Range(0, 4), rapid.Uint64Range(math.MaxUint64-4, math.MaxUint64))
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			clock.at += 20 * time.Millisecond
 			loan := ratelimit.Loan{}
@@ -221,7 +222,7 @@
 			}
 			limits.TakeClaims(2, []ratelimit.Claim{{
 				Run: run, Session: loan.Session, Wanted: 9, Waiting: rapid.IntRange(0, 9).Draw(t, "waiting"),
-				Used: rapid.Uint64().Draw(t, "used"), Returned: rapid.Uint64().Draw(t, "returned"),
+				Used: counts.Draw(t, "used"), Returned: counts.Draw(t, "returned"),
 			}}, whole)
 			issued = max(issued, limits.Loans(2)[0].Lent)
 		}
