feat(notice): what servers say of themselves is read from every answer and told, and decides nothing yet

Cause: logs and metrics couldn't tell the hypotheses of the incident apart, since no line says that a server asked for a backoff, or that it is draining.

Change: one record for each run of a server (policy/notice), beside the gate of its limit. Lines, two parts of the state dump and four counters tell of them. Choice and sending are as before.

A refusal without the not-run header and a failure no longer end a limit that is known: the earlier reading took any answer but a marked refusal for one by which the server counts.

Result: not measured: nothing is decided by it.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -69,6 +69,9 @@
 	// Cancel, when set, is given a function that ends the call at once from
 	// another goroutine. It is called before anything is sent.
 	Cancel func(end func())
+	// Heard, when set, is told of the head of each answer that comes, also of one that
+	// belongs to an earlier call.
+	Heard func(status int, verdict *Verdict)
 }
 
 // dialTime is how long connecting may take: not all of what the caller has
@@ -93,16 +96,7 @@
 	Culprit string
 	// KeepAlive is how long the server keeps the connection; 0 if it didn't say.
 	KeepAlive time.Duration
-	Limit     Limit
-}
-
-// Limit is how much the server says it takes.
-type Limit struct {
-	// Rate is in requests a second, from all nodes together, where one is Named.
-	Rate  float64
-	Named bool
-	// Unreadable is a value that is no limit, quoted; empty if there is none.
-	Unreadable string
+	Said      Said
 }
 
 // Codec speaks for the pool: names of headers and what they mean.
@@ -259,6 +253,9 @@
 			continue
 		}
 		verdict := pool.codec.Decode(call, response.StatusCode, response.Header)
+		if call.Heard != nil {
+			call.Heard(response.StatusCode, &verdict)
+		}
 		if !verdict.Other {
 			return &Reply{
 				Verdict: verdict, Status: response.StatusCode, Header: response.Header, Length: response.ContentLength,
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -32,6 +32,7 @@
 	"time"
 
 	"hazelslip/internal/common/clock"
+	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/ratelimit"
 )
 
@@ -75,8 +76,8 @@
 // lists of targets and is the same object in each.
 type load struct {
 	now clock.Now
-	// gate is that of the server, whatever groups it heads.
-	gate *ratelimit.Gate
+	// record is what the server said of itself, whatever groups it heads.
+	record *notice.Record
 	// mine and peers count the calls under way.
 	mine  atomic.Int32
 	peers atomic.Int32
@@ -131,7 +132,7 @@
 	dataCentre string
 	random     func(n int) int
 	now        clock.Now
-	gate       func(run ratelimit.Run) *ratelimit.Gate
+	record     func(run ratelimit.Run) *notice.Record
 
 	mu sync.Mutex
 	// known are the targets by loadKey.
@@ -156,14 +157,14 @@
 	return func(board *Board) { board.random = draw }
 }
 
-// Limits sets the limits of servers to keep to.
-func Limits(limits *ratelimit.Limits) Option {
-	return func(board *Board) { board.gate = limits.Gate }
+// Notices sets what servers say of themselves.
+func Notices(notices *notice.Notices) Option {
+	return func(board *Board) { board.record = notices.Record }
 }
 
 // New returns a board with no targets.
 func New(options ...Option) *Board {
-	board := &Board{random: rand.IntN, now: clock.Boot, gate: ratelimit.New().Gate, known: map[string]*Target{}}
+	board := &Board{random: rand.IntN, now: clock.Boot, record: notice.New(ratelimit.New()).Record, known: map[string]*Target{}}
 	board.layout.Store(&layout{})
 	for _, option := range options {
 		option(board)
@@ -244,7 +245,7 @@
 	if target, ok := board.known[loadKey(spec)]; ok {
 		return target.load
 	}
-	return &load{now: board.now, gate: board.gate(spec.serverRun()), uses: map[*Use]struct{}{}}
+	return &load{now: board.now, record: board.record(spec.serverRun()), uses: map[*Use]struct{}{}}
 }
 
 func (spec *Spec) serverRun() ratelimit.Run {
@@ -310,7 +311,12 @@
 // Await counts a call that waits for a permit of the target's server until the function
 // is called.
 func (target *Target) Await(urgency int) (done func()) {
-	return target.gate.Await(urgency)
+	return target.record.Gate.Await(urgency)
+}
+
+// Record is what the target's server said of itself.
+func (target *Target) Record() *notice.Record {
+	return target.record
 }
 
 // Avoid keeps new calls off the target for a while, after it failed one.
--- a/internal/policy/dispatch/limit_test.go
+++ b/internal/policy/dispatch/limit_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/ratelimit"
 )
 
@@ -17,7 +18,7 @@
 	now := func() time.Duration { return at }
 	limits := ratelimit.New(ratelimit.Clock(now))
 	draw := rand.New(rand.NewPCG(1, 1))
-	board := dispatch.New(dispatch.Clock(now), dispatch.Random(draw.IntN), dispatch.Limits(limits))
+	board := dispatch.New(dispatch.Clock(now), dispatch.Random(draw.IntN), dispatch.Notices(notice.New(limits)))
 	board.Update(map[string][]dispatch.Spec{pool: {head("a"), head("b")}})
 	limits.Answered(ratelimit.Run{Server: "a"}, ratelimit.Answer{Named: true, Rate: 2})
 	return board, limits, &at
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -103,9 +103,9 @@
 			return limited, Limited
 		case number < 0:
 			return nil, Full
-		case targets[number].gate.Take(urgency):
+		case targets[number].record.Gate.Take(urgency):
 			if limited != nil {
-				limited.gate.Ask()
+				limited.record.Gate.Ask()
 			}
 			return targets[number], Chosen
 		}
@@ -160,7 +160,7 @@
 			continue
 		}
 		cheap++
-		if gate := targets[number].gate; gate.Limited() && gate.Open() && (permitted < 0 || cost < costs[permitted]) {
+		if gate := targets[number].record.Gate; gate.Limited() && gate.Open() && (permitted < 0 || cost < costs[permitted]) {
 			permitted = number
 		}
 	}
@@ -192,7 +192,7 @@
 // places is how many calls the target has places for. A server that names a limit has
 // none beside those that are taken.
 func (target *Target) places() int {
-	if target.gate.Limited() {
+	if target.record.Gate.Limited() {
 		return min(target.Slots, target.Taken())
 	}
 	return target.Slots
@@ -212,7 +212,7 @@
 		}
 		occupancy.Targets++
 		occupancy.Places += target.places()
-		occupancy.Limit += target.gate.Rate()
+		occupancy.Limit += target.record.Gate.Rate()
 		occupancy.Taken += target.Taken()
 	}
 	return occupancy
--- /dev/null
+++ b/internal/policy/notice/notice.go
@@ -0,0 +1,264 @@
+// Package notice keeps what backend servers say of themselves in their answers.
+//
+// A server may ask for a backoff: for some time it wants no more calls from the node that it
+// refused. It may say that it is draining: it wants no new calls at all until it has ended.
+// And it may name a limit that all nodes keep together, which package ratelimit keeps.
+//
+// There is one record for each run of a server, whatever groups it heads, pools it stands in
+// and routes lead to it, so that no change of those ends what the server said. Each answer
+// is taken by Heard, whether to a call, a question or an order; each call is let through by
+// Record.Admit just before it is written, since what was chosen before an answer came may be
+// sent after it. A backoff belongs to the server's ID, since it may name its host's need; a
+// drain ends with the run that announced it.
+//
+// When a backoff has passed one call goes first, and the others follow when the server has
+// taken it: a server that is still in need would refuse them all, and each refusal
+// costs a repeat.
+//
+// # Usage
+//
+//	notices := notice.New(limits, notice.Clock(clock.Boot))
+//	record := notices.Record(ratelimit.Run{Server: "i-1", Born: 7})
+//	if err := record.Admit(); err != nil { ... } // send the call elsewhere
+//	changes := notices.Heard(record, notice.Answer{Backoff: notice.Backoff{Span: 3 * time.Second}})
+package notice
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/policy/ratelimit"
+)
+
+// Errors of Record.Admit. Use errors.Is.
+var (
+	// ErrWithheld is either of the others.
+	ErrWithheld = errors.New("the call was withheld")
+	ErrBackoff  = errors.Mark(errors.New("the server asked for a backoff"), ErrWithheld)
+	ErrDraining = errors.Mark(errors.New("the server is draining"), ErrWithheld)
+)
+
+const (
+	// backoffMost bounds a backoff: a server that asks for more has either ended by then or
+	// changed its mind.
+	backoffMost = 7 * 24 * time.Hour
+	// trialTime is how long the first call after a backoff is waited for before another
+	// may try. Its answer may be lost, or its caller may leave.
+	trialTime = 500 * time.Millisecond
+	// prolongedLeast is by how much a backoff must grow to be news: calls that
+	// were refused together each grow it a little.
+	prolongedLeast = 100 * time.Millisecond
+	// unaskedAfter is how long after its end a backoff is forgotten that no call has tried.
+	unaskedAfter = 10 * time.Second
+	// drainingKept is for how long a drain is remembered of a run that no target and no
+	// entry stands for. Entries vanish and come back, also after outages of the registry.
+	drainingKept = 30 * time.Minute
+)
+
+// Backoff is what one answer asks for.
+type Backoff struct {
+	// Span is for how long the server wants no more calls; 0 for no time.
+	Span time.Duration
+	// Unreadable is a value that is no span, quoted; empty if there is none.
+	Unreadable string
+}
+
+// Answer is what one answer of a server says of the server.
+type Answer struct {
+	Backoff Backoff
+	// Draining says that the server takes no new calls.
+	Draining bool
+	// Taken says that the server took a call, Began when that was sent.
+	Taken bool
+	Began time.Duration
+}
+
+// Change is what an answer changed.
+type Change int
+
+// The changes.
+const (
+	Unchanged Change = iota
+	Learnt
+	Prolonged
+	Ended
+	// Spoilt: the answer has the first value of this server that can't be read.
+	Spoilt
+)
+
+// Changes are those of one answer.
+type Changes struct {
+	Backoff  Change
+	Draining Change
+}
+
+// Counts are counters; they only grow.
+type Counts struct {
+	// Backoffs are those that were asked for anew or prolonged, Unreadable the answers with
+	// a value that is none, Drains the runs that said they were draining.
+	Backoffs   atomic.Uint64
+	Unreadable atomic.Uint64
+	Drains     atomic.Uint64
+	// Withheld are the calls that were chosen and then not sent.
+	Withheld atomic.Uint64
+}
+
+// Notices are the records of all servers.
+type Notices struct {
+	Counts Counts
+	now    clock.Now
+	limits *ratelimit.Limits
+
+	mu      sync.Mutex
+	servers map[string]*server
+}
+
+// server is what is known of all runs under one ID.
+type server struct {
+	// until is the end of the backoff, 0 for none; trial is when the call was sent that
+	// tries the server after it, 0 for none.
+	until atomic.Int64
+	trial atomic.Int64
+
+	// The lock of Notices guards the rest. asked is the span that was asked for last, and
+	// askedAt when.
+	asked   time.Duration
+	askedAt time.Duration
+	spoilt  bool
+	runs    map[int64]*run
+}
+
+// run is what is known of one run.
+type run struct {
+	draining atomic.Bool
+	// since is when it said so, usedAt when anything last stood for the run.
+	since, usedAt time.Duration
+}
+
+// Record is what one run of a server has said of itself.
+type Record struct {
+	ratelimit.Run
+	// Gate keeps the limit.
+	Gate *ratelimit.Gate
+
+	notices *Notices
+	server  *server
+	run     *run
+}
+
+// Option changes how Notices are built.
+type Option func(*Notices)
+
+// Clock sets the clock.
+func Clock(now clock.Now) Option {
+	return func(notices *Notices) { notices.now = now }
+}
+
+// New returns notices of no server, with the limits that servers name.
+func New(limits *ratelimit.Limits, options ...Option) *Notices {
+	notices := &Notices{now: clock.Boot, limits: limits, servers: map[string]*server{}}
+	for _, option := range options {
+		option(notices)
+	}
+	return notices
+}
+
+// Record returns the record of a run.
+func (notices *Notices) Record(key ratelimit.Run) *Record {
+	notices.mu.Lock()
+	defer notices.mu.Unlock()
+	held := notices.servers[key.Server]
+	if held == nil {
+		held = &server{runs: map[int64]*run{}}
+		notices.servers[key.Server] = held
+	}
+	one := held.runs[key.Born]
+	if one == nil {
+		one = &run{}
+		held.runs[key.Born] = one
+	}
+	one.usedAt = notices.now()
+	return &Record{Run: key, Gate: notices.limits.Gate(key), notices: notices, server: held, run: one}
+}
+
+// Heard takes what an answer says of its server.
+func (notices *Notices) Heard(record *Record, answer Answer) Changes {
+	quiet := answer.Backoff == Backoff{} && !answer.Draining
+	if quiet && (!answer.Taken || record.server.until.Load() == 0) {
+		return Changes{}
+	}
+	notices.mu.Lock()
+	defer notices.mu.Unlock()
+	return Changes{Backoff: notices.backoffLocked(record.server, answer), Draining: notices.drainLocked(record.run, answer)}
+}
+
+func (notices *Notices) backoffLocked(held *server, answer Answer) Change {
+	now := notices.now()
+	until := time.Duration(held.until.Load())
+	switch asked := answer.Backoff; {
+	case asked.Span > 0:
+		return notices.prolongLocked(held, min(asked.Span, backoffMost))
+	case asked.Unreadable != "":
+		return notices.spoilLocked(held)
+	case !answer.Taken || until == 0 || now < until || answer.Began < until:
+		return Unchanged
+	}
+	held.until.Store(0)
+	held.trial.Store(0)
+	return Ended
+}
+
+func (notices *Notices) spoilLocked(held *server) Change {
+	notices.Counts.Unreadable.Add(1)
+	if held.spoilt {
+		return Unchanged
+	}
+	held.spoilt = true
+	return Spoilt
+}
+
+// prolongLocked puts a backoff in force. A shorter one doesn't cut a longer one short: the
+// server may have asked for the longer one because of another call.
+func (notices *Notices) prolongLocked(held *server, span time.Duration) Change {
+	now := notices.now()
+	before, until := time.Duration(held.until.Load()), now+span
+	if until <= before {
+		return Unchanged
+	}
+	held.until.Store(int64(until))
+	held.trial.Store(0)
+	held.asked, held.askedAt = span, now
+	switch {
+	case before <= now:
+		notices.Counts.Backoffs.Add(1)
+		return Learnt
+	case until-before < prolongedLeast:
+		return Unchanged
+	}
+	notices.Counts.Backoffs.Add(1)
+	return Prolonged
+}
+
+func (notices *Notices) drainLocked(held *run, answer Answer) Change {
+	if !answer.Draining || held.draining.Swap(true) {
+		return Unchanged
+	}
+	held.since = notices.now()
+	notices.Counts.Drains.Add(1)
+	return Learnt
+}
+
+// Draining says whether a run has said that it is draining.
+func (notices *Notices) Draining(key ratelimit.Run) bool {
+	notices.mu.Lock()
+	defer notices.mu.Unlock()
+	held := notices.servers[key.Server]
+	if held == nil || held.runs[key.Born] == nil {
+		return false
+	}
+	return held.runs[key.Born].draining.Load()
+}
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -40,6 +40,7 @@
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
@@ -52,6 +53,9 @@
 	Store store.Store
 	Fleet formation.Fleet
 	Codec backendserver.Codec
+	// Hear sets who is told what servers say of themselves in answers to questions and
+	// orders.
+	Hear func(heard func(server *roster.Server, source string, said backendserver.Said))
 	// DecodeCaller reads a caller's request but for its body.
 	DecodeCaller func(request *http.Request) *forward.Request
 	// ReadinessPath is where the balancer asks.
@@ -85,6 +89,7 @@
 	peers         *peers
 	quarantine    *quarantine.List
 	limits        *ratelimit.Limits
+	notices       *notice.Notices
 	// stored is used by the part that keeps it alone.
 	stored       storedSuspects
 	storeCalls   *store.Calls
@@ -168,12 +173,16 @@
 	node.quarantine = quarantine.New(quarantine.Clock(node.now))
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
 	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation), ratelimit.Settle(settings.Bounds.Settle))
-	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Limits(node.limits))
+	node.notices = notice.New(node.limits, notice.Clock(node.now))
+	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
 	node.former = formation.New(node.formerParts())
 	node.follower = follower.New(node.followerParts())
 	node.forwarder = forward.New(node.forwarderParts())
+	if platform.Hear != nil {
+		platform.Hear(node.heardControl)
+	}
 	return node, node.open()
 }
 
@@ -208,8 +217,9 @@
 	return forward.Parts{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, Decode: node.platform.DecodeCaller,
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Ready: node.known, Stopping: node.stopping.Load,
-		Quarantine: node.quarantine, Suspected: node.suspected, Limits: node.limits, LimitNews: node.limitNews,
-		AskPermits: node.refreshPermits, Returns: ratelimit.NewReturns(node.now), Nodes: func() int { return node.peers.nodes() }, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
+		Quarantine: node.quarantine, Suspected: node.suspected, Heard: node.heard,
+		AskPermits: node.refreshPermits, Returns: ratelimit.NewReturns(node.now), Nodes: func() int { return node.peers.nodes() },
+		Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
 
--- /dev/null
+++ b/internal/run/gateway/notices.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+
+	"hazelslip/internal/fleet/roster"
+	"hazelslip/internal/peer/backendserver"
+	"hazelslip/internal/policy/notice"
+	"hazelslip/internal/policy/ratelimit"
+	"hazelslip/internal/serve/forward"
+)
+
+// limitLines are the log lines of what answers change of limits.
+var limitLines = map[ratelimit.Change]string{
+	ratelimit.Learnt:  "gateway: a server named a limit.",
+	ratelimit.Changed: "gateway: a server changed its limit.",
+	ratelimit.Ended:   "gateway: a server names no limit any more.",
+	ratelimit.Spoilt:  "gateway: a server named a limit that can't be read.",
+}
+
+// backoffLines are the same of backoffs.
+var backoffLines = map[notice.Change]string{
+	notice.Learnt:    "gateway: a server asked for a backoff.",
+	notice.Prolonged: "gateway: a server prolonged its backoff.",
+	notice.Ended:     "gateway: a server takes calls again after its backoff.",
+	notice.Spoilt:    "gateway: a server asked for a backoff that can't be read.",
+}
+
+// heard takes what an answer says of its server.
+func (node *Node) heard(heard forward.Heard) {
+	if !heard.Stray {
+		node.heardLimit(&heard)
+	}
+	said := &heard.Said
+	changes := node.notices.Heard(heard.Record, heard.Answer())
+	if changes.Backoff != notice.Unchanged {
+		node.logHeard(backoffLines[changes.Backoff], &heard,
+			slog.Int64("BackoffMilliseconds", said.Backoff.Span.Milliseconds()), slog.String("Value", said.Backoff.Unreadable))
+	}
+	if changes.Draining != notice.Unchanged {
+		node.logHeard("gateway: a server says that it is draining.", &heard)
+	}
+}
+
+// logHeard writes a line of what an answer changed.
+func (node *Node) logHeard(line string, heard *forward.Heard, attributes ...slog.Attr) {
+	attributes = append(attributes,
+		slog.String("Server", heard.Record.Server), slog.Int64("Born", heard.Record.Born), slog.String("Group", heard.Group),
+		slog.String("Source", heard.Source), slog.String("RequestID", heard.RequestID),
+		slog.Int64("SentMillisecondsAgo", (node.now()-heard.Sent).Milliseconds()), slog.Int("SentLately", heard.Record.Gate.SentLately()))
+	node.logger.LogAttrs(context.Background(), slog.LevelInfo, line, attributes...)
+}
+
+// heardLimit takes what an answer says of its server's limit.
+func (node *Node) heardLimit(heard *forward.Heard) {
+	told, run := heard.Said.Limit, heard.Record.Run
+	if !told.Named && told.Unreadable == "" && !node.limits.Any() {
+		return
+	}
+	before, _ := node.limits.Limit(run)
+	change := node.limits.Answered(run, ratelimit.Answer{
+		Named: told.Named, Rate: told.Rate, Unreadable: told.Unreadable, Refused: !heard.Taken, Began: heard.Chosen,
+	})
+	if change == ratelimit.Unchanged {
+		return
+	}
+	if change != ratelimit.Spoilt {
+		node.limitNews(run)
+	}
+	if now, _ := node.limits.Limit(run); change == ratelimit.Changed && !now.Differs(&before) {
+		return
+	}
+	node.logHeard(limitLines[change], heard,
+		slog.Float64("Rate", told.Rate), slog.Float64("Before", before.Rate), slog.String("Value", told.Unreadable))
+}
+
+// heardControl takes what a server says of itself in its answer to a question or an order,
+// which say nothing of whether it takes calls.
+func (node *Node) heardControl(server *roster.Server, source string, said backendserver.Said) {
+	now := node.now()
+	node.heard(forward.Heard{
+		Record: node.notices.Record(ratelimit.Run{Server: server.ID, Born: server.Born}), Said: said, Source: source,
+		Group: server.Group.Name, Chosen: now, Sent: now,
+	})
+}
+
+// sweepNotices forgets what servers said that doesn't count any more.
+func (node *Node) sweepNotices(listed map[ratelimit.Run]string) {
+	servers := node.servers.Load().Servers
+	for _, id := range node.notices.Sweep(func(run ratelimit.Run) bool {
+		_, used := listed[run]
+		entry := servers[run.Server]
+		return used || (entry != nil && entry.Born == run.Born)
+	}) {
+		node.logger.Info("gateway: a server's backoff has passed, and no call was sent there since.", "Server", id)
+	}
+}
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -11,6 +11,7 @@
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
@@ -50,6 +51,9 @@
 	Suspects []quarantine.State
 	// Limits are those that servers name, as far as this node knows.
 	Limits []ratelimit.State
+	// Notices are the servers that asked this node for a backoff, or told it that they
+	// are draining.
+	Notices []notice.State
 }
 
 // State returns the dump of the node's state.
@@ -62,7 +66,7 @@
 		ListAgeMilliseconds: node.follower.ListAge().Milliseconds(), Servers: len(servers.Servers),
 		Targets: node.board.State(), Former: node.former.State(),
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
-		Suspects: node.quarantine.State(), Limits: node.limits.State(),
+		Suspects: node.quarantine.State(), Limits: node.limits.State(), Notices: node.notices.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -85,8 +89,9 @@
 	// Serving counts the servers and heads of groups that take calls, by what they
 	// serve.
 	Serving map[string]int
-	// Limits are those that servers name.
-	Limits []ratelimit.State
+	// Limits are those that servers name, Notices what else they say of themselves.
+	Limits  []ratelimit.State
+	Notices []notice.State
 }
 
 // Metrics returns the node's metrics.
@@ -94,7 +99,7 @@
 	metrics := Metrics{
 		Outcomes: node.measures.byRoute(), Latencies: node.measures.latencies(), Counters: node.counters(),
 		Ages: map[string]int64{"ServerList": -1, "Configuration": -1}, Term: node.keeper.Term(), Budgets: node.budgetStates(), Serving: map[string]int{},
-		Limits: node.limits.State(),
+		Limits: node.limits.State(), Notices: node.notices.State(),
 	}
 	servers := node.servers.Load()
 	if servers.Known() {
@@ -115,6 +120,8 @@
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
 		"Limited": node.forwarder.Counts.Limited.Load(), "LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
+		"BackoffsLearnt": node.notices.Counts.Backoffs.Load(), "BackoffsUnreadable": node.notices.Counts.Unreadable.Load(),
+		"DrainsLearnt": node.notices.Counts.Drains.Load(), "CallsWithheld": node.notices.Counts.Withheld.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
 		"GroupsLent": formed.Lent.Load(), "Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -314,6 +314,7 @@
 	node.quarantine.Sweep()
 	runs := node.board.ServerRuns()
 	node.limits.Sweep(func(run ratelimit.Run) bool { _, used := runs[run]; return used })
+	node.sweepNotices(runs)
 	listed := map[string]bool{}
 	for _, pool := range node.board.State() {
 		for _, target := range pool {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -80,10 +80,9 @@
 	Quarantine *quarantine.List
 	// Suspected is told of a request of which the Quarantine learned something here.
 	Suspected func(fingerprint quarantine.Fingerprint)
-	// Limits are those that servers name, LimitNews is told of a run whose limit was learnt,
-	// changed or ended here. AskPermits is called when a request waits for a permit.
-	Limits     *ratelimit.Limits
-	LimitNews  func(run ratelimit.Run)
+	// Heard is told of the head of each answer.
+	Heard func(heard Heard)
+	// AskPermits is called when a request waits for a permit.
 	AskPermits func()
 	// Returns tells callers refused for a limit when to come back, Nodes how many nodes
 	// share it.
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -89,13 +89,12 @@
 	leg.use = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), leg.ender.end)
 	leg.patience = time.AfterFunc(within, leg.ender.end)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
-	call.Cancel = leg.ender.set
+	call.Cancel, call.Heard = leg.ender.set, exchange.hear(leg)
 	reply, err := exchange.forwarder.Pool.Send(call)
 	if err == nil {
 		exchange.arrivals++
 		target.Heard()
 		leg.Reply = reply
-		exchange.noteLimit(leg)
 		return leg
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !exchange.gone() && !leg.use.Moved() {
--- a/internal/serve/forward/pick_test.go
+++ b/internal/serve/forward/pick_test.go
@@ -11,6 +11,7 @@
 
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/state/configuration"
@@ -87,7 +88,7 @@
 		expect := gomega.NewWithT(t)
 		exchange, _ := full()
 		limits := ratelimit.New(ratelimit.Clock(exchange.forwarder.Now))
-		board := dispatch.New(dispatch.Clock(exchange.forwarder.Now), dispatch.Limits(limits))
+		board := dispatch.New(dispatch.Clock(exchange.forwarder.Now), dispatch.Notices(notice.New(limits)))
 		board.Update(map[string][]dispatch.Spec{PoolName("drafts", "large"): {{ID: "a", Group: "g", Slots: 8}}})
 		limits.Answered(ratelimit.Run{Server: "a"}, ratelimit.Answer{Named: true, Rate: 20})
 		asked := 0
