fix(notice): servers get nothing in the backoff that they ask for, and no new calls once they say that they are draining

Cause: what a server says of itself was read by nobody. After any refusal a target was kept off for 150 ms; a server that refuses everything looks empty, and so was the first choice as soon as that had passed. A server that says it is draining was called until its entry in the registry said so, or for good where the store was away.

Change: choice passes servers by that are in their backoff or draining, in every group, pool and route; each call is asked for again just before it is written, since connecting takes up to 0.4 s, and goes elsewhere with its connection kept. Only a later end prolongs a backoff; nothing shortens it, and it stays through new configurations, groups, entries and runs of the server. After it one call tries the server, the others follow when it has taken that. Where all that could take a call are in a backoff it is refused at once (BackedOff), with a Retry-After from the earliest end, callers one after the other. A run that says it is draining counts as its entry saying so, for groups as well; only another run ends that. Pauses after failures don't shorten each other any more either.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,7 @@
 FUZZTIME ?= 30s
 FUZZ := ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
 	./internal/state/stream:FuzzFolds ./internal/state/booking:FuzzTicketIssuer ./internal/run/settings:FuzzParse \
-	./platform:FuzzDecodeRecords ./platform:FuzzDecodeEntries ./platform:FuzzParseSettings ./platform:FuzzDecodeLimit
+	./platform:FuzzDecodeRecords ./platform:FuzzDecodeEntries ./platform:FuzzParseSettings ./platform:FuzzDecodeLimit ./platform:FuzzDecodeSaid
 fuzz: ## Fuzz everything that decodes bytes from outside.
 	@set -e; for target in $(FUZZ); do \
 		go test -run '^$$' -fuzz "^$${target##*:}$$" -fuzztime $(FUZZTIME) "$${target%%:*}"; \
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -156,11 +156,25 @@
 	// what is written from there on is not of the copy. beganAt is when.
 	began   storelog.Position
 	beganAt time.Duration
+
+	draining func(id string, born int64) bool
+}
+
+// Option changes how a List is built.
+type Option func(*List)
+
+// Draining sets who knows of runs that are draining whatever their entries say. The marks are
+// this node's: records are passed on as the registry has them.
+func Draining(draining func(id string, born int64) bool) Option {
+	return func(list *List) { list.draining = draining }
 }
 
 // New returns an empty list.
-func New() *List {
-	list := &List{records: map[string]Record{}}
+func New(options ...Option) *List {
+	list := &List{records: map[string]Record{}, draining: func(string, int64) bool { return false }}
+	for _, option := range options {
+		option(list)
+	}
 	list.snapshot.Store(&Snapshot{End: storelog.Nowhere, ReadAt: -1, Servers: map[string]*Server{}, ByService: map[string][]*Server{}})
 	return list
 }
@@ -281,13 +295,33 @@
 	return false
 }
 
+// Refresh looks anew which servers are draining.
+func (list *List) Refresh() {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	next := *list.snapshot.Load()
+	next.Servers, next.ByService = list.index()
+	list.snapshot.Store(&next)
+}
+
+// marked returns the server, as draining if it said so.
+func (list *List) marked(server *Server) *Server {
+	if server.Draining || !list.draining(server.ID, server.Born) {
+		return server
+	}
+	marked := *server
+	marked.Draining = true
+	return &marked
+}
+
 func (list *List) index() (map[string]*Server, map[string][]*Server) {
 	servers := map[string]*Server{}
 	byService := map[string][]*Server{}
 	for id, record := range list.records {
 		if record.Server != nil {
-			servers[id] = record.Server
-			byService[record.Server.Service] = append(byService[record.Server.Service], record.Server)
+			server := list.marked(record.Server)
+			servers[id] = server
+			byService[server.Service] = append(byService[server.Service], server)
 		}
 	}
 	for _, members := range byService {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -150,3 +150,30 @@
 	lacked, _ = list.After(at(0, 8))
 	expect.Expect(lacked).To(gomega.HaveLen(2))
 }
+
+// Guards against an entry that still calls a server ready, and undoes what the server itself has
+// said; and against another run of it that is taken for draining.
+func TestEntryDoesNotUndoADrain(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	drains := map[int64]bool{}
+	list := roster.New(roster.Draining(func(_ string, born int64) bool { return drains[born] }))
+	write := func(offset, born int64) {
+		record := entry("a", at(0, offset), false)
+		record.Server.Born = born
+		list.Take(roster.Reading{Records: []roster.Record{record}, End: at(0, offset+1)})
+	}
+	write(1, 7)
+	drains[7] = true
+	list.Refresh()
+	_, draining := drained(list, "a")
+	expect.Expect(draining).To(gomega.BeTrue())
+	list.Take(roster.Reading{Records: []roster.Record{gone("a", at(0, 2))}, End: at(0, 3)})
+	write(4, 7)
+	_, draining = drained(list, "a")
+	expect.Expect(draining).To(gomega.BeTrue())
+	records, _ := list.Since(0)
+	expect.Expect(records[0].Server.Draining).To(gomega.BeFalse(), "passed on as the registry has it")
+	write(5, 8)
+	_, draining = drained(list, "a")
+	expect.Expect(draining).To(gomega.BeFalse())
+}
--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -69,6 +69,9 @@
 	// Cancel, when set, is given a function that ends the call at once from
 	// another goroutine. It is called before anything is sent.
 	Cancel func(end func())
+	// Admit, when set, is asked just before the call is written, and ends it by an error:
+	// connecting takes a while, in which the server may have said that it wants no more.
+	Admit func() error
 	// Heard, when set, is told of the head of each answer that comes, also of one that
 	// belongs to an earlier call.
 	Heard func(status int, verdict *Verdict)
@@ -208,6 +211,12 @@
 	if call.Cancel != nil {
 		call.Cancel(func() { _ = connection.SetDeadline(longAgo) })
 	}
+	if call.Admit != nil {
+		if err := call.Admit(); err != nil {
+			pool.giveBack(call.Address, connection)
+			return nil, errors.Mark(errors.Wrapf(err, "send to %s", call.Address), ErrNotSent)
+		}
+	}
 	if err := pool.write(connection, call); err != nil {
 		connection.Close()
 		return nil, err
@@ -325,6 +334,15 @@
 	pool.idle[address] = append(pool.idle[address], connection)
 }
 
+// giveBack keeps a connection on which nothing was sent.
+func (pool *Pool) giveBack(address string, connection *conn) {
+	keep := idleUnsaid
+	if !connection.until.IsZero() {
+		keep = time.Until(connection.until)
+	}
+	pool.put(address, connection, keep)
+}
+
 func (pool *Pool) connection(address string, within time.Duration) (*conn, error) {
 	for {
 		connection := pool.take(address)
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -268,8 +268,9 @@
 	// Slots are its places, Mine and Others the calls under way there from this node
 	// and from all others, Unread the prompt tokens of those without an event.
 	Slots, Mine, Others, Unread int
-	// Avoided says that new calls are kept off it.
-	Avoided bool
+	// Avoided says that new calls are kept off it after failures, BacksOff and Draining that
+	// they are since its server wants none.
+	Avoided, BacksOff, Draining bool
 }
 
 // State returns the targets by pool.
@@ -282,6 +283,7 @@
 				Server: target.ID, Address: target.Address, Group: target.Group, DataCentre: target.DataCentre, Slots: target.Slots,
 				Mine: int(target.mine.Load()), Others: int(target.peers.Load()),
 				Unread: int(target.unread.Load() + target.peersUnread.Load()), Avoided: target.Avoided(now),
+				BacksOff: !target.record.Draining() && !target.record.Takes(now), Draining: target.record.Draining(),
 			})
 		}
 	}
@@ -319,9 +321,27 @@
 	return target.record
 }
 
-// Avoid keeps new calls off the target for a while, after it failed one.
+// OpensAt is when a target whose server asked for a backoff may get the next call.
+func (target *Target) OpensAt() time.Duration {
+	at, _ := target.record.OpensAt()
+	return at
+}
+
+// Avoid keeps new calls off the target for a while, after it failed one. It doesn't shorten
+// what is left of an earlier while.
 func (target *Target) Avoid(span time.Duration) {
-	target.avoidUntil.Store(int64(target.now() + span))
+	until := int64(target.now() + span)
+	for held := target.avoidUntil.Load(); held < until; held = target.avoidUntil.Load() {
+		if target.avoidUntil.CompareAndSwap(held, until) {
+			return
+		}
+	}
+}
+
+// closed says whether the target gets no new calls, by what this node saw of it or by what
+// its server says.
+func (target *Target) closed(now time.Duration) bool {
+	return target.Avoided(now) || !target.record.Takes(now)
 }
 
 // Avoided says whether new calls are kept off the target.
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -39,6 +39,9 @@
 	// Limited means that only servers could take the call that name a limit, and that this
 	// node has no permit for any. The target returned with it is one to wait for.
 	Limited
+	// BackedOff means that only servers could take the call that asked for a backoff. The
+	// target returned with it is the one that takes calls first.
+	BackedOff
 )
 
 const (
@@ -67,7 +70,7 @@
 		wish.anywhere = true
 		return board.Pick(name, wish)
 	case usable == 0:
-		return nil, None
+		return opensFirst(filled.targets, board.now())
 	}
 	return board.choose(filled.targets, costs, wish.Urgency)
 }
@@ -78,7 +81,7 @@
 	costs = make([]time.Duration, len(targets))
 	for number, target := range targets {
 		costs[number] = never
-		if target.Avoided(now) || slices.Contains(wish.Exclude, target.ID) || (!wish.anywhere && target.reach.away()) {
+		if target.closed(now) || slices.Contains(wish.Exclude, target.ID) || (!wish.anywhere && target.reach.away()) {
 			continue
 		}
 		usable++
@@ -93,6 +96,23 @@
 	return costs, usable
 }
 
+// opensFirst returns the target whose server's backoff ends first.
+func opensFirst(targets []*Target, now time.Duration) (*Target, Verdict) {
+	var first *Target
+	for _, target := range targets {
+		if target.Lost() || target.record.Draining() || target.record.Takes(now) {
+			continue
+		}
+		if first == nil || target.OpensAt() < first.OpensAt() {
+			first = target
+		}
+	}
+	if first == nil {
+		return nil, None
+	}
+	return first, BackedOff
+}
+
 // choose draws among the cheapest targets until its server's limit lets a call through.
 func (board *Board) choose(targets []*Target, costs []time.Duration, urgency int) (*Target, Verdict) {
 	var limited *Target
@@ -207,7 +227,7 @@
 	now := board.now()
 	occupancy := Occupancy{}
 	for _, target := range filled.targets {
-		if target.Avoided(now) {
+		if target.closed(now) {
 			continue
 		}
 		occupancy.Targets++
--- a/internal/policy/notice/notice.go
+++ b/internal/policy/notice/notice.go
@@ -254,6 +254,9 @@
 
 // Draining says whether a run has said that it is draining.
 func (notices *Notices) Draining(key ratelimit.Run) bool {
+	if notices.Counts.Drains.Load() == 0 {
+		return false
+	}
 	notices.mu.Lock()
 	defer notices.mu.Unlock()
 	held := notices.servers[key.Server]
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -161,7 +161,7 @@
 	node := &Node{
 		Part: lifecycle.New("gateway"), Incarnation: rand.Uint64() | 1, settings: settings, platform: platform,
 		logger: slog.New(slog.DiscardHandler), now: clock.Boot, listen: listenTCP,
-		configuration: configuration.NewTable(), servers: roster.New(), budgets: map[string]*retry.Window{},
+		configuration: configuration.NewTable(), budgets: map[string]*retry.Window{},
 		dirty: make(chan struct{}, 1), known: make(chan struct{}), suspectsNews: make(chan struct{}, 1), measures: newMeasures(), relays: tree.Relays,
 	}
 	node.services.Store(&engineServices{version: -1})
@@ -169,6 +169,9 @@
 		option(node)
 	}
 	node.storeCalls = store.NewCalls(store.Clock(node.now), store.Lost(node.storeLost), store.Returned(node.storeReturned), store.Hung(node.storeHung))
+	node.servers = roster.New(roster.Draining(func(id string, born int64) bool {
+		return node.notices.Draining(ratelimit.Run{Server: id, Born: born})
+	}))
 	node.view = formation.NewView(node.now, formation.Servers(node.servers.Load))
 	node.quarantine = quarantine.New(quarantine.Clock(node.now))
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
--- a/internal/run/gateway/notices.go
+++ b/internal/run/gateway/notices.go
@@ -40,6 +40,8 @@
 	}
 	if changes.Draining != notice.Unchanged {
 		node.logHeard("gateway: a server says that it is draining.", &heard)
+		node.servers.Refresh()
+		node.changed()
 	}
 }
 
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -45,10 +45,10 @@
 func (exchange *exchange) call() {
 	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
 		target, verdict := exchange.pickWithin(exchange.placeWait(), plainBeyond, func(verdict dispatch.Verdict) bool {
-			return verdict == dispatch.Limited
+			return verdict == dispatch.Limited || verdict == dispatch.BackedOff
 		})
 		if verdict != dispatch.Chosen {
-			exchange.noTarget(verdict)
+			exchange.noTarget(target, verdict)
 			break
 		}
 		if answer := exchange.callOne(target); answer != nil {
@@ -59,8 +59,9 @@
 	exchange.end()
 }
 
-// noTarget notes why no server was chosen, after what was tried before.
-func (exchange *exchange) noTarget(verdict dispatch.Verdict) {
+// noTarget notes why no server was chosen, after what was tried before. The target is the one
+// that is free first, where that is known.
+func (exchange *exchange) noTarget(target *dispatch.Target, verdict dispatch.Verdict) {
 	occupancy := exchange.forwarder.Board.Occupancy(exchange.pool())
 	reason := fmt.Sprintf("pool %s has %d of %d places taken at %d targets", exchange.pool(), occupancy.Taken, occupancy.Places, occupancy.Targets)
 	switch verdict {
@@ -71,6 +72,12 @@
 		exchange.forwarder.Counts.Limited.Add(1)
 		exchange.again = exchange.forwarder.Returns.After(exchange.pool(), occupancy.Limit/float64(exchange.forwarder.Nodes()))
 		reason += fmt.Sprintf(", whose servers take %.2f requests a second by the limits that they name", occupancy.Limit)
+	case dispatch.BackedOff:
+		exchange.outcome = BackedOff
+		exchange.forwarder.Counts.BackedOff.Add(1)
+		opens := target.OpensAt() - exchange.forwarder.Now()
+		exchange.notBefore = exchange.returnAfter(opens)
+		reason += fmt.Sprintf(", and all that could take it asked for a backoff, %s for %v more", target.ID, opens.Round(time.Millisecond))
 	default:
 		exchange.outcome = NoServer
 	}
@@ -86,7 +93,7 @@
 	leg := exchange.attempt(target, exchange.patience())
 	defer leg.end()
 	if leg.Reply == nil {
-		exchange.lateAnswer(target)
+		exchange.lateAnswer(leg)
 		return nil
 	}
 	if leg.NotRun {
@@ -118,10 +125,10 @@
 
 // lateAnswer keeps calls off a server that answered nothing in time: it may
 // have lost power, and the next call would be lost like this one.
-func (exchange *exchange) lateAnswer(target *dispatch.Target) {
-	if !exchange.gone() {
-		target.Avoid(avoidUnreachable)
-		exchange.forwarder.Pool.Drop(target.Address)
+func (exchange *exchange) lateAnswer(leg *leg) {
+	if !exchange.gone() && !leg.withheld {
+		leg.target.Avoid(avoidUnreachable)
+		exchange.forwarder.Pool.Drop(leg.target.Address)
 	}
 }
 
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -54,6 +54,8 @@
 	cause   string
 	// again is after which time the caller should come again, 0 for the usual.
 	again time.Duration
+	// notBefore is before which time coming again is of no use, 0 if that isn't known.
+	notBefore time.Duration
 }
 
 // pace is how the events of a stream came, for the log.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -101,8 +101,10 @@
 	// Quarantined are the requests that were refused, or not tried again, since servers
 	// end that run them; ServerEnds the ends of servers under requests.
 	Quarantined atomic.Uint64
-	// Limited are the requests that were refused for limits that servers name.
+	// Limited are the requests that were refused for limits that servers name, BackedOff
+	// those for backoffs that they asked for.
 	Limited    atomic.Uint64
+	BackedOff  atomic.Uint64
 	ServerEnds atomic.Uint64
 }
 
--- a/internal/serve/forward/heard.go
+++ b/internal/serve/forward/heard.go
@@ -34,12 +34,20 @@
 // sourceCall is the Source of answers to callers' requests.
 const sourceCall = "Call"
 
+// admitLeg lets the call of a leg be written unless the server wants none any more.
+func (exchange *exchange) admitLeg(leg *leg) func() error {
+	return func() error {
+		leg.admitted = exchange.forwarder.Now()
+		return leg.target.Record().Admit()
+	}
+}
+
 // hear makes the node take what an answer to a leg says of its server.
 func (exchange *exchange) hear(leg *leg) func(status int, verdict *backendserver.Verdict) {
 	return func(status int, verdict *backendserver.Verdict) {
 		exchange.forwarder.Heard(Heard{
 			Record: leg.target.Record(), Said: verdict.Said, Source: sourceCall, Group: leg.target.Group, RequestID: exchange.request.ID,
-			Taken: !verdict.NotRun && !verdict.Other && status < http.StatusInternalServerError, Stray: verdict.Other, Chosen: leg.sent, Sent: leg.sent,
+			Taken: !verdict.NotRun && !verdict.Other && status < http.StatusInternalServerError, Stray: verdict.Other, Chosen: leg.sent, Sent: leg.admitted,
 		})
 	}
 }
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -12,6 +12,7 @@
 
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/notice"
 )
 
 // leg is one call of a request to one server. Its holder ends it.
@@ -24,8 +25,10 @@
 	// when it has taken too long.
 	forget   func() bool
 	patience *time.Timer
-	// sent is when the call was begun.
-	sent time.Duration
+	// sent is when the call was begun, admitted when it was about to be written.
+	sent, admitted time.Duration
+	// withheld says that it wasn't, since the server wants no calls.
+	withheld bool
 }
 
 // end gives the connection back. The ender lets go of it first: the connection
@@ -90,6 +93,7 @@
 	leg.patience = time.AfterFunc(within, leg.ender.end)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
 	call.Cancel, call.Heard = leg.ender.set, exchange.hear(leg)
+	call.Admit = exchange.admitLeg(leg)
 	reply, err := exchange.forwarder.Pool.Send(call)
 	if err == nil {
 		exchange.arrivals++
@@ -97,11 +101,14 @@
 		leg.Reply = reply
 		return leg
 	}
+	exchange.cause = err.Error()
+	exchange.exclude = append(exchange.exclude, target.ID)
+	if leg.withheld = errors.Is(err, notice.ErrWithheld); leg.withheld {
+		return leg
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !exchange.gone() && !leg.use.Moved() {
 		target.Missed(leg.sent)
 	}
-	exchange.cause = err.Error()
-	exchange.exclude = append(exchange.exclude, target.ID)
 	if errors.Is(err, backendserver.ErrNotSent) {
 		target.Avoid(avoidUnreachable)
 		exchange.forwarder.Failed(target, "")
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -22,9 +22,11 @@
 	// NoServer: no group of the model, or no server of the service, is known to
 	// serve. Full: all have as many calls as they may.
 	// Limited: only servers could take it that name a limit, which is used up.
-	NoServer Outcome = "NoServer"
-	Limited  Outcome = "Limited"
-	Full     Outcome = "Full"
+	// BackedOff: only servers could take it that asked for a backoff.
+	NoServer  Outcome = "NoServer"
+	Limited   Outcome = "Limited"
+	BackedOff Outcome = "BackedOff"
+	Full      Outcome = "Full"
 	// Broken: the connection or the stream broke, and nothing more was tried.
 	Broken Outcome = "Broken"
 	// MustNotRepeat, AttemptsSpent and BudgetSpent say why nothing more was
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -18,12 +18,28 @@
 	retryNone = 1300 * time.Millisecond
 )
 
+const (
+	// returnRate is how many callers a second are asked back to a pool of servers whose
+	// backoff has passed: the first one tries a server, the others find it taking calls.
+	returnRate = 25
+	// returnStep is how much later callers come back for each rank by which they are less
+	// urgent.
+	returnStep = 20 * time.Millisecond
+)
+
+// returnAfter is after which time a caller should come back to servers whose backoff ends
+// after a time: not before that, and one after the other.
+func (exchange *exchange) returnAfter(opens time.Duration) time.Duration {
+	turn := exchange.forwarder.Returns.After(exchange.pool()+" after a backoff", returnRate)
+	return opens + turn + time.Duration(exchange.priority)*returnStep
+}
+
 // refuse answers that the request has not run and never will. Callers are told
 // to come again at times that are spread, so that they don't all return at
 // once.
 func (exchange *exchange) refuse(outcome Outcome, again time.Duration, cause string) {
 	exchange.outcome, exchange.cause = outcome, cause
-	spread := time.Duration(float64(again) * (0.75 + rand.Float64()/2))
+	spread := max(exchange.notBefore, time.Duration(float64(again)*(0.75+rand.Float64()/2)))
 	exchange.writer.Header().Set("Retry-After", strconv.FormatFloat(spread.Seconds(), 'f', 3, 64))
 	exchange.finish(http.StatusServiceUnavailable)
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -37,7 +37,7 @@
 			break
 		}
 		if verdict != dispatch.Chosen {
-			exchange.noTarget(verdict)
+			exchange.noTarget(target, verdict)
 			break
 		}
 		if exchange.streamOne(target) {
@@ -85,7 +85,7 @@
 			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond, Proven: exchange.mayHaveRun,
 			Urgency: exchange.urgency(),
 		})
-		if !worth(verdict) || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
+		if !worth(verdict) || exchange.opensLater(target, verdict, until) || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
 			return target, verdict
 		}
 		if verdict == dispatch.Limited && done == nil {
@@ -97,6 +97,12 @@
 	}
 }
 
+// opensLater says whether the wait for a place ends before any server's backoff does. The
+// caller is told at once then, unless it has a part of its answer: a group may be formed.
+func (exchange *exchange) opensLater(target *dispatch.Target, verdict dispatch.Verdict, until time.Duration) bool {
+	return verdict == dispatch.BackedOff && !exchange.begun && target.OpensAt() > until
+}
+
 // streamOne runs the stream, or the rest of it, at one group and says whether
 // the request has ended.
 func (exchange *exchange) streamOne(target *dispatch.Target) bool {
