feat(notice): nodes tell each other of backoffs, as hints, and of drains

Cause: each node pays a refusal to learn of a backoff, and each refusal costs a repeat. A server that has told one node that it is draining is called by the others until it tells them, and the node that forms groups may not be the one that heard.

Change: what a server says is told over the tree with the frames that pass anyway. A drain binds all nodes. A backoff is aimed at the node that was refused: for the others the server costs 400 ms more, so that it is called after all others that can take a call, and before nobody is.

--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -53,6 +53,9 @@
 	// one of the own data centre is chosen among those nearly as good, and less than
 	// two prompts of usual length. Calls that went across stand still when it is cut off.
 	abroad = 25 * time.Millisecond
+	// hinted is what a server counts that asked another node for a backoff: it would most
+	// likely refuse the call, which costs a repeat, but nobody knows.
+	hinted = 400 * time.Millisecond
 	// never marks a target that can't be chosen.
 	never = time.Duration(-1)
 )
@@ -89,6 +92,9 @@
 			continue
 		}
 		costs[number] = wish.cost(target) + target.risk(now)
+		if target.record.Hinted(now) {
+			costs[number] += hinted
+		}
 		if wish.Proven && !target.proven(now) {
 			costs[number] += unproven
 		}
--- a/internal/policy/notice/notice.go
+++ b/internal/policy/notice/notice.go
@@ -15,6 +15,10 @@
 // taken it: a server that is still in need would refuse them all, and each refusal
 // costs a repeat.
 //
+// What one node heard it tells the others. A drain binds them all. A backoff is aimed at the
+// node that was refused, and to the others a hint: they call the server after all
+// others that can take a call.
+//
 // # Usage
 //
 //	notices := notice.New(limits, notice.Clock(clock.Boot))
@@ -94,6 +98,8 @@
 type Changes struct {
 	Backoff  Change
 	Draining Change
+	// Tell says that other nodes are to be told.
+	Tell bool
 }
 
 // Counts are counters; they only grow.
@@ -123,6 +129,8 @@
 	// tries the server after it, 0 for none.
 	until atomic.Int64
 	trial atomic.Int64
+	// elsewhere is the end of a backoff that the server asked of other nodes, 0 for none.
+	elsewhere atomic.Int64
 
 	// The lock of Notices guards the rest. asked is the span that was asked for last, and
 	// askedAt when.
@@ -171,6 +179,11 @@
 func (notices *Notices) Record(key ratelimit.Run) *Record {
 	notices.mu.Lock()
 	defer notices.mu.Unlock()
+	held, one := notices.runLocked(key)
+	return &Record{Run: key, Gate: notices.limits.Gate(key), notices: notices, server: held, run: one}
+}
+
+func (notices *Notices) runLocked(key ratelimit.Run) (*server, *run) {
 	held := notices.servers[key.Server]
 	if held == nil {
 		held = &server{runs: map[int64]*run{}}
@@ -182,7 +195,7 @@
 		held.runs[key.Born] = one
 	}
 	one.usedAt = notices.now()
-	return &Record{Run: key, Gate: notices.limits.Gate(key), notices: notices, server: held, run: one}
+	return held, one
 }
 
 // Heard takes what an answer says of its server.
@@ -193,7 +206,10 @@
 	}
 	notices.mu.Lock()
 	defer notices.mu.Unlock()
-	return Changes{Backoff: notices.backoffLocked(record.server, answer), Draining: notices.drainLocked(record.run, answer)}
+	changes := Changes{Backoff: notices.backoffLocked(record.server, answer), Draining: notices.drainLocked(record.run, answer)}
+	hinted := notices.hintLocked(record.server, answer.Backoff.Span)
+	changes.Tell = hinted || changes.Draining == Learnt
+	return changes
 }
 
 func (notices *Notices) backoffLocked(held *server, answer Answer) Change {
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -77,7 +77,7 @@
 		HighestTerm: node.keeper.Highest(), ConfigurationVersion: node.configuration.Load().Configuration.Version,
 		ConfigurationAgeMs: proto.Uint32(milliseconds(node.follower.ConfigurationAge())),
 		Fit:                peers.fit(), StoreAway: node.storeCalls.Away(), News: channel.news, SilentHeads: channel.silences,
-		Listing: peers.listing(channel), Suspects: peers.suspectsFor(channel),
+		Listing: peers.listing(channel), Suspects: peers.suspectsFor(channel), Notices: peers.noticesFor(channel),
 	}
 	channel.news, channel.silences = nil, nil
 	peers.addPermits(told, channel)
@@ -113,12 +113,12 @@
 	same := version == channel.reportedVersion && maps.Equal(own, channel.reported)
 	told := &frame.Frame{}
 	permits := peers.addPermits(told, channel)
-	if optional && same && !permits && len(channel.silences) == 0 && len(channel.suspects) == 0 {
+	if optional && same && !permits && len(channel.silences)+len(channel.suspects)+len(channel.notices) == 0 {
 		return nil
 	}
 	channel.reported, channel.reportedVersion = own, version
 	told.Sequence, told.Nodes, told.Loads, told.SilentHeads = channel.reports.Add(own), 1, loadsOf(own), channel.silences
-	told.ConfigurationVersion, told.Suspects = version, peers.suspectsFor(channel)
+	told.ConfigurationVersion, told.Suspects, told.Notices = version, peers.suspectsFor(channel), peers.noticesFor(channel)
 	channel.silences = nil
 	return told
 }
@@ -136,11 +136,11 @@
 	}
 	told := &frame.Frame{}
 	permits := peers.addPermits(told, channel)
-	if optional && held.from == held.to && held.news == channel.leafNews && !permits && len(channel.suspects) == 0 {
+	if optional && held.from == held.to && held.news == channel.leafNews && !permits && len(channel.suspects)+len(channel.notices) == 0 {
 		return nil
 	}
 	channel.catalogueSent, channel.leafNews = held.to, held.news
-	told.Included, told.Suspects = channel.sequence, peers.suspectsFor(channel)
+	told.Included, told.Suspects, told.Notices = channel.sequence, peers.suspectsFor(channel), peers.noticesFor(channel)
 	included := peers.encode(told)
 	return append(append(make([]byte, 0, len(held.body)+2*len(included)), held.body...), included...)
 }
--- a/internal/run/gateway/notices.go
+++ b/internal/run/gateway/notices.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
+	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/serve/forward"
+	"hazelslip/internal/wire/frame"
 )
 
 // limitLines are the log lines of what answers change of limits.
@@ -40,8 +43,68 @@
 	}
 	if changes.Draining != notice.Unchanged {
 		node.logHeard("gateway: a server says that it is draining.", &heard)
-		node.servers.Refresh()
-		node.changed()
+		node.drains()
+	}
+	if changes.Tell {
+		node.peers.tellNotice(heard.Record.Run, nil)
+	}
+}
+
+// drains takes the servers that are draining out of the lists.
+func (node *Node) drains() {
+	node.servers.Refresh()
+	node.changed()
+}
+
+// tellNotice makes all other nodes be told what a server said of itself.
+func (peers *peers) tellNotice(run ratelimit.Run, from *overlay.Link) {
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	for link, channel := range peers.channels {
+		if link != from {
+			channel.notices[run] = struct{}{}
+		}
+	}
+}
+
+// noticesAtOnce bounds what is told of servers in one frame.
+const noticesAtOnce = 100
+
+// noticesFor returns what the other side of a link lacks, as it is now.
+func (peers *peers) noticesFor(channel *channel) []*frame.ServerNotice {
+	if len(channel.notices) == 0 {
+		return nil
+	}
+	told := make([]*frame.ServerNotice, 0, min(len(channel.notices), noticesAtOnce))
+	for run := range channel.notices {
+		if len(told) == noticesAtOnce {
+			break
+		}
+		delete(channel.notices, run)
+		if known, any := peers.node.notices.Told(run); any {
+			told = append(told, &frame.ServerNotice{Server: run.Server, Born: run.Born, Draining: known.Draining, BackoffMs: milliseconds(known.Backoff)})
+		}
+	}
+	return told
+}
+
+// takeNotices takes what servers said to other nodes, and passes on what is news.
+func (peers *peers) takeNotices(link *overlay.Link, received []*frame.ServerNotice) {
+	node := peers.node
+	for _, one := range received {
+		told := notice.Told{
+			Run:      ratelimit.Run{Server: one.Server, Born: one.Born},
+			Draining: one.Draining, Backoff: time.Duration(one.BackoffMs) * time.Millisecond,
+		}
+		if !node.notices.Take(told) {
+			continue
+		}
+		node.logger.Info("gateway: what a server said to another node was told.", "Server", told.Server, "Born", told.Born,
+			"Draining", told.Draining, "BackoffMilliseconds", told.Backoff.Milliseconds(), "From", link.Remote.Address)
+		peers.tellNotice(told.Run, link)
+		if told.Draining {
+			node.drains()
+		}
 	}
 }
 
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -76,6 +76,8 @@
 	silences []*frame.SilentHead
 	suspects map[quarantine.Fingerprint]struct{}
 	permits  permits
+	// notices are the runs of servers that are to be told of with the next frame.
+	notices map[ratelimit.Run]struct{}
 }
 
 // core says whether the link is one over which everything is told.
@@ -248,7 +250,10 @@
 	peers.lastNeighbour++
 	held = &channel{
 		link: link, shares: tally.Shares{}, copied: catalogue.NewCopy(), suspects: map[quarantine.Fingerprint]struct{}{},
-		permits: newPermits(peers.lastNeighbour, peers.node.limits.All()),
+		permits: newPermits(peers.lastNeighbour, peers.node.limits.All()), notices: map[ratelimit.Run]struct{}{},
+	}
+	for _, run := range peers.node.notices.All() {
+		held.notices[run] = struct{}{}
 	}
 	if core(link) {
 		held.news = peers.node.recentNews()
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -32,6 +32,7 @@
 	peers.takeSilences(link, received.SilentHeads)
 	peers.takeSuspects(link, received.Suspects)
 	peers.takePermits(link, received)
+	peers.takeNotices(link, received.Notices)
 }
 
 // takeReport takes what a leaf has under way.
