fix(formation): a server that refuses to be asked is not lost, and one in its backoff is no spare

What callers saw: nothing yet; a whole group would have been taken apart, and its streams moved, when a member in need answered a question with 503.

Cause: any failure of a question counted as silence. A refused order was given three times in a row, to a server that had just asked for a backoff.

A member that refuses lives; a spare that does is left alone for a moment; a refused order isn't given again at once. A server that asked this node for a backoff is not free until that has passed.

--- a/internal/fleet/formation/demand.go
+++ b/internal/fleet/formation/demand.go
@@ -214,7 +214,7 @@
 // behind what was ordered; what news says of a server goes before it, and the
 // server itself is asked before it gets an order.
 func (former *Former) freeLocked(server *roster.Server, inNews map[string]bool) bool {
-	if former.busy[server.ID] != "" || inNews[server.ID] {
+	if former.busy[server.ID] != "" || inNews[server.ID] || former.BacksOff(server) {
 		return false
 	}
 	return server.Group.Name == "" || former.View.Free(server.Group.Name)
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"hazelslip/internal/fleet/roster"
@@ -35,12 +36,13 @@
 	reports := former.ask(members)
 	all := true
 	for number, answer := range reports {
-		if answer.err != nil {
+		refused := errors.Is(answer.err, ErrRefused)
+		if answer.err != nil && !refused {
 			former.markLost(members[number])
 			all = false
 			continue
 		}
-		if !former.mayJoin(&answer.report) {
+		if refused || !former.mayJoin(&answer.report) {
 			// What it reports, or the list, is behind; it shows soon what the server
 			// is doing.
 			former.settle(members[number])
--- a/internal/fleet/formation/formation.go
+++ b/internal/fleet/formation/formation.go
@@ -33,6 +33,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/state/configuration"
 )
@@ -138,6 +140,10 @@
 	Pace float64
 }
 
+// ErrRefused marks the error of a question or order that a server answered, and refused. Use
+// errors.Is.
+var ErrRefused = errors.New("the server refused")
+
 // Fleet is how a Former reaches servers.
 type Fleet struct {
 	Report func(ctx context.Context, server *roster.Server) (Report, error)
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -53,6 +53,16 @@
 	slow atomic.Int64
 	// apart says that its news doesn't reach the others.
 	apart atomic.Bool
+	// refusing is the server that refuses all questions and orders with a backoff, asked
+	// counts those that it got.
+	refusing atomic.Pointer[string]
+	asked    atomic.Int64
+}
+
+// refuses says whether a server refuses.
+func (node *node) refuses(id string) bool {
+	refusing := node.refusing.Load()
+	return refusing != nil && *refusing == id
 }
 
 func newNode(name string, world *backends.World, now clock.Now) *node {
@@ -67,10 +77,18 @@
 		Fleet: formation.Fleet{
 			Report: func(_ context.Context, server *roster.Server) (formation.Report, error) {
 				time.Sleep(time.Millisecond)
+				if created.refuses(server.ID) {
+					created.asked.Add(1)
+					return formation.Report{}, formation.ErrRefused
+				}
 				return world.Report(name, server.ID)
 			},
 			Order: func(_ context.Context, server *roster.Server, order formation.Order) (formation.Result, error) {
 				time.Sleep(time.Millisecond)
+				if created.refuses(server.ID) {
+					created.asked.Add(1)
+					return formation.Invalid, formation.ErrRefused
+				}
 				if order.Kind == formation.Join {
 					time.Sleep(time.Duration(created.slow.Load()))
 				}
@@ -80,8 +98,9 @@
 		View: created.view, Servers: created.list.Load,
 		Services: func() []formation.Service { return []formation.Service{{Name: service, Engine: engine()}} },
 		Term:     created.currentTerm, Outdated: created.outdated, Announce: created.announce,
-		Load:  func(string, string) (int, int) { return 0, 0 },
-		Quiet: func() bool { return false },
+		Load:     func(string, string) (int, int) { return 0, 0 },
+		Quiet:    func() bool { return false },
+		BacksOff: func(server *roster.Server) bool { return created.refuses(server.ID) },
 		Bounds: formation.Bounds{
 			Stall: 6 * time.Second, LoadWindow: 5 * time.Second, LoadBurst: 1.1,
 		},
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -34,10 +34,12 @@
 	// to.
 	Told func() bool
 	// Quiet says that no request has come yet.
-	Quiet  func() bool
-	Bounds Bounds
-	Now    clock.Now
-	Logger *slog.Logger
+	Quiet func() bool
+	// BacksOff says whether a server asked this node for a backoff that lasts.
+	BacksOff func(server *roster.Server) bool
+	Bounds   Bounds
+	Now      clock.Now
+	Logger   *slog.Logger
 }
 
 const (
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -77,6 +77,8 @@
 			return result, nil
 		case err == nil:
 			return result, nil
+		case errors.Is(err, ErrRefused):
+			return Invalid, err
 		}
 		failure = err
 	}
@@ -110,10 +112,14 @@
 	former.end(term, group, dead)
 }
 
-// missing returns which of some members don't answer or are not in the group.
+// missing returns which of some members don't answer or are not in the group. One that
+// refuses to be asked lives.
 func (former *Former) missing(group Group, ids []string) []string {
 	missing := []string{}
 	for number, answer := range former.ask(ids) {
+		if errors.Is(answer.err, ErrRefused) {
+			continue
+		}
 		inGroup := answer.report.Group.Name == group.Name && answer.report.Group.State != roster.Broken
 		if answer.err != nil || !inGroup {
 			missing = append(missing, ids[number])
--- a/internal/policy/notice/notice.go
+++ b/internal/policy/notice/notice.go
@@ -281,3 +281,14 @@
 	}
 	return held.runs[key.Born].draining.Load()
 }
+
+// BacksOff says whether a server asked this node for a backoff that lasts.
+func (notices *Notices) BacksOff(id string) bool {
+	if notices.Counts.Backoffs.Load() == 0 {
+		return false
+	}
+	notices.mu.Lock()
+	defer notices.mu.Unlock()
+	held := notices.servers[id]
+	return held != nil && time.Duration(held.until.Load()) > notices.now()
+}
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -209,6 +209,7 @@
 		Quiet: func() bool {
 			return node.settings.FirstStart && node.forwarder.Counts.Requests.Load() == 0 && !node.peers.busy()
 		},
+		BacksOff: node.backsOff,
 		Bounds: formation.Bounds{
 			Stall: node.settings.Bounds.Stall, LoadWindow: node.settings.Bounds.LoadWindow, LoadBurst: node.settings.Bounds.LoadBurst,
 		},
--- a/internal/run/gateway/notices.go
+++ b/internal/run/gateway/notices.go
@@ -150,6 +150,11 @@
 	})
 }
 
+// backsOff says whether a server asked this node for a backoff that lasts.
+func (node *Node) backsOff(server *roster.Server) bool {
+	return node.notices.BacksOff(server.ID)
+}
+
 // sweepNotices forgets what servers said that doesn't count any more.
 func (node *Node) sweepNotices(listed map[ratelimit.Run]string) {
 	servers := node.servers.Load().Servers
