fix(forward): a call that was given up while its node connected is not sent

What callers saw: a request that its caller had left ran all the same, and took a place; one whose time was up was answered 504 in place of 503, since nobody knew whether it ran.

Cause: ending a call sets a deadline on its connection, also on one that comes up later; writing sets another one over it. So the call left, and only its answer wasn't read: what a server said in that, a backoff for instance, was lost as well.

Change: a call that was ended is not written. Its connection is kept.

--- a/internal/serve/forward/heard.go
+++ b/internal/serve/forward/heard.go
@@ -34,9 +34,13 @@
 // sourceCall is the Source of answers to callers' requests.
 const sourceCall = "Call"
 
-// admitLeg lets the call of a leg be written unless the server wants none any more.
+// admitLeg lets the call of a leg be written unless it was given up meanwhile, or the server
+// wants none any more.
 func (exchange *exchange) admitLeg(leg *leg) func() error {
 	return func() error {
+		if leg.ender.over() {
+			return errGivenUp
+		}
 		leg.admitted = exchange.forwarder.Now()
 		return leg.target.Record().Admit()
 	}
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -15,6 +15,10 @@
 	"hazelslip/internal/policy/notice"
 )
 
+// errGivenUp means that a call was ended before it was written: its caller left, its time was up,
+// or its target was given up while the connection was opened.
+var errGivenUp = errors.New("the call was given up before it was sent")
+
 // leg is one call of a request to one server. Its holder ends it.
 type leg struct {
 	*backendserver.Reply
@@ -70,6 +74,13 @@
 	ender.do = nil
 }
 
+// over says whether the call was ended.
+func (ender *ender) over() bool {
+	ender.mu.Lock()
+	defer ender.mu.Unlock()
+	return ender.ended
+}
+
 func (ender *ender) end() {
 	ender.mu.Lock()
 	defer ender.mu.Unlock()
@@ -106,9 +117,13 @@
 	if leg.withheld = errors.Is(err, notice.ErrWithheld); leg.withheld {
 		return leg
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && !exchange.gone() && !leg.use.Moved() {
+	givenUp := errors.Is(err, errGivenUp)
+	if (givenUp || errors.Is(err, os.ErrDeadlineExceeded)) && !exchange.gone() && !leg.use.Moved() {
 		target.Missed(leg.sent)
 	}
+	if givenUp {
+		return leg
+	}
 	if errors.Is(err, backendserver.ErrNotSent) {
 		target.Avoid(avoidUnreachable)
 		exchange.forwarder.Failed(target, "")
