feat(soak): servers that ask for backoffs among the faults, and a backoff and a drain that are checked after them

POST /backoffs/ID and /drains/ID at the stand-in's control address. After the faults all plain servers ask for a backoff of 9 s for 6 s; one that asked for none before may get three calls from each node. It then says that it is draining while its entry calls it ready; later than 3 s after its first word each node may call it once.

With one server alone in its backoff the hints of other nodes hid the missing guard.

--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -7,8 +7,9 @@
 // and servers ran: at most once, a true "not run", whole answers in order and never
 // another's, no server in two groups, no part of a group that serves, no configuration that
 // goes back, no calls to servers that have left, the budget of repeats, no more than a
-// few sends of a request that ends servers, and that every node serves again, and a limit
-// that a server names is kept, when the faults have ended. It checks promises, not speed.
+// few sends of a request that ends servers, and when the faults have ended that every node
+// serves again, and that the limit, the backoff and the drain of a server are kept. It checks
+// promises, not speed.
 //
 // A seed gives the whole plan, which is printed first. It ends only processes that it
 // started, by their IDs; they die with it.
@@ -169,10 +170,11 @@
 		watchers.Go(func() { soak.watch(watching, node) })
 	}
 	soak.callers.start(plan.Seed)
-	limiting, stopLimiting := context.WithCancel(ctx)
-	defer stopLimiting()
-	limits := conc.WaitGroup{}
-	limits.Go(func() { soak.nameLimits(limiting, plan.Seed) })
+	noticing, stopNotices := context.WithCancel(ctx)
+	defer stopNotices()
+	notices := conc.WaitGroup{}
+	notices.Go(func() { soak.nameLimits(noticing, plan.Seed) })
+	notices.Go(func() { soak.askBackoffs(noticing, plan.Seed) })
 	strikes := conc.WaitGroup{}
 	began := time.Now()
 	for _, fault := range plan.Faults {
@@ -186,14 +188,16 @@
 		strikes.Go(func() { soak.strike(ctx, fault) })
 	}
 	strikes.Wait()
-	stopLimiting()
-	limits.Wait()
+	stopNotices()
+	notices.Wait()
 	if ctx.Err() == nil && !soak.allServe("last", servedWithin) {
 		soak.note("not every node serves %s after the faults", servedWithin)
 	}
 	if ctx.Err() == nil {
 		soak.allCurrent()
+		soak.keepBackoffs(ctx)
 		soak.keepLimit(ctx, plan.Seed)
+		soak.keepDrain(ctx, plan.Seed)
 	}
 	answers := soak.callers.stop()
 	stopWatching()
@@ -214,6 +218,8 @@
 	report.Wrong = append(report.Wrong, checkHarmful(seen)...)
 	report.Wrong = append(report.Wrong, checkDrains(soak.drains, seen)...)
 	report.Wrong = append(report.Wrong, checkLimits(soak.judgedServer(plan.Seed), seen)...)
+	report.Wrong = append(report.Wrong, checkDrainTold(soak.judgedServer(plan.Seed), soak.options.Nodes, seen)...)
+	report.Wrong = append(report.Wrong, checkBackoffs(soak.judgedServer(plan.Seed), soak.options.Nodes, seen)...)
 	soak.mu.Lock()
 	defer soak.mu.Unlock()
 	report.Wrong = append(report.Wrong, soak.wrong...)
