--- a/internal/policy/dispatch/hint_test.go
+++ b/internal/policy/dispatch/hint_test.go
@@ -161,3 +161,22 @@
 		}
 	}
 }
+
+// Prints what a choice costs where none, some, and half of the servers of a pool are in a
+// backoff.
+func BenchmarkPickBesideBackoffs(b *testing.B) {
+	for _, part := range []int{0, 26, 130} {
+		b.Run(fmt.Sprintf("%d-of-260", part), func(b *testing.B) {
+			model := backoffModel{nodes: 1, servers: 260}
+			model.start()
+			for number := range part {
+				backoff(model.notices[0], fmt.Sprintf("s%d", number), time.Hour)
+			}
+			for b.Loop() {
+				if _, verdict := model.boards[0].Pick(pool, dispatch.Wish{}); verdict != dispatch.Chosen {
+					b.Fatal(verdict)
+				}
+			}
+		})
+	}
+}
--- a/internal/run/soak/limit.go
+++ b/internal/run/soak/limit.go
@@ -32,26 +32,41 @@
 	return soak.fleet.plain[seed%uint64(len(soak.fleet.plain))]
 }
 
-// nameLimits makes servers name limits, change and end them, while faults go on.
-func (soak *soak) nameLimits(ctx context.Context, seed uint64) {
-	draw := rand.New(rand.NewPCG(seed, limitStream))
+// saying is what servers say of themselves, and take back, while faults go on.
+type saying struct {
+	// every is the mean time between two changes.
+	every time.Duration
+	// path is at the stand-in, of what a server says; without a query it takes it back.
+	path func(server string) string
+	// query draws what is said.
+	query func(draw *rand.Rand) string
+}
+
+// limits makes servers name limits, change and end them.
+var limits = saying{
+	every: limitEvery, path: func(server string) string { return "/limits/" + server },
+	query: func(draw *rand.Rand) string { return limitQuery(drawLimit(draw)) },
+}
+
+// say makes servers say something of themselves while faults go on. The server that is judged
+// says nothing.
+func (soak *soak) say(ctx context.Context, saying saying, judged string, draw *rand.Rand) {
 	servers := slices.Concat(soak.fleet.engines, soak.fleet.plain)
-	servers = slices.DeleteFunc(servers, func(server string) bool { return server == soak.judgedServer(seed) })
+	servers = slices.DeleteFunc(servers, func(server string) bool { return server == judged })
 	for {
 		select {
 		case <-ctx.Done():
 			for _, server := range servers {
-				soak.fleet.tell("/limits/" + server)
+				soak.fleet.tell(saying.path(server))
 			}
 			return
-		case <-time.After(time.Duration(draw.ExpFloat64() * float64(limitEvery))):
+		case <-time.After(time.Duration(draw.ExpFloat64() * float64(saying.every))):
 		}
-		server := servers[draw.IntN(len(servers))]
-		if draw.IntN(3) == 0 {
-			soak.fleet.tell("/limits/" + server)
-			continue
+		path := saying.path(servers[draw.IntN(len(servers))])
+		if draw.IntN(3) > 0 {
+			path += saying.query(draw)
 		}
-		soak.fleet.tell(limitPath(server, drawLimit(draw)))
+		soak.fleet.tell(path)
 	}
 }
 
@@ -59,14 +74,14 @@
 	return limitLeast + draw.Float64()*(limitMost-limitLeast)
 }
 
-func limitPath(server string, rate float64) string {
-	return "/limits/" + server + "?rate=" + strconv.FormatFloat(rate, 'f', 2, 64)
+func limitQuery(rate float64) string {
+	return "?rate=" + strconv.FormatFloat(rate, 'f', 2, 64)
 }
 
 // keepLimit makes one plain server name a limit once all faults have ended.
 func (soak *soak) keepLimit(ctx context.Context, seed uint64) {
 	draw := rand.New(rand.NewPCG(seed, limitStream+1))
-	soak.fleet.tell(limitPath(soak.judgedServer(seed), drawLimit(draw)))
+	soak.fleet.tell(limits.path(soak.judgedServer(seed)) + limitQuery(drawLimit(draw)))
 	select {
 	case <-ctx.Done():
 	case <-time.After(limitFor):
--- a/internal/run/soak/notices.go
+++ b/internal/run/soak/notices.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"time"
 
@@ -28,52 +27,36 @@
 	refusalsMost = 3
 )
 
-// askBackoffs makes servers ask for backoffs, and take calls again, while faults go on. The
-// server that is judged does neither.
-func (soak *soak) askBackoffs(ctx context.Context, seed uint64) {
-	draw := rand.New(rand.NewPCG(seed, noticeStream))
-	servers := slices.Concat(soak.fleet.engines, soak.fleet.plain)
-	servers = slices.DeleteFunc(servers, func(server string) bool { return server == soak.judgedServer(seed) })
-	for {
-		select {
-		case <-ctx.Done():
-			for _, server := range servers {
-				soak.fleet.tell("/backoffs/" + server)
-			}
-			return
-		case <-time.After(time.Duration(draw.ExpFloat64() * float64(noticeEvery))):
-		}
-		server := servers[draw.IntN(len(servers))]
-		if draw.IntN(3) == 0 {
-			soak.fleet.tell("/backoffs/" + server)
-			continue
-		}
-		soak.fleet.tell(backoffPath(server, backoffLeast+draw.Float64()*(backoffMost-backoffLeast)))
-	}
+// backoffs makes servers ask for backoffs, and take calls again.
+var backoffs = saying{
+	every: noticeEvery, path: func(server string) string { return "/backoffs/" + server },
+	query: func(draw *rand.Rand) string {
+		return backoffQuery(backoffLeast + draw.Float64()*(backoffMost-backoffLeast))
+	},
 }
 
-func backoffPath(server string, seconds float64) string {
-	return "/backoffs/" + server + "?seconds=" + strconv.FormatFloat(seconds, 'f', 2, 64)
+func backoffQuery(seconds float64) string {
+	return "?seconds=" + strconv.FormatFloat(seconds, 'f', 2, 64)
 }
 
 // keepBackoffs makes all plain servers ask each node once for a backoff that lasts: calls would
 // go elsewhere where one of them didn't.
 func (soak *soak) keepBackoffs(ctx context.Context) {
 	for _, server := range soak.fleet.plain {
-		soak.fleet.tell(backoffPath(server, keptBackoff))
+		soak.fleet.tell(backoffs.path(server) + backoffQuery(keptBackoff))
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(keptFor):
 	}
 	for _, server := range soak.fleet.plain {
-		soak.fleet.tell("/backoffs/" + server)
+		soak.fleet.tell(backoffs.path(server))
 	}
 }
 
 // keepDrain makes the judged server say that it is draining, while its entry doesn't.
 func (soak *soak) keepDrain(ctx context.Context, seed uint64) {
-	soak.fleet.tell("/limits/" + soak.judgedServer(seed))
+	soak.fleet.tell(limits.path(soak.judgedServer(seed)))
 	soak.fleet.tell("/drains/" + soak.judgedServer(seed) + "?value=1")
 	select {
 	case <-ctx.Done():
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -23,6 +23,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"sync"
@@ -173,8 +174,10 @@
 	noticing, stopNotices := context.WithCancel(ctx)
 	defer stopNotices()
 	notices := conc.WaitGroup{}
-	notices.Go(func() { soak.nameLimits(noticing, plan.Seed) })
-	notices.Go(func() { soak.askBackoffs(noticing, plan.Seed) })
+	for stream, saying := range map[uint64]saying{limitStream: limits, noticeStream: backoffs} {
+		draw := rand.New(rand.NewPCG(plan.Seed, stream))
+		notices.Go(func() { soak.say(noticing, saying, soak.judgedServer(plan.Seed), draw) })
+	}
 	strikes := conc.WaitGroup{}
 	began := time.Now()
 	for _, fault := range plan.Faults {
