refactor(notice): no record for answers to questions and orders that say nothing; an unused result gone

A record with its gate is 822 bytes, and the node that gives orders made one for each server that answered. Such an answer changes nothing: it names no limit, asks for nothing, and isn't taken for a call, so no limit or backoff ends by it. Behaviour stays.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -323,8 +323,7 @@
 
 // OpensAt is when a target whose server asked for a backoff may get the next call.
 func (target *Target) OpensAt() time.Duration {
-	at, _ := target.record.OpensAt()
-	return at
+	return target.record.OpensAt()
 }
 
 // Avoid keeps new calls off the target for a while, after it failed one. It doesn't shorten
--- a/internal/policy/notice/record.go
+++ b/internal/policy/notice/record.go
@@ -24,10 +24,9 @@
 	return time.Duration(until)
 }
 
-// OpensAt is when the next call may be sent, and whether that is known: a run that is
-// draining takes none any more.
-func (record *Record) OpensAt() (at time.Duration, known bool) {
-	return record.server.opensAt(record.server.until.Load()), !record.Draining()
+// OpensAt is when the next call may be sent after a backoff.
+func (record *Record) OpensAt() time.Duration {
+	return record.server.opensAt(record.server.until.Load())
 }
 
 // Admit lets a call through that is about to be written, or returns why it may not be sent.
--- a/internal/run/gateway/notices.go
+++ b/internal/run/gateway/notices.go
@@ -144,6 +144,9 @@
 // heardControl takes what a server says of itself in its answer to a question or an order,
 // which say nothing of whether it takes calls.
 func (node *Node) heardControl(server *roster.Server, source string, said backendserver.Said) {
+	if said == (backendserver.Said{}) {
+		return
+	}
 	now := node.now()
 	node.heard(forward.Heard{
 		Record: node.notices.Record(ratelimit.Run{Server: server.ID, Born: server.Born}), Said: said, Source: source,
