feat(dispatch): load shedding, spreading by expected calls, and a circuit breaker for heads

Cause: in a burst nodes that hear of each other's calls 0.1 s late all send to the few groups that seem to have a place (a model of 91 nodes and 22 groups: up to 237 calls at a group with 30 places). And a head whose process has ended while its address resets connections looked like the emptiest group: 923 calls of six seconds went there and used up the budget of repeats. Change: a pool takes as many calls as end there, corrected by free places, the most urgent rank first; a target is drawn by how many of the calls expected since the last counts it would get; a breaker for each head, told up the tree after two unanswered calls.

--- /dev/null
+++ b/internal/policy/dispatch/breaker.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// A head whose process has ended may still be listed, and something may still accept
+// connections at its address. Calls there end at once without an answer, so that none is ever
+// under way: it looks like the emptiest of all groups and draws every call, and each of them
+// takes a repeat of the budget that all calls share.
+//
+// So each target has a circuit breaker. A call whose connection is closed before any answer
+// opens it; an answer closes it. It lets calls through again after a while, which doubles as long as
+// calls go unanswered. Where most targets of a pool seem broken the fault lies with this
+// node or its link, and the breakers are ignored.
+
+const (
+	// breakLeast and breakMost bound how long a breaker stays open.
+	breakLeast = 150 * time.Millisecond
+	breakMost  = 2400 * time.Millisecond
+	// BreaksTold is how many unanswered calls in a row make a group worth telling of: one
+	// may have been reset with all the others of its node.
+	BreaksTold = 2
+)
+
+// breaker is the state of one target's circuit breaker.
+type breaker struct {
+	// unanswered counts the calls in a row that got no answer.
+	unanswered atomic.Int32
+	openUntil  atomic.Int64
+	answeredAt atomic.Int64
+}
+
+// broke notes a call, sent at a time, that got no answer, and returns how many there were in a row.
+func (breaker *breaker) broke(sent, now time.Duration) int {
+	if time.Duration(breaker.answeredAt.Load()) > sent {
+		return 0
+	}
+	count := breaker.unanswered.Add(1)
+	span := breakMost
+	if count < 5 {
+		span = breakLeast << (count - 1)
+	}
+	breaker.openUntil.Store(int64(now + span))
+	return int(count)
+}
+
+func (breaker *breaker) answered(now time.Duration) {
+	breaker.answeredAt.Store(int64(now))
+	if breaker.unanswered.Load() != 0 {
+		breaker.unanswered.Store(0)
+		breaker.openUntil.Store(0)
+	}
+}
+
+func (breaker *breaker) open(now time.Duration) bool {
+	return time.Duration(breaker.openUntil.Load()) > now
+}
+
+// Broke tells that the connection of a call, sent at a time, was closed before any answer. It
+// returns how many calls in a row ended so.
+func (target *Target) Broke(sent time.Duration) int {
+	return target.breaker.broke(sent, target.now())
+}
+
+// trustBreakers says whether calls pass by targets whose breakers are open: not where that is so
+// for most of a pool.
+func trustBreakers(targets []*Target, now time.Duration) bool {
+	open := 0
+	for _, target := range targets {
+		if target.breaker.open(now) {
+			open++
+		}
+	}
+	return 2*open <= len(targets)
+}
--- /dev/null
+++ b/internal/policy/dispatch/breaker_test.go
@@ -0,0 +1,71 @@
+package dispatch_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/policy/dispatch"
+)
+
+// lastSent is after every answer: the call that ends was sent after them.
+const lastSent = time.Hour
+
+// Guards against a head that resets all its calls and so looks like the emptiest of all groups.
+func TestHeadThatResetsItsCallsIsPassedBy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"), head("b"), head("c"))
+		reset := map[string]int{}
+		for range 200 {
+			target := pick(board)
+			use := target.Begin(700, 0, func() {})
+			if target.ID == "a" {
+				target.Broke(lastSent)
+				reset["a"]++
+			} else {
+				target.Heard()
+			}
+			use.End()
+			time.Sleep(5 * time.Millisecond)
+		}
+		// 150, 300, 600 ms: three or four tries in a second.
+		expect.Expect(reset["a"]).To(gomega.BeNumerically("<=", 4))
+		expect.Expect(reset["a"]).To(gomega.BeNumerically(">=", 2), "it is tried again")
+	})
+}
+
+// Guards against a node that refuses everything since all its connections were reset at once.
+func TestResetOfAllConnectionsClosesNoPool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"), head("b"), head("c"))
+		for _, id := range []string{"a", "b", "c"} {
+			for {
+				if target := pick(board); target.ID == id {
+					target.Broke(lastSent)
+					break
+				}
+			}
+		}
+		_, verdict := board.Pick(pool, dispatch.Wish{})
+		expect.Expect(verdict).To(gomega.Equal(dispatch.Chosen))
+	})
+}
+
+// Guards against a breaker that stays open after its head answers again, and one that a reset opens of a
+// call from before the last answer.
+func TestAnswerClosesTheBreaker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"))
+		target := pick(board)
+		time.Sleep(time.Second)
+		expect.Expect(target.Broke(lastSent)).To(gomega.Equal(1))
+		expect.Expect(target.Broke(lastSent)).To(gomega.Equal(2))
+		target.Heard()
+		expect.Expect(target.Broke(0)).To(gomega.BeZero())
+	})
+}
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -63,6 +63,8 @@
 	PerToken time.Duration
 	PerCall  time.Duration
 	Turnover time.Duration
+	// PerPrompt is how long reading a prompt of usual length takes; 0 for a plain server.
+	PerPrompt time.Duration
 	// Cold says that the server bears ColdBound only. So it may for ColdTime after a drain of
 	// its data centre.
 	Cold      bool
@@ -107,7 +109,8 @@
 	// other.
 	avoidUntil atomic.Int64
 	// lost says that the group was found to have lost a member.
-	lost atomic.Bool
+	lost    atomic.Bool
+	breaker breaker
 	// former says that the target is in no pool any more. How a former run of a
 	// server ended its calls says nothing of the one under the same ID.
 	former atomic.Bool
@@ -152,6 +155,9 @@
 	incarnation uint64
 	nodes       func() int
 
+	// askedBy are the calls that were asked for, by pool.
+	askedBy sync.Map
+
 	mu sync.Mutex
 	// known are the targets by loadKey.
 	known map[string]*Target
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -77,19 +77,23 @@
 	case usable == 0:
 		return wish.opensFirst(filled.targets, board.now())
 	}
-	return board.choose(filled.targets, costs, wish.Urgency)
+	return board.choose(filled.targets, costs, &wish)
 }
 
 // costs returns what each target costs, never for those that can't be chosen, and how many
 // could be if they had a place.
 func (wish *Wish) costs(targets []*Target, now time.Duration, part func(target *Target) int) (costs []time.Duration, usable int) {
 	costs = make([]time.Duration, len(targets))
+	trusted := trustBreakers(targets, now)
 	for number, target := range targets {
 		costs[number] = never
 		if target.closed(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) || (!wish.anywhere && target.reach.away()) {
 			continue
 		}
 		usable++
+		if trusted && target.breaker.open(now) {
+			continue
+		}
 		if target.Taken() >= target.Slots+wish.Beyond || (target.cold(now) && !target.warmup.Open(now, part(target))) {
 			continue
 		}
@@ -127,17 +131,17 @@
 }
 
 // choose draws among the cheapest targets until its server's limit lets a call through.
-func (board *Board) choose(targets []*Target, costs []time.Duration, urgency int) (*Target, Verdict) {
+func (board *Board) choose(targets []*Target, costs []time.Duration, wish *Wish) (*Target, Verdict) {
 	var limited *Target
 	for {
-		number := board.draw(targets, costs)
+		number := board.draw(targets, costs, wish)
 		switch {
 		case number < 0 && limited != nil:
 			return limited, Limited
 		case number < 0:
 			return nil, Full
 		case !board.warms(targets[number]):
-		case targets[number].record.Gate.Take(urgency):
+		case targets[number].record.Gate.Take(wish.Urgency):
 			if limited != nil {
 				limited.record.Gate.Ask()
 			}
@@ -180,7 +184,7 @@
 // draw picks at random among the targets that cost little more than the cheapest, and
 // returns its place, -1 for none. One for which there is a permit comes first: permits run
 // out, and its server has nothing to spare for a call without one.
-func (board *Board) draw(targets []*Target, costs []time.Duration) int {
+func (board *Board) draw(targets []*Target, costs []time.Duration, wish *Wish) int {
 	most := never
 	for _, cost := range costs {
 		if cost != never && (most == never || cost+near < most) {
@@ -200,6 +204,9 @@
 	if cheap == 0 || permitted >= 0 {
 		return permitted
 	}
+	if targets[0].PerPrompt > 0 {
+		return board.spread(targets, costs, wish.Beyond)
+	}
 	chosen := board.random(cheap)
 	for number, cost := range costs {
 		if cost == never || cost > most {
--- a/internal/policy/dispatch/reach.go
+++ b/internal/policy/dispatch/reach.go
@@ -192,6 +192,7 @@
 
 // Heard tells that something came of a call at the target.
 func (target *Target) Heard() {
+	target.breaker.answered(target.now())
 	target.reach.hear(target.now())
 }
 
--- /dev/null
+++ b/internal/policy/dispatch/spread.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+// Nodes hear of each other's calls with a delay, and all of them see the same counts. If each
+// sent its calls to the group that looks best, that group would get whatever all nodes send
+// until the next counts come, its prompts would wait for each other, and streams that run there
+// would pause while they are read.
+//
+// So a node first places the calls that it expects the others to have sent since the counts
+// that it has: each goes where a first event would come soonest by then. It then draws a target
+// by how many of these calls, its own one included, it would get. With few calls, or with
+// one node, that is the best target; with many, calls go to all targets in proportion to the
+// room that they have.
+
+// countsAge is how old the counts of other nodes' calls are on average: two intervals of
+// frames up the tree and two down.
+const countsAge = 120 * time.Millisecond
+
+// crowd is what the calls that are yet to come add to a target's cost.
+type crowd struct {
+	target *Target
+	number int
+	cost   time.Duration
+	// free is how many calls have a place, room how many more may wait for one.
+	free, room float64
+}
+
+// takes returns how many calls bring the target's cost to a level.
+func (crowd *crowd) takes(level time.Duration) float64 {
+	above := float64(level - crowd.cost)
+	if above <= 0 {
+		return 0
+	}
+	each := float64(crowd.target.PerCall + crowd.target.PerPrompt)
+	calls := above / max(1, each)
+	if calls <= crowd.free {
+		return calls
+	}
+	above -= crowd.free * each
+	return min(crowd.free+above/max(1, float64(crowd.target.Turnover)), crowd.free+crowd.room)
+}
+
+// unseen is how many calls other nodes are expected to have sent to the targets since the
+// counts that this node has.
+func (board *Board) unseen(targets []*Target) float64 {
+	nodes := board.nodes()
+	if nodes < 2 {
+		return 0
+	}
+	perSecond := 0.0
+	for _, target := range targets {
+		perSecond += target.endsPerSecond()
+	}
+	return perSecond * countsAge.Seconds() * float64(nodes-1) / float64(nodes)
+}
+
+// spread draws a target among those whose cost isn't never, and returns its place, -1 for none.
+func (board *Board) spread(targets []*Target, costs []time.Duration, beyond int) int {
+	crowds := make([]crowd, 0, len(targets))
+	lowest, highest := time.Duration(math.MaxInt64), time.Duration(0)
+	for number, cost := range costs {
+		if cost == never {
+			continue
+		}
+		target := targets[number]
+		taken := float64(target.Taken())
+		free := max(0, float64(target.Slots)-taken)
+		room := max(0, float64(target.Slots+beyond)-taken-free)
+		crowds = append(crowds, crowd{target: target, number: number, cost: cost, free: free, room: room})
+		lowest, highest = min(lowest, cost), max(highest, cost)
+	}
+	if len(crowds) == 0 {
+		return -1
+	}
+	calls := board.unseen(targets) + 1
+	low, high := lowest, highest+time.Duration(calls)*time.Second
+	for range 24 {
+		level := low + (high-low)/2
+		if total(crowds, level) < calls {
+			low = level
+		} else {
+			high = level
+		}
+	}
+	sum := total(crowds, high)
+	if sum <= 0 {
+		return crowds[0].number
+	}
+	drawn := float64(board.random(1<<20)) / (1 << 20) * sum
+	for number := range crowds {
+		drawn -= crowds[number].takes(high)
+		if drawn < 0 {
+			return crowds[number].number
+		}
+	}
+	return crowds[len(crowds)-1].number
+}
+
+func total(crowds []crowd, level time.Duration) float64 {
+	sum := 0.0
+	for number := range crowds {
+		sum += crowds[number].takes(level)
+	}
+	return sum
+}
+
+// endsPerSecond is how many calls a second end at a target.
+func (target *Target) endsPerSecond() float64 {
+	if target.Turnover <= 0 {
+		return 0
+	}
+	return min(1, float64(target.Taken())/float64(max(1, target.Slots))) / target.Turnover.Seconds()
+}
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -165,6 +165,7 @@
 		spec.Slots, spec.Pass = service.Engine.Slots, passTime(service.Engine, model)
 		spec.PerToken, spec.PerCall = perToken(service.Engine, model), perCall(service.Engine, model)
 		spec.Turnover = turnover(service.Engine, model)
+		spec.PerPrompt = time.Duration(service.Engine.UsualPrompt) * spec.PerToken
 		return spec, true
 	}
 	return spec, false
@@ -267,8 +268,12 @@
 	if target.Group == "" {
 		return
 	}
+	if !node.peers.freshSilence(target.Group) {
+		return
+	}
 	node.logger.Warn("gateway: a group refused a call.", "Group", target.Group, "Head", target.ID, "Culprit", culprit)
 	node.former.Suspect(target.ID, target.Group)
+	node.peers.tellSilence(&frame.SilentHead{Server: target.ID, Group: target.Group}, nil)
 }
 
 // announce makes news known here and to all other nodes.
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -131,11 +133,19 @@
 	}
 	exchange.arrivals++
 	exchange.ran()
+	if closedUnanswered(err) && !exchange.gone() && !leg.use.Moved() && target.Broke(leg.sent) >= dispatch.BreaksTold {
+		exchange.forwarder.Failed(target, "")
+	}
 	exchange.note(leg, true)
 	exchange.noteEnd(leg, err)
 	return leg
 }
 
+// closedUnanswered says whether a call ended since its connection was closed before any answer.
+func closedUnanswered(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // note tells how a call ended, unless that says nothing of its server.
 func (exchange *exchange) note(leg *leg, failed bool) {
 	if failed && (exchange.gone() || leg.use.Moved() || leg.use.Withdrawn()) {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -27,6 +27,11 @@
 
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
+	if exchange.crowded() {
+		exchange.noTarget(nil, dispatch.Full)
+		exchange.end()
+		return
+	}
 	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
 		beyond := streamBeyond
 		if exchange.mayHaveRun {
@@ -47,6 +52,11 @@
 	exchange.end()
 }
 
+// crowded says whether the stream's pool is asked for more than it can run, and other streams go first.
+func (exchange *exchange) crowded() bool {
+	return exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency())
+}
+
 const (
 	// waitShare is the part of its target that a stream may wait here for a
 	// place. A place of a full pool comes free every few milliseconds; whoever
