feat(dispatch): a pool's capacity follows from how long its calls hold their places; shedding says why

Cause: the configuration names one usual size of answers for all models; the nodes that share the load are those that are heard, not the most of the last minute (a cut-off data centre refused by the rates of the whole fleet); a call counted itself as a burst. Change: holding times learnt by pool, counts of heard nodes, rates before the call, the cause of a refusal with its figures.

--- a/internal/policy/dispatch/burst_test.go
+++ b/internal/policy/dispatch/burst_test.go
@@ -108,7 +108,7 @@
 	}
 	for number := range model.nodes {
 		board := dispatch.New(dispatch.Clock(func() time.Duration { return model.at + time.Hour }), dispatch.Random(model.draw.IntN),
-			dispatch.DataCentre(fmt.Sprintf("d%d", number%3)), dispatch.Lots(uint64(number), func() int { return model.nodes }))
+			dispatch.DataCentre(fmt.Sprintf("d%d", number%3)), dispatch.Counted(func() int { return model.nodes }))
 		board.Update(map[string][]dispatch.Spec{pool: specs})
 		model.boards = append(model.boards, board)
 	}
@@ -159,7 +159,7 @@
 func (model *burstModel) call(one *work, patience time.Duration) {
 	if one.came == model.at {
 		model.asked[model.window()]++
-		if model.sheds && model.boards[one.node].Crowded(pool, 0) {
+		if _, refused := model.boards[one.node].Crowded(pool, 0); refused && model.sheds {
 			model.refused[int(one.came/(2*time.Second))*2]++
 			return
 		}
--- a/internal/policy/dispatch/crowding.go
+++ b/internal/policy/dispatch/crowding.go
@@ -33,7 +33,8 @@
 	at    time.Duration
 }
 
-// note counts a call and returns the rates.
+// note counts a call and returns the rates before it: with it, a node that is asked now and then would take each
+// call for a burst.
 func (asked *asked) note(rank int, now time.Duration) [ranksKept]float64 {
 	asked.mu.Lock()
 	defer asked.mu.Unlock()
@@ -42,8 +43,9 @@
 		asked.rates[number] *= faded
 	}
 	asked.at = now
+	before := asked.rates
 	asked.rates[min(max(0, rank), ranksKept-1)] += float64(time.Second) / float64(askedOver)
-	return asked.rates
+	return before
 }
 
 // admitted returns the part of the calls of a rank that may be sent where a pool takes so many
@@ -78,17 +80,32 @@
 	return perSecond
 }
 
+// Crowd is why a call was refused in place of being sent.
+type Crowd struct {
+	// Takes is how many calls a second the pool takes of all nodes, Asked how many are asked of it, and Before
+	// how many of these go first.
+	Takes, Asked, Before float64
+}
+
 // Crowded says whether a call of a rank that was just asked for should be refused, since the pool can't run all
 // that is asked for.
-func (board *Board) Crowded(name string, rank int) bool {
+func (board *Board) Crowded(name string, rank int) (Crowd, bool) {
 	filled, ok := board.pool(name)
 	if !ok || len(filled.targets) == 0 || filled.targets[0].PerPrompt == 0 {
-		return false
+		return Crowd{}, false
 	}
 	now := board.now()
 	rates := board.asked(name).note(rank, now)
-	part := admitted(rates, rank, board.takes(filled.targets, now)/float64(max(1, board.nodes())))
-	return part < 1 && float64(board.random(1<<20))/(1<<20) >= part
+	nodes := float64(max(1, board.counted()))
+	crowd := Crowd{Takes: board.takes(filled.targets, now)}
+	for number, rate := range rates {
+		crowd.Asked += rate * nodes
+		if number < rank {
+			crowd.Before += rate * nodes
+		}
+	}
+	part := admitted(rates, rank, crowd.Takes/nodes)
+	return crowd, part < 1 && float64(board.random(1<<20))/(1<<20) >= part
 }
 
 func (board *Board) asked(name string) *asked {
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -78,6 +78,8 @@
 	*load
 	// reach is the way to the target's data centre, nil for the node's own.
 	reach *reach
+	// holding is what was seen of the calls of the target's pool, nil for a plain server.
+	holding *holding
 	// drain is the mark of the target's data centre.
 	drain *drain.Mark
 	// goneAt is when the target was first in no pool, 0 while it is in one; the
@@ -154,9 +156,13 @@
 	// incarnation and nodes decide this node's part of what a cold server bears.
 	incarnation uint64
 	nodes       func() int
+	// counted is how many nodes' calls are in the counts that this node has.
+	counted func() int
 
 	// askedBy are the calls that were asked for, by pool.
 	askedBy sync.Map
+	// holdings are the times that calls hold their places, by pool; the lock guards the map.
+	holdings map[string]*holding
 
 	mu sync.Mutex
 	// known are the targets by loadKey.
@@ -197,11 +203,16 @@
 	return func(board *Board) { board.incarnation, board.nodes = incarnation, nodes }
 }
 
+// Counted sets how many nodes' calls are in the counts that the board is given, its own node included.
+func Counted(nodes func() int) Option {
+	return func(board *Board) { board.counted = nodes }
+}
+
 // New returns a board with no targets.
 func New(options ...Option) *Board {
 	board := &Board{
-		random: rand.IntN, now: clock.Boot, record: notice.New(ratelimit.New()).Record, known: map[string]*Target{},
-		drain: drain.New().Mark, nodes: func() int { return 1 },
+		random: rand.IntN, now: clock.Boot, record: notice.New(ratelimit.New()).Record, known: map[string]*Target{}, holdings: map[string]*holding{},
+		drain: drain.New().Mark, nodes: func() int { return 1 }, counted: func() int { return 1 },
 	}
 	board.layout.Store(&layout{})
 	for _, option := range options {
@@ -228,6 +239,9 @@
 		filled := &pool{}
 		for _, spec := range specs {
 			target := &Target{Spec: spec, load: board.load(spec), reach: board.reach(spec.DataCentre, next), drain: board.drain(spec.DataCentre)}
+			if spec.Group != "" {
+				target.holding = board.holding(name)
+			}
 			target.former.Store(false)
 			listed[loadKey(spec)] = target
 			filled.targets = append(filled.targets, target)
@@ -251,6 +265,13 @@
 	board.layout.Store(next)
 }
 
+func (board *Board) holding(pool string) *holding {
+	if board.holdings[pool] == nil {
+		board.holdings[pool] = &holding{}
+	}
+	return board.holdings[pool]
+}
+
 // reach returns the way to a data centre, and notes it in the next layout.
 func (board *Board) reach(dataCentre string, next *layout) *reach {
 	if dataCentre == board.dataCentre || board.dataCentre == "" {
--- /dev/null
+++ b/internal/policy/dispatch/holding.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+// holdingCalls is over how many calls the time that a call holds its place is averaged. The first
+// ones count beside what the configuration says of it.
+const holdingCalls = 32
+
+// holding is how long calls of a pool hold their places. The configuration names the usual
+// size of an answer for all models and kinds of requests together; those of one pool may be much shorter or longer, and
+// so may passes in which many prompts are read.
+type holding struct {
+	mu    sync.Mutex
+	mean  time.Duration
+	calls int
+}
+
+func (holding *holding) note(span time.Duration) {
+	holding.mu.Lock()
+	defer holding.mu.Unlock()
+	holding.calls = min(holding.calls+1, holdingCalls)
+	holding.mean += (span - holding.mean) / time.Duration(holding.calls)
+}
+
+// read returns the time, with what is expected where little was seen.
+func (holding *holding) read(expected time.Duration) time.Duration {
+	holding.mu.Lock()
+	defer holding.mu.Unlock()
+	unseen := time.Duration(holdingCalls - holding.calls)
+	return (unseen*expected + time.Duration(holding.calls)*holding.mean) / holdingCalls
+}
+
+// turnover is how long it takes, with all places taken, until one comes free.
+func (target *Target) turnover() time.Duration {
+	if target.holding == nil || target.Turnover <= 0 {
+		return target.Turnover
+	}
+	slots := time.Duration(max(1, target.Slots))
+	return target.holding.read(target.Turnover*slots) / slots
+}
+
+// endsPerSecond is how many calls a second end at a target.
+func (target *Target) endsPerSecond() float64 {
+	turnover := target.turnover()
+	if turnover <= 0 {
+		return 0
+	}
+	return min(1, float64(target.Taken())/float64(max(1, target.Slots))) / turnover.Seconds()
+}
--- a/internal/policy/dispatch/spread.go
+++ b/internal/policy/dispatch/spread.go
@@ -41,13 +41,13 @@
 		return calls
 	}
 	above -= crowd.free * each
-	return min(crowd.free+above/max(1, float64(crowd.target.Turnover)), crowd.free+crowd.room)
+	return min(crowd.free+above/max(1, float64(crowd.target.turnover())), crowd.free+crowd.room)
 }
 
 // unseen is how many calls other nodes are expected to have sent to the targets since the
 // counts that this node has.
 func (board *Board) unseen(targets []*Target) float64 {
-	nodes := board.nodes()
+	nodes := board.counted()
 	if nodes < 2 {
 		return 0
 	}
@@ -107,11 +107,3 @@
 	}
 	return sum
 }
-
-// endsPerSecond is how many calls a second end at a target.
-func (target *Target) endsPerSecond() float64 {
-	if target.Turnover <= 0 {
-		return 0
-	}
-	return min(1, float64(target.Taken())/float64(max(1, target.Slots))) / target.Turnover.Seconds()
-}
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -7,10 +7,11 @@
 
 // Use is one call at a target. End must be called once.
 type Use struct {
-	load   *load
-	reach  *reach
-	sent   time.Duration
-	tokens int64
+	load    *load
+	holding *holding
+	reach   *reach
+	sent    time.Duration
+	tokens  int64
 	// tag tells what the call asks.
 	tag     uint64
 	running atomic.Bool
@@ -24,7 +25,7 @@
 // Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
 // function given ends it from another goroutine.
 func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
-	use := &Use{load: target.load, reach: target.reach, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
+	use := &Use{load: target.load, holding: target.holding, reach: target.reach, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.mine.Add(1)
@@ -57,6 +58,9 @@
 	load.mine.Add(-1)
 	if use.running.Load() {
 		load.running.Add(-1)
+		if use.holding != nil && !use.moved.Load() {
+			use.holding.note(load.now() - use.sent)
+		}
 		return
 	}
 	load.unread.Add(-use.tokens)
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -64,7 +64,7 @@
 	}
 	tally.Add(inside, own)
 	peers.sums = &sums{at: now, own: own, inside: inside, others: others, insideNodes: insideNodes, nodes: insideNodes + outsideNodes}
-	peers.census.note(peers.sums.nodes, now)
+	peers.noteNodes(peers.sums.nodes, now)
 	return peers.sums
 }
 
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -184,7 +184,8 @@
 	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation), ratelimit.Settle(settings.Bounds.Settle))
 	node.notices = notice.New(node.limits, notice.Clock(node.now))
 	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices),
-		dispatch.Drains(node.drained.Mark), dispatch.Lots(node.Incarnation, func() int { return node.peers.nodes() }))
+		dispatch.Drains(node.drained.Mark), dispatch.Lots(node.Incarnation, func() int { return node.peers.nodes() }),
+		dispatch.Counted(func() int { return int(node.peers.counted.Load()) }))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
 	node.former = formation.New(node.formerParts())
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -127,6 +127,8 @@
 	rows atomic.Pointer[[]catalogue.Numbered]
 	// census counts the nodes that share budgets.
 	census census
+	// counted is how many nodes' calls are in the counts that this node has.
+	counted atomic.Int64
 	// newer is the newest configuration that was heard of, fetching the nodes that one is
 	// being fetched from.
 	newer    atomic.Pointer[newerVersion]
@@ -273,6 +275,12 @@
 	return peers.census.most(peers.node.now())
 }
 
+// noteNodes takes a count of nodes, this one included.
+func (peers *peers) noteNodes(nodes int, now time.Duration) {
+	peers.census.note(nodes, now)
+	peers.counted.Store(int64(nodes))
+}
+
 // count is how many nodes there are now by what this one hears, itself included.
 func (peers *peers) count() int {
 	peers.mu.Lock()
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -116,7 +116,7 @@
 	}
 	counts := newCounts(channel, received)
 	channel.calls = counts.sum()
-	peers.census.note(channel.nodes+1, peers.node.now())
+	peers.noteNodes(channel.nodes+1, peers.node.now())
 	peers.mu.Unlock()
 	if received.Listing != nil {
 		peers.node.follower.HeardEraFromPeer(endOf(received.Listing))
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -27,7 +28,8 @@
 
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
-	if exchange.crowded() {
+	if crowd, refused := exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency()); refused {
+		exchange.cause = fmt.Sprintf("the pool takes %.0f calls a second, %.0f are asked for, of which %.0f go first", crowd.Takes, crowd.Asked, crowd.Before)
 		exchange.noTarget(nil, dispatch.Full)
 		exchange.end()
 		return
@@ -52,11 +54,6 @@
 	exchange.end()
 }
 
-// crowded says whether the stream's pool is asked for more than it can run, and other streams go first.
-func (exchange *exchange) crowded() bool {
-	return exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency())
-}
-
 const (
 	// waitShare is the part of its target that a stream may wait here for a
 	// place. A place of a full pool comes free every few milliseconds; whoever
