--- a/internal/policy/dispatch/burst_test.go
+++ b/internal/policy/dispatch/burst_test.go
@@ -25,6 +25,8 @@
 	target, delay      time.Duration
 	// sheds says whether calls that the pool can't run are refused at once.
 	sheds bool
+	// nearest makes nodes choose the best target by the counts that they have.
+	nearest bool
 
 	draw   *rand.Rand
 	at     time.Duration
@@ -97,11 +99,15 @@
 	model.heads = map[string]*engine{}
 	model.asked, model.inTime, model.late, model.refused = map[int]int{}, map[int]int{}, map[int]int{}, map[int]int{}
 	specs := []dispatch.Spec{}
+	prompt := modelPrompt * modelToken
+	if model.nearest {
+		prompt = 0
+	}
 	for number := range model.groups {
 		id := fmt.Sprintf("h%d", number)
 		specs = append(specs, dispatch.Spec{
 			ID: id, Group: "g-" + id, Address: id, Slots: modelSlots, Pass: modelPass, PerToken: modelToken,
-			PerCall: 190 * time.Microsecond, Turnover: modelTurn, PerPrompt: modelPrompt * modelToken,
+			PerCall: 190 * time.Microsecond, Turnover: modelTurn, PerPrompt: prompt,
 			DataCentre: fmt.Sprintf("d%d", number%3),
 		})
 		model.heads[id] = &engine{slots: modelSlots, per: modelToken, pass: modelPass}
@@ -264,3 +270,13 @@
 		expect.Expect(refused).To(gomega.BeZero(), "calls of the second from %d on", window)
 	}
 }
+
+// Guards against all nodes that send to the group that looks best by counts that are late.
+func TestFewerAreLateWhereNearlyAllPlacesAreTaken(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	spread, nearest := burst(520), burst(520)
+	spread.sheds, nearest.sheds, nearest.nearest = false, false, true
+	spread.run(1)
+	nearest.run(1)
+	expect.Expect(spread.late[4] + spread.late[6]).To(gomega.BeNumerically("<", (nearest.late[4]+nearest.late[6])/2))
+}
