feat(pace): learn how slow a group is from the gaps between events

Cause: servers of a service differ in speed, and a group is as slow as its slowest member; calls go to a group that is four times as slow as to any other. Change: package policy/pace: a meter for one run of a head in one group, the shortest of the last gaps, decay, what is news to other nodes, and at most a third of a pool slow. Nothing uses it yet.

--- /dev/null
+++ b/internal/policy/pace/pace.go
@@ -0,0 +1,256 @@
+// Package pace learns how slow a group of servers is, from the time between the events of its
+// streams.
+//
+// A stream emits one event per forward pass, so the time between two events, divided by the
+// duration that a pass should have at that load, is the group's pace: 1 as expected, 4 where it
+// is four times as slow. Prompts that are read meanwhile lengthen passes, and so does anything
+// between the group and this node; nothing shortens them. So the shortest of some dozens of gaps
+// count. Events that come together are of one pass and count once.
+//
+// A group that is known to be slow gets few calls, and then nothing is learnt of it. So what is
+// known decays towards 1 within some seconds, and the group is tried again.
+//
+// Nothing here has a clock: time is passed in. A Meter stands for one run of a server in one
+// group, and may be used from several goroutines.
+//
+// # Usage
+//
+//	meter := &pace.Meter{}
+//	meter.Note(gap, expected, now) // for each event of each stream
+//	if learnt := meter.Look(now); learnt.News { tell(learnt.Factor) }
+//	paces := pace.Slow(factors) // of all groups of a pool
+package pace
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// SlowFrom is the pace from which a group is treated as slow. Configured durations are a
+	// few tenths off, and so is a pass that reads a long prompt.
+	SlowFrom = 1.5
+	// fastBelow is the pace below which a slow group is as expected again. It is less than
+	// SlowFrom so that a pace near that isn't told over and over.
+	fastBelow = 1.25
+	// least is from how many passes a pace is learnt, most how many are remembered.
+	least = 8
+	most  = 24
+	// kept is for how long passes are remembered: longer than a slow group is passed by.
+	kept = 15 * time.Second
+	// resumed is after which pause a group counts as tried again, and known is how many
+	// passes before the pause still count then: with three more there are enough, so that one
+	// that is as slow as before is passed by again soon.
+	resumed = 2 * time.Second
+	known   = 5
+	// half is the time after which half of what a group was slower is forgotten. A group four
+	// times as slow is tried again after five seconds.
+	half = 2 * time.Second
+	// change is by which ratio a pace must have changed to be told to other nodes, and tellEvery how
+	// often that may be.
+	change    = 1.25
+	tellEvery = 200 * time.Millisecond
+	// highest bounds what another node may tell.
+	highest = 100
+)
+
+// Counts are counters; they only grow.
+type Counts struct {
+	// Found are the groups that this node found slow, Ended those of them that aren't any more.
+	Found atomic.Uint64
+	Ended atomic.Uint64
+	// Heard are the paces that other nodes told and this one did not know.
+	Heard atomic.Uint64
+}
+
+// finding is a pace at a time.
+type finding struct {
+	factor float64
+	at     time.Duration
+}
+
+// decayed is what is left of a finding.
+func (finding finding) decayed(now time.Duration) float64 {
+	if finding.factor <= 1 {
+		return 1
+	}
+	return 1 + (finding.factor-1)*math.Exp2(-float64(max(0, now-finding.at))/float64(half))
+}
+
+// effective is the same as far as it takes effect.
+func (finding finding) effective(now time.Duration) float64 {
+	if factor := finding.decayed(now); factor >= SlowFrom {
+		return factor
+	}
+	return 1
+}
+
+// round is a pass: the shortest of the gaps that ended with it.
+type round struct {
+	ratio float64
+	at    time.Duration
+}
+
+// Meter learns the pace of one run of a server in one group.
+type Meter struct {
+	mu     sync.Mutex
+	rounds [most]round
+	// last is the place of the newest round, count how many there are.
+	last, count int
+	// fresh says that there were events since the last look.
+	fresh bool
+	// newest is what is known, told what the other nodes know.
+	newest, told finding
+	// found says that this node found the group slow and has not said since that it isn't.
+	found bool
+}
+
+// Note takes the time between two events of a stream, and how long that should be.
+func (meter *Meter) Note(gap, expected, now time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := float64(gap) / float64(expected)
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	meter.fresh = true
+	newest := &meter.rounds[meter.last]
+	if meter.count > 0 {
+		since := now - newest.at
+		if since < expected/2 {
+			newest.ratio = min(newest.ratio, ratio)
+			return
+		}
+		if since > resumed {
+			meter.count = min(meter.count, known)
+		}
+	}
+	meter.last = (meter.last + 1) % most
+	meter.rounds[meter.last] = round{ratio: ratio, at: now}
+	meter.count = min(meter.count+1, most)
+}
+
+// measureLocked returns the pace by the passes that are remembered, and when the last of them was.
+func (meter *Meter) measureLocked(now time.Duration) (found finding, enough bool) {
+	var held [most]float64
+	ratios := held[:0]
+	for number := range meter.count {
+		one := &meter.rounds[(meter.last-number+most)%most]
+		if now-one.at > kept {
+			break
+		}
+		ratios = append(ratios, one.ratio)
+	}
+	if len(ratios) < least {
+		return finding{}, false
+	}
+	// A group that becomes slow shows it in its last passes long before it does in most of those
+	// that are remembered.
+	latest := slices.Min(ratios[:least])
+	slices.Sort(ratios)
+	return finding{factor: max(1, latest, ratios[(len(ratios)-1)/4]), at: meter.rounds[meter.last].at}, true
+}
+
+// Learnt is what a look at a meter shows.
+type Learnt struct {
+	// Factor is the pace as far as it takes effect.
+	Factor float64
+	// News says that other nodes are to be told.
+	News bool
+	// Found says that this node has just found the group slow, Ended that one that it found slow
+	// isn't any more.
+	Found, Ended bool
+}
+
+// Look returns what is known now.
+func (meter *Meter) Look(now time.Duration) Learnt {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	learnt := Learnt{}
+	if measured, enough := meter.measureLocked(now); meter.fresh && enough {
+		meter.fresh = false
+		learnt.News = meter.learnLocked(measured, now)
+		learnt.Found = learnt.News && !meter.found && measured.factor >= SlowFrom
+		meter.found = meter.found || learnt.Found
+	}
+	learnt.Factor = meter.newest.effective(now)
+	if meter.found && meter.newest.decayed(now) < fastBelow {
+		meter.found, learnt.Ended = false, true
+	}
+	return learnt
+}
+
+// learnLocked takes what was measured, and says whether that is news to other nodes.
+func (meter *Meter) learnLocked(measured finding, now time.Duration) bool {
+	before := meter.newest.decayed(now)
+	if measured.factor < fastBelow || (measured.factor < SlowFrom && before < SlowFrom) {
+		measured.factor = 1
+	}
+	meter.newest = measured
+	if !differs(measured.factor, meter.told.effective(now)) || (meter.told.at != 0 && now-meter.told.at < tellEvery) {
+		return false
+	}
+	meter.told = measured
+	return true
+}
+
+func differs(one, other float64) bool {
+	return one >= change*other || other >= change*one
+}
+
+// Told returns what other nodes are to know, and how old that is.
+func (meter *Meter) Told(now time.Duration) (factor float64, age time.Duration) {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	return max(1, meter.told.factor), max(0, now-meter.told.at)
+}
+
+// Take takes a pace that another node measured at a time, and says whether that is news. What
+// this node measured before that counts no more: its passes may be of before the group became slow.
+func (meter *Meter) Take(factor float64, at, now time.Duration) bool {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	told := finding{factor: min(max(1, factor), highest), at: min(at, now)}
+	if told.at <= meter.told.at || !differs(told.effective(now), meter.told.effective(now)) {
+		return false
+	}
+	if differs(told.effective(now), meter.newest.effective(now)) {
+		meter.count = 0
+		meter.newest = told
+	}
+	meter.told = told
+	return true
+}
+
+// Slow returns the paces of a pool's groups as they take effect. At most a third is slow, the slowest:
+// where more seem so the fault lies with what was expected, or with this node. For the same reason a
+// pace is compared with the pool's median.
+func Slow(factors []float64) []float64 {
+	order := make([]int, len(factors))
+	paces := make([]float64, len(factors))
+	for number := range factors {
+		order[number], paces[number] = number, 1
+	}
+	slices.SortStableFunc(order, func(one, other int) int {
+		switch {
+		case factors[one] > factors[other]:
+			return -1
+		case factors[one] < factors[other]:
+			return 1
+		}
+		return 0
+	})
+	if len(order) == 0 {
+		return paces
+	}
+	median := max(1, factors[order[len(order)/2]])
+	for _, number := range order[:len(order)/3] {
+		if factor := factors[number] / median; factor >= SlowFrom {
+			paces[number] = factor
+		}
+	}
+	return paces
+}
--- /dev/null
+++ b/internal/policy/pace/pace_test.go
@@ -0,0 +1,169 @@
+package pace_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/policy/pace"
+)
+
+const (
+	start = time.Hour
+	pass  = 32 * time.Millisecond
+)
+
+// feed notes passes of a group that is so many times as slow, each of them at some streams, and
+// returns when the last ended.
+func feed(meter *pace.Meter, from time.Duration, passes, streams int, factor float64) time.Duration {
+	gap := time.Duration(factor * float64(pass))
+	for range passes {
+		from += gap
+		for range streams {
+			meter.Note(gap, pass, from)
+		}
+	}
+	return from
+}
+
+// Guards against a slow group that isn't found, or is found by too few passes to know.
+func TestSlowGroupIsFoundAfterEightPasses(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 7, 5, 4)
+	expect.Expect(meter.Look(now).Factor).To(gomega.Equal(1.0))
+	learnt := meter.Look(feed(meter, now, 1, 5, 4))
+	expect.Expect(learnt.Factor).To(gomega.BeNumerically("~", 4, 0.01))
+	expect.Expect(learnt.News).To(gomega.BeTrue())
+	expect.Expect(learnt.Found).To(gomega.BeTrue())
+}
+
+// Guards against a group that is found slow only when most remembered passes were slow.
+func TestGroupThatBecomesSlowIsFoundByItsLastPasses(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 100, 1, 1)
+	expect.Expect(meter.Look(now)).To(gomega.Equal(pace.Learnt{Factor: 1}))
+	expect.Expect(meter.Look(feed(meter, now, 8, 1, 3)).Factor).To(gomega.BeNumerically("~", 3, 0.01))
+}
+
+// Guards against a healthy group that looks slow since prompts are read in many of its passes.
+func TestPassesThatReadPromptsDontMakeAGroupSlow(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	draw := rand.New(rand.NewPCG(1, 1))
+	meter := &pace.Meter{}
+	now, slow := start, 0
+	for range 10_000 {
+		gap := pass
+		if draw.IntN(10) < 4 {
+			gap *= 3
+		}
+		now += gap
+		meter.Note(gap, pass, now)
+		if meter.Look(now).Factor > 1 {
+			slow++
+		}
+	}
+	// Eight such passes in a row are one case in 1,500, and the next pass ends it.
+	expect.Expect(slow).To(gomega.BeNumerically("<", 20))
+}
+
+// Guards against a pass that a node has many streams of and that counts once for each.
+func TestEventsOfOnePassCountOnce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 3, 20, 5)
+	expect.Expect(meter.Look(now).Factor).To(gomega.Equal(1.0))
+}
+
+// Guards against a slow group that is never tried again, and one that is tried at once.
+func TestPaceDecays(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 10, 1, 4)
+	meter.Look(now)
+	expect.Expect(meter.Look(now + 4*time.Second).Factor).To(gomega.BeNumerically(">", pace.SlowFrom))
+	expect.Expect(meter.Look(now + 6*time.Second).Factor).To(gomega.Equal(1.0))
+	expect.Expect(meter.Look(now + 8*time.Second).Ended).To(gomega.BeTrue())
+	expect.Expect(meter.Look(now+9*time.Second).Ended).To(gomega.BeFalse(), "it is said once")
+}
+
+// Guards against a slow group that is tried with as many calls each time as the first time.
+func TestGroupThatIsTriedAgainIsFoundSlowSooner(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 10, 1, 4)
+	meter.Look(now)
+	now = feed(meter, now+6*time.Second, 3, 1, 4)
+	expect.Expect(meter.Look(now).Factor).To(gomega.BeNumerically("~", 4, 0.01))
+}
+
+// Guards against a group that goes on being passed by after it recovered.
+func TestGroupThatRecoversIsNotSlow(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 30, 1, 4)
+	meter.Look(now)
+	now = feed(meter, now, 8, 1, 1)
+	expect.Expect(meter.Look(now).Factor).To(gomega.Equal(1.0))
+	expect.Expect(meter.Look(now).News).To(gomega.BeFalse(), "it is told once")
+}
+
+// Guards against nodes that tell each other the same pace over and over.
+func TestOnlyAPaceThatChangedIsNews(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now, told := start, 0
+	for range 80 {
+		now = feed(meter, now, 1, 1, 4)
+		if meter.Look(now).News {
+			told++
+		}
+	}
+	// Ten seconds: what was told has decayed by a fifth after 0.9 seconds and is told again.
+	expect.Expect(told).To(gomega.BeNumerically("<=", 12))
+	other := &pace.Meter{}
+	expect.Expect(other.Take(4, now, now)).To(gomega.BeTrue())
+	expect.Expect(other.Take(4.4, now+time.Millisecond, now+time.Millisecond)).To(gomega.BeFalse(), "nearly the same")
+	expect.Expect(other.Take(1, now-time.Second, now)).To(gomega.BeFalse(), "older")
+	expect.Expect(other.Take(1, now+time.Second, now+time.Second)).To(gomega.BeTrue(), "recovered")
+	expect.Expect(other.Look(now + time.Second)).To(gomega.Equal(pace.Learnt{Factor: 1}))
+}
+
+// Guards against a node that contradicts what it is told by passes from before the group became slow.
+func TestPassesFromBeforeDontContradictWhatIsTold(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	meter := &pace.Meter{}
+	now := feed(meter, start, 50, 1, 1)
+	meter.Look(now)
+	expect.Expect(meter.Take(4, now, now)).To(gomega.BeTrue())
+	now = feed(meter, now, 7, 1, 1)
+	expect.Expect(meter.Look(now).Factor).To(gomega.BeNumerically(">", 3))
+	learnt := meter.Look(feed(meter, now, 1, 1, 1))
+	expect.Expect(learnt.Factor).To(gomega.Equal(1.0))
+	expect.Expect(learnt.News).To(gomega.BeTrue())
+}
+
+// Guards against a pool that is closed since its configured passes are too short, and against a
+// third that is exceeded.
+func TestAtMostAThirdOfAPoolIsSlow(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	expect.Expect(pace.Slow([]float64{1, 4, 1, 1, 1, 1})).To(gomega.Equal([]float64{1, 4, 1, 1, 1, 1}))
+	expect.Expect(pace.Slow([]float64{3, 4, 5, 1, 1, 1, 1})).To(gomega.Equal([]float64{1, 4, 5, 1, 1, 1, 1}))
+	expect.Expect(pace.Slow([]float64{2, 2, 2, 2, 2, 8})).To(gomega.Equal([]float64{1, 1, 1, 1, 1, 4}), "all are slower than configured")
+	expect.Expect(pace.Slow([]float64{4, 1})).To(gomega.Equal([]float64{1, 1}))
+	expect.Expect(pace.Slow(nil)).To(gomega.BeEmpty())
+}
+
+// BenchmarkNote is what an event costs.
+func BenchmarkNote(b *testing.B) {
+	meter := &pace.Meter{}
+	now := start
+	b.ReportAllocs()
+	for b.Loop() {
+		now += pass
+		meter.Note(pass, pass, now)
+	}
+}
