feat(dispatch): predict the first event by the pace of a group

Cause: a group four times as slow as configured looks like any other until its places are taken, and the first events of its calls are late. Change: events of groups' streams feed a pace meter; a target's times are multiplied by its pace in the cost, the spreading and the shedding; the stall watch waits for three passes as learnt. Gaps are per event where several came together, and don't count where the caller was slow to take the one before. Prompts that are read are allowed for.

--- a/internal/policy/dispatch/burst_test.go
+++ b/internal/policy/dispatch/burst_test.go
@@ -209,6 +209,11 @@
 	model.start(seed)
 	model.after(0, model.tell)
 	model.after(0, model.arrive)
+	model.steps()
+}
+
+// steps does what is due until the model's time is over.
+func (model *burstModel) steps() {
 	for model.events.Len() > 0 {
 		next, _ := heap.Pop(&model.events).(event)
 		if next.at > model.length {
--- a/internal/policy/dispatch/crowding.go
+++ b/internal/policy/dispatch/crowding.go
@@ -63,16 +63,22 @@
 // for which places are free, less those that are beyond their places. It is without bound while too few
 // places are taken for any call to be refused.
 func (board *Board) takes(targets []*Target, now time.Duration) float64 {
-	perSecond, taken, slots := 0.0, 0, 0
+	perSecond, taken, slots := 0.0, 0, 0.0
 	for _, target := range targets {
 		if target.closed(now) || target.breaker.open(now) || target.reach.away() {
 			continue
 		}
 		calls := target.Taken()
-		taken, slots = taken+calls, slots+target.Slots
-		perSecond += target.endsPerSecond() + float64(max(target.Slots-calls, -target.Slots))/correctedOver.Seconds()
+		free, unused := float64(max(target.Slots-calls, -target.Slots)), 0.0
+		if free > 0 {
+			// Calls pass a slow group by, and its free places make no room for them.
+			unused = free - free/target.slower()
+			free -= unused
+		}
+		taken, slots = taken+calls, slots+float64(target.Slots)-unused
+		perSecond += target.endsPerSecond() + free/correctedOver.Seconds()
 	}
-	if float64(taken) < crowdedFrom*float64(slots) {
+	if float64(taken) < crowdedFrom*slots {
 		return math.Inf(1)
 	}
 	return perSecond
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -35,6 +35,7 @@
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/drain"
 	"hazelslip/internal/policy/notice"
+	"hazelslip/internal/policy/pace"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/warmup"
 )
@@ -111,6 +112,7 @@
 	// lost says that the group was found to have lost a member.
 	lost    atomic.Bool
 	breaker breaker
+	paced   paced
 	// former says that the target is in no pool any more. How a former run of a
 	// server ended its calls says nothing of the one under the same ID.
 	former atomic.Bool
@@ -155,6 +157,9 @@
 	incarnation uint64
 	nodes       func() int
 
+	// PaceCounts count what was learnt of how slow groups are.
+	PaceCounts pace.Counts
+
 	// askedBy are the calls that were asked for, by pool.
 	askedBy sync.Map
 
@@ -314,6 +319,8 @@
 	Avoided, BacksOff, Draining bool
 	// Drained says that its data centre is drained, Cold that it bears few calls as yet.
 	Drained, Cold bool
+	// Pace is by how much its times are longer than configured, as predictions use it.
+	Pace float64
 }
 
 // State returns the targets by pool.
@@ -328,6 +335,7 @@
 				Unread: int(target.unread.Load() + target.peersUnread.Load()), Avoided: target.Avoided(now),
 				BacksOff: !target.record.Draining() && !target.record.Takes(now), Draining: target.record.Draining(),
 				Drained: target.drain.Drained(), Cold: target.cold(now),
+				Pace: target.slower(),
 			})
 		}
 	}
--- /dev/null
+++ b/internal/policy/dispatch/pace.go
@@ -0,0 +1,197 @@
+package dispatch
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"hazelslip/internal/policy/pace"
+)
+
+// A group may be slower than configured: it is as slow as its slowest member, and servers differ, are
+// slow for a while after they start, or become slow. What is predicted of it is multiplied by its pace,
+// which package pace learns from the events that come and from what other nodes tell.
+
+const (
+	// passedOnPart is the part of a pass that passing an event on to the caller may take for the gap
+	// that follows to count: events wait meanwhile, and the gap is the caller's.
+	passedOnPart = 8
+	// slowPasses is how many passes, as learnt, a slow group's streams may stand still. It is less than
+	// silentPasses, since a learnt pass was measured under load.
+	slowPasses = 3
+)
+
+// paced is the pace of a target as it takes effect, in hundredths; 0 counts as 100.
+type paced struct {
+	meter pace.Meter
+	// used is what times are multiplied by, learnt what this node knows whatever the pool's other
+	// groups do.
+	used   atomic.Int64
+	learnt atomic.Int64
+}
+
+func hundredthsOf(factor float64) int64 {
+	return int64(math.Round(factor * hundredths))
+}
+
+func factorOf(told int64) float64 {
+	return max(1, float64(told)/hundredths)
+}
+
+// slower is by how much the target's times are longer than configured.
+func (load *load) slower() float64 {
+	return factorOf(load.paced.used.Load())
+}
+
+// slowed is a span at the target's pace.
+func (load *load) slowed(span time.Duration) time.Duration {
+	if told := load.paced.used.Load(); told > hundredths {
+		return span * time.Duration(told) / hundredths
+	}
+	return span
+}
+
+// learntPass is the duration of a pass as learnt, 0 where the target isn't slow.
+func (target *Target) learntPass() time.Duration {
+	if told := target.paced.learnt.Load(); told > hundredths {
+		return target.Pass * time.Duration(told) / hundredths
+	}
+	return 0
+}
+
+// reading is how long the prompts should take that the target reads, without those of calls that wait
+// there for a place.
+func (target *Target) reading() time.Duration {
+	unread := time.Duration(target.unread.Load()+target.peersUnread.Load()) * target.PerToken
+	return max(0, unread-time.Duration(max(0, target.Taken()-target.Slots))*target.PerPrompt)
+}
+
+// notePace takes events that came together of a stream. Prompts that the group may have read since the
+// event before lengthen its pass.
+func (use *Use) notePace(now time.Duration, events int) {
+	target := use.target
+	if target.Group == "" || target.Pass <= 0 {
+		return
+	}
+	reading := target.reading()
+	before := time.Duration(use.eventAt.Swap(int64(now)))
+	readBefore := time.Duration(use.reading.Swap(int64(reading)))
+	if before == 0 || use.held.Swap(false) {
+		return
+	}
+	expected := target.Pass - time.Duration(max(0, target.Slots-target.Taken()))*target.PerCall
+	events = max(1, events)
+	target.paced.meter.Note((now-before)/time.Duration(events), max(expected, target.Pass/4)+max(reading, readBefore)/time.Duration(events), now)
+}
+
+// PassedOn tells how long passing the last event on to the caller took.
+func (use *Use) PassedOn(took time.Duration) {
+	if took > use.target.Pass/passedOnPart {
+		use.held.Store(true)
+	}
+}
+
+// PaceNews is what changed in what is known of a target's pace.
+type PaceNews struct {
+	Target *Target
+	// Factor is the pace as measured.
+	Factor float64
+	// Tell says that other nodes are to be told, Found that this node found the group slow, Ended that
+	// a group isn't slow any more that it found so.
+	Tell, Found, Ended bool
+}
+
+// Paces works out the paces of all groups anew, and returns what changed by what this node measured.
+func (board *Board) Paces() []PaceNews {
+	news := []PaceNews{}
+	now := board.now()
+	pools := board.layout.Load().pools
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		filled := pools[name]
+		for number, learnt := range filled.weigh(now) {
+			switch {
+			case learnt.Found:
+				board.PaceCounts.Found.Add(1)
+			case learnt.Ended:
+				board.PaceCounts.Ended.Add(1)
+			case !learnt.News:
+				continue
+			}
+			news = append(news, PaceNews{
+				Target: filled.targets[number], Factor: learnt.Factor, Tell: learnt.News, Found: learnt.Found, Ended: learnt.Ended,
+			})
+		}
+	}
+	return news
+}
+
+// weigh puts the paces of a pool's groups in force.
+func (filled *pool) weigh(now time.Duration) []pace.Learnt {
+	if len(filled.targets) == 0 || filled.targets[0].Group == "" {
+		return nil
+	}
+	learnt, factors := make([]pace.Learnt, len(filled.targets)), make([]float64, len(filled.targets))
+	for number, target := range filled.targets {
+		learnt[number] = target.paced.meter.Look(now)
+		factors[number] = learnt[number].Factor
+		target.paced.learnt.Store(hundredthsOf(factors[number]))
+	}
+	for number, factor := range pace.Slow(factors) {
+		filled.targets[number].paced.used.Store(hundredthsOf(factor))
+	}
+	return learnt
+}
+
+// ToldPace is a target's pace as nodes tell it to each other.
+type ToldPace struct {
+	Server, Group string
+	Born          int64
+	Factor        float64
+	Age           time.Duration
+}
+
+func (told *ToldPace) key() string {
+	return loadKey(Spec{ID: told.Server, Group: told.Group, Born: told.Born})
+}
+
+// TakePace takes what another node measured, and says whether that is news. It is in force from the next
+// Paces on.
+func (board *Board) TakePace(told *ToldPace) bool {
+	target := board.knownTarget(told.key())
+	now := board.now()
+	if target == nil || !target.paced.meter.Take(told.Factor, now-told.Age, now) {
+		return false
+	}
+	board.PaceCounts.Heard.Add(1)
+	return true
+}
+
+// TellPace returns what other nodes are to know of the target that Run names.
+func (board *Board) TellPace(run string) (ToldPace, bool) {
+	target := board.knownTarget(run)
+	if target == nil {
+		return ToldPace{}, false
+	}
+	factor, age := target.paced.meter.Told(board.now())
+	return ToldPace{Server: target.ID, Group: target.Group, Born: target.Born, Factor: factor, Age: age}, true
+}
+
+// SlowRuns are the targets, as Run names them, that seem slow.
+func (board *Board) SlowRuns() []string {
+	runs := []string{}
+	for _, target := range board.layout.Load().all {
+		if target.paced.learnt.Load() > hundredths {
+			runs = append(runs, target.Run())
+		}
+	}
+	slices.Sort(runs)
+	return runs
+}
+
+func (board *Board) knownTarget(run string) *Target {
+	board.mu.Lock()
+	defer board.mu.Unlock()
+	return board.known[run]
+}
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -175,6 +175,9 @@
 	if beyond := taken - target.Slots + 1; beyond > 0 {
 		cost += time.Duration(beyond) * target.Turnover
 	}
+	// A pass and the call's own prompt take the same anywhere but at a slow group.
+	own := target.Pass + target.PerPrompt
+	cost = target.slowed(cost+own) - own
 	if target.DataCentre != wish.DataCentre {
 		cost += abroad
 	}
@@ -324,7 +327,7 @@
 		return 0, time.Hour, time.Hour
 	}
 	if target.running.Load() > 0 {
-		avoid = max(silentLeast, silentPasses*target.Pass)
+		avoid = max(silentLeast, silentPasses*target.Pass, slowPasses*target.learntPass())
 		return now - time.Duration(target.progress.Load()), avoid, avoid + movePatience
 	}
 	return now - max(target.oldest(now), time.Duration(target.progress.Load())), unansweredLeast, unansweredMost
--- a/internal/policy/dispatch/spread.go
+++ b/internal/policy/dispatch/spread.go
@@ -22,9 +22,10 @@
 
 // crowd is what the calls that are yet to come add to a target's cost.
 type crowd struct {
-	target *Target
 	number int
 	cost   time.Duration
+	// each is what a call with a place adds, queued what one beyond the places does.
+	each, queued float64
 	// free is how many calls have a place, room how many more may wait for one.
 	free, room float64
 }
@@ -35,13 +36,12 @@
 	if above <= 0 {
 		return 0
 	}
-	each := float64(crowd.target.PerCall + crowd.target.PerPrompt)
-	calls := above / max(1, each)
+	calls := above / crowd.each
 	if calls <= crowd.free {
 		return calls
 	}
-	above -= crowd.free * each
-	return min(crowd.free+above/max(1, float64(crowd.target.Turnover)), crowd.free+crowd.room)
+	above -= crowd.free * crowd.each
+	return min(crowd.free+above/crowd.queued, crowd.free+crowd.room)
 }
 
 // unseen is how many calls other nodes are expected to have sent to the targets since the
@@ -70,7 +70,10 @@
 		taken := float64(target.Taken())
 		free := max(0, float64(target.Slots)-taken)
 		room := max(0, float64(target.Slots+beyond)-taken-free)
-		crowds = append(crowds, crowd{target: target, number: number, cost: cost, free: free, room: room})
+		crowds = append(crowds, crowd{
+			number: number, cost: cost, free: free, room: room,
+			each: max(1, float64(target.slowed(target.PerCall+target.PerPrompt))), queued: max(1, float64(target.slowed(target.Turnover))),
+		})
 		lowest, highest = min(lowest, cost), max(highest, cost)
 	}
 	if len(crowds) == 0 {
@@ -113,5 +116,5 @@
 	if target.Turnover <= 0 {
 		return 0
 	}
-	return min(1, float64(target.Taken())/float64(max(1, target.Slots))) / target.Turnover.Seconds()
+	return min(1, float64(target.Taken())/float64(max(1, target.Slots))) / target.slowed(target.Turnover).Seconds()
 }
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -8,6 +8,7 @@
 // Use is one call at a target. End must be called once.
 type Use struct {
 	load   *load
+	target *Target
 	reach  *reach
 	sent   time.Duration
 	tokens int64
@@ -17,6 +18,11 @@
 	moved   atomic.Bool
 	// withdrawn says that the call was ended for what it asks.
 	withdrawn atomic.Bool
+	// eventAt is when the last event came, reading how long the target's prompts should have taken by
+	// then, and held says that the caller was slow to take it.
+	eventAt atomic.Int64
+	reading atomic.Int64
+	held    atomic.Bool
 	// end stops the call from another goroutine.
 	end func()
 }
@@ -24,7 +30,7 @@
 // Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
 // function given ends it from another goroutine.
 func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
-	use := &Use{load: target.load, reach: target.reach, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
+	use := &Use{load: target.load, target: target, reach: target.reach, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.mine.Add(1)
@@ -36,6 +42,11 @@
 // Event tells that something came of the call; the first makes it a running
 // stream.
 func (use *Use) Event() {
+	use.Events(1)
+}
+
+// Events is Event for so many events of a stream that came together.
+func (use *Use) Events(count int) {
 	now := use.load.now()
 	use.load.progress.Store(int64(now))
 	use.reach.hear(now)
@@ -43,6 +54,7 @@
 		use.load.running.Add(1)
 		use.load.unread.Add(-use.tokens)
 	}
+	use.notePace(now, count)
 }
 
 // End uncounts the call.
