feat(gateway): nodes tell each other of slow groups

Cause: in a large fleet a node has few streams at any group, and would send its own calls to a slow one until it has measured it itself. Forwarded streams say how many events came together and how long the caller took for them. Measured: tests of internal/policy, internal/run/gateway, internal/serve pass; not measured on whole nodes.

--- a/internal/policy/dispatch/pace.go
+++ b/internal/policy/dispatch/pace.go
@@ -30,6 +30,25 @@
 	// groups do.
 	used   atomic.Int64
 	learnt atomic.Int64
+	// found says that this node found the group slow and has not said since that it isn't, slowAt when
+	// it last was. Only Paces uses them.
+	found  bool
+	slowAt time.Duration
+}
+
+// endedAfter is after which time a group that was slow isn't any more: long enough that one that is tried
+// again, and is as slow as before, isn't told of as another.
+const endedAfter = 3 * time.Second
+
+// note says whether this node has just found the group slow, and whether one that it found is slow no more.
+func (paced *paced) note(news, slow bool, now time.Duration) (found, ended bool) {
+	if slow {
+		paced.slowAt = now
+	}
+	found = news && slow && !paced.found
+	ended = paced.found && now-paced.slowAt >= endedAfter
+	paced.found = (paced.found || found) && !ended
+	return found, ended
 }
 
 func hundredthsOf(factor float64) int64 {
@@ -103,7 +122,8 @@
 	Tell, Found, Ended bool
 }
 
-// Paces works out the paces of all groups anew, and returns what changed by what this node measured.
+// Paces works out the paces of all groups anew, and returns what changed by what this node measured. It
+// isn't called twice at a time.
 func (board *Board) Paces() []PaceNews {
 	news := []PaceNews{}
 	now := board.now()
@@ -111,17 +131,17 @@
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
 		filled := pools[name]
 		for number, learnt := range filled.weigh(now) {
+			target := filled.targets[number]
+			found, ended := target.paced.note(learnt.News, target.slower() > 1, now)
 			switch {
-			case learnt.Found:
+			case found:
 				board.PaceCounts.Found.Add(1)
-			case learnt.Ended:
+			case ended:
 				board.PaceCounts.Ended.Add(1)
 			case !learnt.News:
 				continue
 			}
-			news = append(news, PaceNews{
-				Target: filled.targets[number], Factor: learnt.Factor, Tell: learnt.News, Found: learnt.Found, Ended: learnt.Ended,
-			})
+			news = append(news, PaceNews{Target: target, Factor: learnt.Factor, Tell: learnt.News, Found: found, Ended: ended})
 		}
 	}
 	return news
@@ -152,14 +172,15 @@
 	Age           time.Duration
 }
 
-func (told *ToldPace) key() string {
+// Run names the target as Target.Run does.
+func (told *ToldPace) Run() string {
 	return loadKey(Spec{ID: told.Server, Group: told.Group, Born: told.Born})
 }
 
 // TakePace takes what another node measured, and says whether that is news. It is in force from the next
 // Paces on.
 func (board *Board) TakePace(told *ToldPace) bool {
-	target := board.knownTarget(told.key())
+	target := board.knownTarget(told.Run())
 	now := board.now()
 	if target == nil || !target.paced.meter.Take(told.Factor, now-told.Age, now) {
 		return false
--- a/internal/policy/dispatch/pace_test.go
+++ b/internal/policy/dispatch/pace_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -250,6 +251,58 @@
 	})
 }
 
+// Guards against log lines for each try of a group that stays slow, and for groups that are all slower
+// than configured.
+func TestSlowGroupIsToldOfOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"), head("b"), head("c"))
+		found, ended := 0, 0
+		run := func(span, gap time.Duration, heads ...string) {
+			uses := []*dispatch.Use{}
+			for _, id := range heads {
+				uses = append(uses, begin(board, id))
+			}
+			for began := time.Now(); time.Since(began) < span; time.Sleep(gap) {
+				for _, use := range uses {
+					use.Event()
+				}
+				for _, news := range board.Paces() {
+					if news.Found {
+						found++
+					}
+					if news.Ended {
+						ended++
+					}
+				}
+			}
+			for _, use := range uses {
+				use.End()
+			}
+		}
+		run(3*time.Second, 180*time.Millisecond, "a", "b", "c")
+		expect.Expect(found).To(gomega.BeZero(), "all are as slow")
+		time.Sleep(20 * time.Second)
+		run(3*time.Second, 180*time.Millisecond, "a")
+		run(6*time.Second, 40*time.Millisecond)
+		run(3*time.Second, 180*time.Millisecond, "a")
+		expect.Expect([]int{found, ended}).To(gomega.Equal([]int{1, 0}))
+		run(3*time.Second, 40*time.Millisecond, "a")
+		run(2*time.Second, 40*time.Millisecond)
+		expect.Expect([]int{found, ended}).To(gomega.Equal([]int{1, 1}))
+		expect.Expect(board.PaceCounts.Found.Load()).To(gomega.Equal(uint64(1)))
+		expect.Expect(board.PaceCounts.Ended.Load()).To(gomega.Equal(uint64(1)))
+	})
+}
+
+// begin begins a call at a head.
+func begin(board *dispatch.Board, id string) *dispatch.Use {
+	others := []string{"a", "b", "c"}
+	others = slices.DeleteFunc(others, func(other string) bool { return other == id })
+	target, _ := board.Pick(pool, dispatch.Wish{Exclude: others})
+	return target.Begin(0, 0, func() {})
+}
+
 // Guards against streams that are moved from a slow group as if it stood still, and against a lost group
 // that is found late since it was slow.
 func TestStreamsOfASlowGroupStay(t *testing.T) {
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -53,7 +53,7 @@
 	// often that may be.
 	change    = 1.25
 	tellEvery = 200 * time.Millisecond
-	// highest bounds what another node may tell.
+	// highest bounds a pace.
 	highest = 100
 )
 
@@ -104,8 +104,6 @@
 	fresh bool
 	// newest is what is known, told what the other nodes know.
 	newest, told finding
-	// found says that this node found the group slow and has not said since that it isn't.
-	found bool
 }
 
 // Note takes the time between two events of a stream, and how long that should be.
@@ -151,18 +149,15 @@
 	// that are remembered.
 	latest := slices.Min(ratios[:least])
 	slices.Sort(ratios)
-	return finding{factor: max(1, latest, ratios[(len(ratios)-1)/4]), at: meter.rounds[meter.last].at}, true
+	return finding{factor: min(max(1, latest, ratios[(len(ratios)-1)/4]), highest), at: meter.rounds[meter.last].at}, true
 }
 
 // Learnt is what a look at a meter shows.
 type Learnt struct {
 	// Factor is the pace as far as it takes effect.
 	Factor float64
-	// News says that other nodes are to be told.
+	// News says that this node has just measured what other nodes are to be told.
 	News bool
-	// Found says that this node has just found the group slow, Ended that one that it found slow
-	// isn't any more.
-	Found, Ended bool
 }
 
 // Look returns what is known now.
@@ -170,16 +165,13 @@
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
 	learnt := Learnt{}
-	if measured, enough := meter.measureLocked(now); meter.fresh && enough {
+	if meter.fresh {
 		meter.fresh = false
-		learnt.News = meter.learnLocked(measured, now)
-		learnt.Found = learnt.News && !meter.found && measured.factor >= SlowFrom
-		meter.found = meter.found || learnt.Found
+		if measured, enough := meter.measureLocked(now); enough {
+			learnt.News = meter.learnLocked(measured, now)
+		}
 	}
 	learnt.Factor = meter.newest.effective(now)
-	if meter.found && meter.newest.decayed(now) < fastBelow {
-		meter.found, learnt.Ended = false, true
-	}
 	return learnt
 }
 
--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -37,7 +37,6 @@
 	learnt := meter.Look(feed(meter, now, 1, 5, 4))
 	expect.Expect(learnt.Factor).To(gomega.BeNumerically("~", 4, 0.01))
 	expect.Expect(learnt.News).To(gomega.BeTrue())
-	expect.Expect(learnt.Found).To(gomega.BeTrue())
 }
 
 // Guards against a group that is found slow only when most remembered passes were slow.
@@ -86,8 +85,6 @@
 	meter.Look(now)
 	expect.Expect(meter.Look(now + 4*time.Second).Factor).To(gomega.BeNumerically(">", pace.SlowFrom))
 	expect.Expect(meter.Look(now + 6*time.Second).Factor).To(gomega.Equal(1.0))
-	expect.Expect(meter.Look(now + 8*time.Second).Ended).To(gomega.BeTrue())
-	expect.Expect(meter.Look(now+9*time.Second).Ended).To(gomega.BeFalse(), "it is said once")
 }
 
 // Guards against a slow group that is tried with as many calls each time as the first time.
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -82,6 +82,7 @@
 	}
 	channel.news, channel.silences = nil, nil
 	peers.addPermits(told, channel)
+	peers.addPaces(told, channel)
 	if held := peers.holder; held.term != 0 {
 		told.Holder = &frame.Holder{Term: held.term, Beat: held.beat, Released: held.released}
 	}
@@ -114,7 +115,8 @@
 	same := version == channel.reportedVersion && maps.Equal(own, channel.reported)
 	told := &frame.Frame{}
 	permits := peers.addPermits(told, channel)
-	if optional && same && !permits && len(channel.silences)+len(channel.suspects)+len(channel.notices) == 0 {
+	paces := peers.addPaces(told, channel)
+	if optional && same && !permits && !paces && len(channel.silences)+len(channel.suspects)+len(channel.notices) == 0 {
 		return nil
 	}
 	channel.reported, channel.reportedVersion = own, version
@@ -137,7 +139,8 @@
 	}
 	told := &frame.Frame{}
 	permits := peers.addPermits(told, channel)
-	if optional && held.from == held.to && held.news == channel.leafNews && !permits && len(channel.suspects)+len(channel.notices) == 0 {
+	paces := peers.addPaces(told, channel)
+	if optional && held.from == held.to && held.news == channel.leafNews && !permits && !paces && len(channel.suspects)+len(channel.notices) == 0 {
 		return nil
 	}
 	channel.catalogueSent, channel.leafNews = held.to, held.news
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -121,12 +121,14 @@
 
 func (node *Node) counters() map[string]uint64 {
 	formed, calls, links := &node.former.Counts, &node.pool.Counts, &node.peers.overlay.Counts
+	paces := &node.board.PaceCounts
 	return map[string]uint64{
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
 		"Limited": node.forwarder.Counts.Limited.Load(), "BackedOff": node.forwarder.Counts.BackedOff.Load(), "LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
 		"BackoffsLearnt": node.notices.Counts.Backoffs.Load(), "BackoffsHinted": node.notices.Counts.Hints.Load(), "BackoffsUnreadable": node.notices.Counts.Unreadable.Load(),
 		"DrainsLearnt": node.notices.Counts.Drains.Load(), "CallsWithheld": node.notices.Counts.Withheld.Load(),
+		"GroupsFoundSlow": paces.Found.Load(), "GroupsNotSlowAnyMore": paces.Ended.Load(), "PacesHeard": paces.Heard.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
 		"GroupsRetired": formed.Retired.Load(), "ServersStaged": formed.Staged.Load(), "Orders": formed.Orders.Load(),
 		"GroupsLent": formed.Lent.Load(), "Reports": formed.Reports.Load(), "SilentButWhole": formed.WholeSeen.Load(),
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -78,6 +78,8 @@
 	permits  permits
 	// notices are the runs of servers that are to be told of with the next frame.
 	notices map[ratelimit.Run]struct{}
+	// paces are the targets whose paces are to be told with the next frame.
+	paces []string
 }
 
 // core says whether the link is one over which everything is told.
@@ -251,6 +253,7 @@
 	held = &channel{
 		link: link, shares: tally.Shares{}, copied: catalogue.NewCopy(), suspects: map[quarantine.Fingerprint]struct{}{},
 		permits: newPermits(peers.lastNeighbour, peers.node.limits.All()), notices: map[ratelimit.Run]struct{}{},
+		paces: peers.node.board.SlowRuns(),
 	}
 	for _, run := range peers.node.notices.All() {
 		held.notices[run] = struct{}{}
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -34,6 +34,7 @@
 	peers.takeSuspects(link, received.Suspects)
 	peers.takePermits(link, received)
 	peers.takeNotices(link, received.Notices)
+	peers.takePaces(link, received.Paces)
 }
 
 // takeReport takes what a leaf has under way.
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -229,6 +229,7 @@
 // that this node may be cut off from, and for permits that have run out.
 func (node *Node) watch() {
 	node.refreshPermits()
+	node.lookPaces()
 	for _, probe := range node.board.Probes() {
 		node.GoAs("probe", func() { node.probe(&probe) })
 	}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -219,8 +219,9 @@
 	if err != nil {
 		return err
 	}
-	leg.use.Event()
-	exchange.pace.event(exchange.forwarder.Now() - exchange.arrived)
+	leg.use.Events(bytes.Count(events, eventEnd))
+	came := exchange.forwarder.Now()
+	exchange.pace.event(came - exchange.arrived)
 	if !exchange.begun {
 		// Not before: a failure that is answered in its place must not bear the
 		// server's headers.
@@ -234,6 +235,7 @@
 	if err := http.NewResponseController(exchange.writer).Flush(); err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
+	leg.use.PassedOn(exchange.forwarder.Now() - came)
 	if last >= 0 {
 		exchange.request.After = last
 		exchange.request.Continues = true
