--- a/internal/policy/dispatch/pace.go
+++ b/internal/policy/dispatch/pace.go
@@ -153,8 +153,15 @@
 		return nil
 	}
 	learnt, factors := make([]pace.Learnt, len(filled.targets)), make([]float64, len(filled.targets))
+	measured := []float64{}
+	for _, target := range filled.targets {
+		if factor, known := target.paced.meter.Measured(now); known {
+			measured = append(measured, factor)
+		}
+	}
+	usual := pace.Usual(measured)
 	for number, target := range filled.targets {
-		learnt[number] = target.paced.meter.Look(now)
+		learnt[number] = target.paced.meter.Look(usual, now)
 		factors[number] = learnt[number].Factor
 		target.paced.learnt.Store(hundredthsOf(factors[number]))
 	}
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -17,8 +17,10 @@
 //
 //	meter := &pace.Meter{}
 //	meter.Note(gap, expected, now) // for each event of each stream
-//	if learnt := meter.Look(now); learnt.News { tell(learnt.Factor) }
-//	paces := pace.Slow(factors) // of all groups of a pool
+//	measured, known := meter.Measured(now)     // of each group of a pool
+//	usual := pace.Usual(allMeasured)
+//	if learnt := meter.Look(usual, now); learnt.News { tell(learnt.Factor) }
+//	paces := pace.Slow(factors)                // of all groups of the pool
 package pace
 
 import (
@@ -53,6 +55,8 @@
 	// often that may be.
 	change    = 1.25
 	tellEvery = 200 * time.Millisecond
+	// measuredKept is for how long a measurement counts towards what is usual in a pool.
+	measuredKept = 2 * time.Minute
 	// highest bounds a pace.
 	highest = 100
 )
@@ -100,10 +104,12 @@
 	rounds [most]round
 	// last is the place of the newest round, count how many there are.
 	last, count int
-	// fresh says that there were events since the last look.
-	fresh bool
-	// newest is what is known, told what the other nodes know.
-	newest, told finding
+	// fresh says that there were events since the last measurement, anew that there was a measurement
+	// since the last look.
+	fresh, anew bool
+	// measured is the last measurement, newest what is known, compared with what is usual, and told what
+	// the other nodes know.
+	measured, newest, told finding
 }
 
 // Note takes the time between two events of a stream, and how long that should be.
@@ -152,6 +158,31 @@
 	return finding{factor: min(max(1, latest, ratios[(len(ratios)-1)/4]), highest), at: meter.rounds[meter.last].at}, true
 }
 
+// Measured returns the last measurement by events that came at this node, if there is one that counts.
+func (meter *Meter) Measured(now time.Duration) (factor float64, known bool) {
+	meter.mu.Lock()
+	defer meter.mu.Unlock()
+	if meter.fresh {
+		meter.fresh = false
+		if measured, enough := meter.measureLocked(now); enough {
+			meter.measured, meter.anew = measured, true
+		}
+	}
+	return meter.measured.factor, meter.measured.factor > 0 && now-meter.measured.at < measuredKept
+}
+
+// Usual is the pace of a pool as a whole, by what was measured of its groups. It is above 1 where passes are
+// longer than configured, or this node or its network lengthens all gaps; that makes no group slow. So a
+// group is found slow only by a node that has measured another one.
+func Usual(measured []float64) float64 {
+	if len(measured) == 0 {
+		return 1
+	}
+	sorted := slices.Clone(measured)
+	slices.Sort(sorted)
+	return max(1, sorted[(len(sorted)-1)/2])
+}
+
 // Learnt is what a look at a meter shows.
 type Learnt struct {
 	// Factor is the pace as far as it takes effect.
@@ -160,16 +191,14 @@
 	News bool
 }
 
-// Look returns what is known now.
-func (meter *Meter) Look(now time.Duration) Learnt {
+// Look returns what is known now, where a pace is usual in the pool.
+func (meter *Meter) Look(usual float64, now time.Duration) Learnt {
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
 	learnt := Learnt{}
-	if meter.fresh {
-		meter.fresh = false
-		if measured, enough := meter.measureLocked(now); enough {
-			learnt.News = meter.learnLocked(measured, now)
-		}
+	if meter.anew {
+		meter.anew = false
+		learnt.News = meter.learnLocked(finding{factor: max(1, meter.measured.factor/usual), at: meter.measured.at}, now)
 	}
 	learnt.Factor = meter.newest.effective(now)
 	return learnt
@@ -210,7 +239,7 @@
 		return false
 	}
 	if differs(told.effective(now), meter.newest.effective(now)) {
-		meter.count = 0
+		meter.count, meter.anew = 0, false
 		meter.newest = told
 	}
 	meter.told = told
@@ -219,7 +248,7 @@
 
 // Slow returns the paces of a pool's groups as they take effect. At most a third is slow, the slowest:
 // where more seem so the fault lies with what was expected, or with this node. For the same reason a
-// pace is compared with the pool's median.
+// pace, which may have been told by a node that has measured few groups, is compared with the median.
 func Slow(factors []float64) []float64 {
 	order := make([]int, len(factors))
 	paces := make([]float64, len(factors))
