--- a/internal/policy/dispatch/holding.go
+++ b/internal/policy/dispatch/holding.go
@@ -44,7 +44,7 @@
 
 // endsPerSecond is how many calls a second end at a target.
 func (target *Target) endsPerSecond() float64 {
-	turnover := target.turnover()
+	turnover := target.slowed(target.turnover())
 	if turnover <= 0 {
 		return 0
 	}
