fix(suspects): roots agree who writes before suspects go to a returned store

Roots notice the return of the store some milliseconds apart. The one that does first still counts the others as turned away by it, as they told last, so it takes their duty and writes the suspects; the one whose duty it is does so as well as soon as it is answered.

Suspects are written again half a second after a root has noticed the return, by the root that has the duty then.

--- a/internal/run/gateway/suspects.go
+++ b/internal/run/gateway/suspects.go
@@ -24,6 +24,10 @@
 	// What changes is written at once, and known to who reads it after a tick.
 	suspectsTick  = time.Second
 	suspectsFresh = 10 * time.Second
+	// suspectsSettle is how long a root waits after the store came back from an older copy
+	// before it writes again. Roots notice the return some milliseconds apart, and the one
+	// that does first would take the duty of those that told it that the store was away.
+	suspectsSettle = 500 * time.Millisecond
 	// suspectsAtOnce bounds what one frame tells of suspects: a node that has just
 	// attached during a wave of losses would wait for its first frame.
 	suspectsAtOnce = 256
@@ -45,18 +49,27 @@
 	ticker := time.NewTicker(suspectsTick)
 	defer ticker.Stop()
 	for {
-		returns := node.storeCalls.Returns()
+		returns, settled := node.storeCalls.Returns(), node.suspectsSettled()
 		select {
 		case <-node.Stopping:
 			return
 		case <-node.suspectsNews:
 		case <-returns:
+		case <-settled:
 		case <-ticker.C:
 		}
 		node.syncSuspects()
 	}
 }
 
+// suspectsSettled fires when suspects may be written again, nil if they may be now.
+func (node *Node) suspectsSettled() <-chan time.Time {
+	if left := node.stored.settlesAt - node.now(); left > 0 {
+		return time.After(left)
+	}
+	return nil
+}
+
 // withdraw ends the calls that servers have not begun to run of a request that is
 // refused by now.
 func (node *Node) withdraw(fingerprint quarantine.Fingerprint) {
@@ -160,6 +173,8 @@
 	read    bool
 	// readAt is when it was last tried.
 	readAt time.Duration
+	// settlesAt is from when on the roots agree which of them has the duty to write.
+	settlesAt time.Duration
 	// held are the requests that the store has a record of.
 	held map[quarantine.Fingerprint]struct{}
 }
@@ -174,6 +189,7 @@
 	}
 	if node.suspectsGone.Swap(false) {
 		node.stored.written, node.stored.read = 0, false
+		node.stored.settlesAt = node.now() + suspectsSettle
 	}
 	least := storedEnds
 	apart := node.peers.apart()
@@ -181,7 +197,7 @@
 		least = storedEndsApart
 	}
 	duty := apart || node.peers.standing().Reads()
-	if duty {
+	if duty && node.now() >= node.stored.settlesAt {
 		node.writeSuspects(least)
 	}
 	due := node.now()-node.stored.readAt >= suspectsTick/2
