fix(dispatch): a stream whose caller reads slowly is no sign of a group that stands still

Cause: while a caller is written to, nothing is read of its stream. If it was the only stream at its group, the group was avoided after 220 ms and told of, and the stream was moved after 420 ms, though the group was whole. Change: streams whose callers are being written to don't count as running streams until the write returns. Measured: TestStreamOfASlowReaderIsNoSilence fails without the change and passes with it.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -103,7 +103,9 @@
 	peersUnread atomic.Int64
 	// running counts the streams that have had their first event, progress is
 	// when something last came of any call.
-	running  atomic.Int32
+	running atomic.Int32
+	// held counts the running streams whose callers are being written to.
+	held     atomic.Int32
 	progress atomic.Int64
 	// avoidUntil is up to when the target gets no new calls unless there is no
 	// other.
--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -144,6 +144,35 @@
 	})
 }
 
+// Guards against a group that is avoided, and whose stream is moved, since its only caller reads
+// slowly; and against one whose silence isn't seen any more after that, or beside it.
+func TestStreamOfASlowReaderIsNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		board := newBoard(head("a"))
+		target := pick(board)
+		use := target.Begin(100, 0, func() {})
+		use.Event()
+		use.Hold()
+		time.Sleep(10 * time.Second)
+		expect.Expect(board.Watch()).To(gomega.BeEmpty())
+		use.Resume()
+		time.Sleep(200 * time.Millisecond)
+		expect.Expect(board.Watch()).To(gomega.BeEmpty())
+		time.Sleep(50 * time.Millisecond)
+		expect.Expect(board.Watch()).To(gomega.HaveLen(1))
+		use.Hold()
+		waiting := target.Begin(100, 0, func() {})
+		time.Sleep(800 * time.Millisecond)
+		expect.Expect(board.Watch()).To(gomega.BeEmpty())
+		time.Sleep(200 * time.Millisecond)
+		expect.Expect(board.Watch()).To(gomega.HaveLen(1), "the other call waits for its first event")
+		waiting.End()
+		use.Resume()
+		use.End()
+	})
+}
+
 // At peak load a group's calls wait over a second for their first events. Taken
 // from it they used up their attempts and failed, while the group was whole. They
 // stay, new calls are kept away, and only callers' patience bounds the wait.
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -323,20 +323,22 @@
 	if target.Group == "" || target.mine.Load() == 0 {
 		return 0, time.Hour, time.Hour
 	}
-	if target.running.Load() > 0 {
+	if target.active() > 0 {
 		avoid = max(silentLeast, silentPasses*target.Pass)
 		return now - time.Duration(target.progress.Load()), avoid, avoid + movePatience
 	}
 	return now - max(target.oldest(now), time.Duration(target.progress.Load())), unansweredLeast, unansweredMost
 }
 
-// oldest returns when the call that has waited longest was sent.
+// oldest returns when the call was sent that has waited longest for its first event.
 func (load *load) oldest(now time.Duration) time.Duration {
 	load.mu.Lock()
 	defer load.mu.Unlock()
 	oldest := now
 	for use := range load.uses {
-		oldest = min(oldest, use.sent)
+		if !use.running.Load() {
+			oldest = min(oldest, use.sent)
+		}
 	}
 	return oldest
 }
--- a/internal/policy/dispatch/reach.go
+++ b/internal/policy/dispatch/reach.go
@@ -164,7 +164,7 @@
 	for name, reach := range held.reaches {
 		streams, groups, pass := 0, 0, time.Duration(0)
 		for _, target := range held.all {
-			if running := int(target.running.Load()); target.DataCentre == name && running > 0 {
+			if running := int(target.active()); target.DataCentre == name && running > 0 {
 				streams, groups, pass = streams+running, groups+1, max(pass, target.Pass)
 			}
 		}
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// Hold tells that the call's caller is being written to. Until Resume, no event can be
+// read, which says nothing of the target: a caller may read slowly.
+func (use *Use) Hold() {
+	use.load.held.Add(1)
+}
+
+// Resume tells that the caller has taken what it was written.
+func (use *Use) Resume() {
+	load := use.load
+	if held := load.held.Add(-1); load.running.Load()-held == 1 {
+		// Nothing was read of the target for as long as all its streams were held back.
+		load.progress.Store(int64(load.now()))
+	}
+}
+
+// active returns how many running streams are being read.
+func (load *load) active() int32 {
+	return load.running.Load() - load.held.Load()
+}
+
 // End uncounts the call.
 func (use *Use) End() {
 	load := use.load
