perf(backendserver): long bodies are written from where they are

Cause: each call copied its body behind the head, so a node held every body under way twice for as long as its server read. Change: bodies above 16 KB are written behind the head in one vectored write.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -232,14 +232,14 @@
 // longAgo as a deadline ends reads and writes that are under way.
 var longAgo = time.Unix(1, 0)
 
-// write sends the call in one piece. If the first write fails without having
+// write sends the call. If the first write fails without having
 // taken a byte, the call provably did not leave. A server may answer before it
 // has read a long body and then read no further: what was written stays at
 // that, the answer is read, and the connection is not used again.
 func (pool *Pool) write(connection *conn, call *Call) error {
 	message := encode(call, pool.codec.Encode(call))
 	_ = connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	sent, err := connection.Write(message)
+	sent, err := message.WriteTo(connection.Conn)
 	switch {
 	case err == nil:
 		return nil
--- a/internal/peer/backendserver/socket.go
+++ b/internal/peer/backendserver/socket.go
@@ -66,11 +66,19 @@
 	return err == nil && waiting
 }
 
-// encode writes a call as one message with a length, whatever way the caller
+// inlineBody is up to which length a body is copied behind its head, so that both leave in
+// one packet. Longer ones are written from where they are: a copy of each body under way
+// would double what the node holds for calls.
+const inlineBody = 16 << 10
+
+// encode returns a call as one message with a length, whatever way the caller
 // sent it, so that no server can take part of a body for another call.
-func encode(call *Call, header http.Header) []byte {
+func encode(call *Call, header http.Header) net.Buffers {
 	message := &bytes.Buffer{}
-	message.Grow(512 + len(call.Body))
+	inline := len(call.Body) <= inlineBody
+	if inline {
+		message.Grow(512 + len(call.Body))
+	}
 	message.WriteString(call.Method)
 	message.WriteByte(' ')
 	message.WriteString(call.Target)
@@ -85,6 +93,9 @@
 		message.WriteString("\r\n")
 	}
 	message.WriteString("\r\n")
-	message.Write(call.Body)
-	return message.Bytes()
+	if inline {
+		message.Write(call.Body)
+		return net.Buffers{message.Bytes()}
+	}
+	return net.Buffers{message.Bytes(), call.Body}
 }
