feat(forward): bodies and answers are kept within the node's budget of memory

Cause: a node kept every body (4 MB) and every plain answer (8 MB) whole, however many came; a caller that announced a body and never sent it, or read nothing, kept them for ever. Answers above 8 MB were cut and looked whole. Change: a body is reserved before it is read, by its length or as it grows, and must come within the caller's time. One that doesn't fit is refused with 503, OutOfMemory and Retry-After; its connection is read for 0.5 s at the most and ends. A plain answer that doesn't fit, or is longer than 8 MB, is passed on as it comes, also late, and is cut where its server breaks off. Pending bytes of streams are counted and never refused.

--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -37,11 +36,16 @@
 	status int
 	header http.Header
 	body   []byte
+	// held is what the body holds of the node's memory.
+	held int64
+	// passed says that it was passed on as it came, since it didn't fit.
+	passed bool
 }
 
 // call serves a request whose answer is one piece. The answer is read whole
 // before any of it is passed on, so that one that breaks off is never seen by
-// the caller and can be asked for again.
+// the caller and can be asked for again. One that doesn't fit into the node's
+// memory is passed on as it comes.
 func (exchange *exchange) call() {
 	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
 		target, verdict := exchange.pickWithin(exchange.placeWait(), plainBeyond, func(verdict dispatch.Verdict) bool {
@@ -52,7 +56,9 @@
 			break
 		}
 		if answer := exchange.callOne(target); answer != nil {
-			exchange.deliver(answer)
+			if !answer.passed {
+				exchange.deliver(answer)
+			}
 			return
 		}
 	}
@@ -100,7 +106,7 @@
 		exchange.refused(leg)
 		return nil
 	}
-	body, err := io.ReadAll(io.LimitReader(leg, answerMost))
+	found, err := exchange.readAnswer(leg)
 	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	if err != nil {
 		exchange.ran()
@@ -109,12 +115,14 @@
 		exchange.exclude = append(exchange.exclude, target.ID)
 		return nil
 	}
-	found := &answer{status: leg.Status, header: leg.Header, body: body}
+	if found.passed {
+		return found
+	}
 	if leg.Status >= http.StatusInternalServerError && exchange.worthRepeating() {
 		exchange.ran()
 		exchange.cause = "server " + target.ID + " failed: " + strconv.Itoa(leg.Status)
 		exchange.exclude = append(exchange.exclude, target.ID)
-		exchange.fallback = found
+		exchange.keep(found)
 		return nil
 	}
 	if leg.Status < http.StatusInternalServerError {
@@ -147,15 +155,3 @@
 	}
 	return left
 }
-
-// deliver passes a whole answer on.
-func (exchange *exchange) deliver(found *answer) {
-	exchange.passHead(found.header)
-	exchange.writer.Header().Set("Content-Length", strconv.Itoa(len(found.body)))
-	exchange.writer.WriteHeader(found.status)
-	if _, err := exchange.writer.Write(found.body); err != nil {
-		exchange.cause = "the caller could not be written to: " + err.Error()
-	}
-	exchange.outcome = ServerFailed
-	exchange.log(found.status)
-}
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -9,6 +8,7 @@
 
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/state/configuration"
@@ -45,6 +45,10 @@
 	// mayHaveRun is set when a call left whose fate is not known.
 	mayHaveRun bool
 	budget     *retry.Window
+	// held is what the request holds of the node's memory, bodyHeld the part of it that is
+	// the request's body.
+	held     memory.Hold
+	bodyHeld int64
 	// begun says that the head of the answer was written.
 	begun bool
 	// fallback is a failure that a server answered; it is delivered if no other
@@ -217,34 +221,6 @@
 // unlimited bounds requests for which neither caller nor route says how long.
 const unlimited = 60 * time.Second
 
-func (exchange *exchange) readBody() bool {
-	most := exchange.snapshot.Configuration.Limits.MaxBodyBytes
-	if most <= 0 {
-		most = bodyMost
-	}
-	if exchange.inbound.ContentLength > most {
-		exchange.deny(http.StatusRequestEntityTooLarge, Malformed, "the body is too long")
-		return false
-	}
-	body, err := io.ReadAll(io.LimitReader(exchange.inbound.Body, most+1))
-	switch {
-	case err != nil:
-		exchange.outcome = CallerLeft
-		exchange.cause = "the body could not be read: " + err.Error()
-		exchange.log(http.StatusBadRequest)
-		panic(http.ErrAbortHandler)
-	case int64(len(body)) > most:
-		exchange.deny(http.StatusRequestEntityTooLarge, Malformed, "the body is too long")
-		return false
-	}
-	exchange.request.Body = body
-	exchange.fingerprint = quarantine.Of(quarantine.Asked{
-		Workspace: exchange.workspace, Method: exchange.request.Method, Host: exchange.request.Host,
-		Target: exchange.request.Target, Body: body,
-	})
-	return true
-}
-
 func (exchange *exchange) left() time.Duration {
 	return exchange.deadline - exchange.forwarder.Now()
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -27,6 +27,7 @@
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
@@ -88,6 +89,8 @@
 	// share it.
 	Returns *ratelimit.Returns
 	Nodes   func() int
+	// Memory is the budget of bytes that are buffered; nil for none.
+	Memory *memory.Budget
 	// Failed is told of a server that refused or broke a call of a group.
 	Failed func(target *dispatch.Target, culprit string)
 	Logger *slog.Logger
@@ -118,6 +121,9 @@
 
 // New returns a forwarder.
 func New(parts Parts) *Forwarder {
+	if parts.Memory == nil {
+		parts.Memory = memory.New(0)
+	}
 	return &Forwarder{Parts: parts, buffers: sync.Pool{New: func() any { return new([copyBuffer]byte) }}}
 }
 
@@ -140,6 +146,7 @@
 		request: forwarder.Decode(inbound), arrived: forwarder.Now(),
 	}
 	forwarder.Counts.Requests.Add(1)
+	defer exchange.held.Release()
 	if forwarder.Stopping() {
 		writer.Header().Set("Connection", "close")
 	}
--- /dev/null
+++ b/internal/serve/forward/memory_test.go
@@ -0,0 +1,345 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/serve/forward"
+	"hazelslip/internal/testlib/suite"
+)
+
+const megabyte = 1 << 20
+
+// took answers after a time with how many bytes came.
+func took(after time.Duration) http.HandlerFunc {
+	return func(writer http.ResponseWriter, request *http.Request) {
+		n, err := io.Copy(io.Discard, request.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(after)
+		_, _ = fmt.Fprintf(writer, "took %d", n)
+	}
+}
+
+// Guards against a node that buffers more bodies than its memory holds, against one that lets
+// a workspace with large bodies keep others out, and against refusals that come late.
+func TestLargeBodiesBeyondTheBudgetAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		const budget = 8 * megabyte
+		rig := newRig(t, budget, took(2*time.Second))
+		calls := conc.WaitGroup{}
+		large, small := make([]answered, 40), make([]answered, 30)
+		for number := range large {
+			body := text(megabyte)
+			if number%2 == 0 {
+				body = unsized(body)
+			}
+			calls.Go(func() { large[number] = rig.ask(rig.request(number%2, "/book/1", body)) })
+		}
+		time.Sleep(time.Second)
+		for number := range small {
+			calls.Go(func() { small[number] = rig.ask(rig.request(2+number%4, "/book/1", text(2<<10))) })
+		}
+		calls.Wait()
+		served := 0
+		for _, answered := range large {
+			expect.Expect(answered.err).NotTo(gomega.HaveOccurred())
+			if answered.status == http.StatusOK {
+				served++
+				expect.Expect(answered.body).To(gomega.Equal("took 1048576"))
+				continue
+			}
+			expect.Expect(answered.status).To(gomega.Equal(http.StatusServiceUnavailable))
+			expect.Expect(answered.took).To(gomega.BeNumerically("<", 50*time.Millisecond))
+			again, err := strconv.ParseFloat(answered.header.Get("Retry-After"), 64)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(again).To(gomega.And(gomega.BeNumerically(">=", 0.3), gomega.BeNumerically("<=", 0.5)))
+		}
+		expect.Expect(served).To(gomega.And(gomega.BeNumerically(">=", 3), gomega.BeNumerically("<=", 7)))
+		for _, answered := range small {
+			expect.Expect(answered.status).To(gomega.Equal(http.StatusOK))
+		}
+		held, most, refused := rig.memory.Sums()
+		expect.Expect(held).To(gomega.BeZero())
+		expect.Expect(most).To(gomega.BeNumerically("<=", budget))
+		expect.Expect(refused).To(gomega.Equal(uint64(40 - served)))
+		expect.Expect(rig.outcome(forward.OutOfMemory)).To(gomega.Equal(40 - served))
+		expect.Expect(rig.lines).To(gomega.Equal(1), "refusals of the same seconds are one line")
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
+// Guards against the rest of a refused body that is taken for the next request, and against a
+// refusal that the caller can't read since its connection was reset.
+func TestRestOfARefusedBodyIsNoRequest(t *testing.T) {
+	for _, kind := range []string{"Content-Length: 900000", "Content-Length: 100000", "Transfer-Encoding: chunked"} {
+		synctest.Test(t, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			arrived := atomic.Int32{}
+			rig := newRig(t, 16<<10, func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
+			conn, err := rig.wires.Dialer("caller")(context.Background(), "tcp", nodeAddress)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			inner := "POST /book/2 HTTP/1.1\r\nHost: h.example\r\nId: b\r\nKey: key-1\r\nContent-Length: 0\r\n\r\n"
+			body := strings.Repeat(inner, 900000/len(inner)+1)
+			if strings.HasPrefix(kind, "Transfer") {
+				body = strings.Repeat("1000\r\n"+strings.Repeat("x", 4096)+"\r\n", 5) + "zz\r\n" + body
+			}
+			writing := conc.WaitGroup{}
+			writing.Go(func() {
+				_, _ = fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nId: a\r\nKey: key-0\r\n%s\r\n\r\n%s", kind, body)
+			})
+			reader := bufio.NewReader(conn)
+			response, err := http.ReadResponse(reader, nil)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			defer response.Body.Close()
+			expect.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+			expect.Expect(response.Close).To(gomega.BeTrue())
+			rest, _ := io.ReadAll(reader)
+			expect.Expect(rest).To(gomega.BeEmpty(), "nothing else was answered")
+			writing.Wait()
+			conn.Close()
+			expect.Expect(arrived.Load()).To(gomega.BeZero())
+			expect.Expect(rig.end()).To(gomega.BeZero())
+		})
+	}
+}
+
+// Guards against a connection that stays open after a refusal, for a caller that sends no more.
+func TestRefusedCallerThatSendsNoMoreIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		rig := newRig(t, 16<<10, took(0))
+		conn, err := rig.wires.Dialer("caller")(context.Background(), "tcp", nodeAddress)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		_, _ = io.WriteString(conn, "POST /book/1 HTTP/1.1\r\nHost: h.example\r\nId: a\r\nKey: key-0\r\nContent-Length: 100000\r\n\r\nsome")
+		began := time.Now()
+		answers, _ := io.ReadAll(conn)
+		expect.Expect(string(answers)).To(gomega.HavePrefix("HTTP/1.1 503 "))
+		expect.Expect(time.Since(began)).To(gomega.BeNumerically("<", 2*time.Second))
+		conn.Close()
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
+// Guards against a caller that keeps what was reserved for its body by never sending it.
+func TestBodyThatDoesNotComeIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		rig := newRig(t, 8*megabyte, took(0))
+		body, rest := io.Pipe()
+		request := rig.request(0, "/book/1", body)
+		request.ContentLength = megabyte
+		answers := make(chan answered, 1)
+		go func() { answers <- rig.ask(request) }()
+		_, _ = io.WriteString(rest, "some")
+		time.Sleep(time.Second)
+		held, _, _ := rig.memory.Sums()
+		expect.Expect(held).To(gomega.BeNumerically(">=", megabyte))
+		got := <-answers
+		_ = rest.Close()
+		expect.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		expect.Expect(got.took).To(gomega.BeNumerically("~", routeTimeout, 100*time.Millisecond))
+		expect.Expect(rig.outcome(forward.TimeUp)).To(gomega.Equal(1))
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
+// Guards against an answer that is refused, or cut, since it doesn't fit into the memory or is
+// longer than what is kept; and against one that waits for its caller longer than the call had.
+func TestAnswerThatDoesNotFitIsDelivered(t *testing.T) {
+	for _, length := range []int{megabyte, 10 * megabyte} {
+		for _, framed := range []bool{true, false} {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				const budget = 64 << 10
+				rig := newRig(t, budget, func(writer http.ResponseWriter, request *http.Request) {
+					_, _ = io.Copy(io.Discard, request.Body)
+					if framed {
+						writer.Header().Set("Content-Length", strconv.Itoa(length))
+					}
+					_, _ = io.Copy(writer, text(length))
+				})
+				response, err := rig.callers.Do(rig.request(0, "/ping/1", text(100)))
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+				time.Sleep(2 * routeTimeout)
+				body, err := io.ReadAll(response.Body)
+				response.Body.Close()
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+				expect.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+				expect.Expect(len(body)).To(gomega.Equal(length))
+				_, most, refused := rig.memory.Sums()
+				expect.Expect(most).To(gomega.BeNumerically("<=", budget))
+				expect.Expect(refused).To(gomega.BeZero())
+				expect.Expect(rig.outcome(forward.Answered)).To(gomega.Equal(1))
+				expect.Expect(rig.end()).To(gomega.BeZero())
+			})
+		}
+	}
+}
+
+// Guards against an answer that is cut while it is passed on, since its server took longer than a
+// first server is waited for.
+func TestAnswerThatIsPassedOnMayTakeItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		rig := newRig(t, 16<<10, func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			for range 5 {
+				_, _ = io.Copy(writer, text(100<<10))
+				_ = http.NewResponseController(writer).Flush()
+				time.Sleep(routeTimeout / 5)
+			}
+		})
+		got := rig.ask(rig.request(0, "/ping/1", text(100)))
+		expect.Expect(got.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(len(got.body)).To(gomega.Equal(500 << 10))
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
+// Guards against an answer that looks whole though its server broke off while it was passed on.
+func TestAnswerThatBreaksOffWhilePassedOnIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		rig := newRig(t, 16<<10, func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.Copy(writer, text(megabyte))
+			panic(http.ErrAbortHandler)
+		})
+		got := rig.ask(rig.request(0, "/ping/1", text(100)))
+		expect.Expect(got.err).To(gomega.HaveOccurred())
+		expect.Expect(rig.outcome(forward.Answered)).To(gomega.BeZero())
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
+// Guards against a caller that reads slowly and makes the node buffer its stream, and against
+// one whose stream is taken from its group, since nothing comes of it while it isn't read.
+func TestSlowReaderOfAStreamHoldsBackItsServer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		written, runs := atomic.Int64{}, atomic.Int32{}
+		rig := newRig(t, megabyte, func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			runs.Add(1)
+			for id := range 1000 {
+				n, _ := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", 1000))
+				written.Add(int64(n))
+				_ = http.NewResponseController(writer).Flush()
+			}
+		})
+		watching, stop := context.WithCancel(context.Background())
+		watch := conc.WaitGroup{}
+		silent := atomic.Int32{}
+		watch.Go(func() {
+			for watching.Err() == nil {
+				silent.Add(int32(len(rig.board.Watch())))
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		conn, err := rig.wires.Dialer("caller")(context.Background(), "tcp", nodeAddress)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		_, _ = io.WriteString(conn, "POST /draft/1 HTTP/1.1\r\nHost: h.example\r\nId: a\r\nKey: key-0\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(4 * time.Second)
+		expect.Expect(written.Load()).To(gomega.BeNumerically("<", 32<<10))
+		held, most, _ := rig.memory.Sums()
+		expect.Expect(held).To(gomega.BeNumerically(">", 0), "what is pending is counted")
+		expect.Expect(most).To(gomega.BeNumerically("<", 32<<10))
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		expect.Expect(strings.Count(string(body), "id: ")).To(gomega.Equal(1000))
+		expect.Expect(runs.Load()).To(gomega.Equal(int32(1)))
+		expect.Expect(silent.Load()).To(gomega.BeZero(), "the group doesn't stand still")
+		conn.Close()
+		stop()
+		watch.Wait()
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
+// Guards against bytes that stay counted, or a place that stays taken, whoever breaks off and when.
+func TestRandomEndsLeaveNothingHeld(t *testing.T) {
+	for round := range suite.Rounds(4) {
+		seed := suite.Seed() + uint64(round)
+		synctest.Test(t, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			draws := make(chan int, 1)
+			source := rand.New(rand.NewPCG(seed, 190))
+			draws <- 0
+			draw := func(most int) int {
+				<-draws
+				defer func() { draws <- 0 }()
+				return source.IntN(most)
+			}
+			const budget = 2 * megabyte
+			rig := newRig(t, budget, func(writer http.ResponseWriter, request *http.Request) {
+				randomServer(draw, writer, request)
+			})
+			calls := conc.WaitGroup{}
+			for range 300 {
+				workspace, path := draw(workspaces), []string{"/ping/1", "/book/1", "/draft/1"}[draw(3)]
+				body := text(draw(200 << 10))
+				if draw(2) == 0 {
+					body = unsized(body)
+				}
+				ctx, leave := context.WithCancel(context.Background())
+				if draw(3) == 0 {
+					time.AfterFunc(time.Duration(draw(400))*time.Millisecond, leave)
+				}
+				calls.Go(func() {
+					defer leave()
+					rig.ask(rig.request(workspace, path, body).WithContext(ctx))
+				})
+				time.Sleep(time.Duration(draw(20)) * time.Millisecond)
+			}
+			calls.Wait()
+			held := rig.end()
+			_, _, refused := rig.memory.Sums()
+			expect.Expect(held).To(gomega.BeZero(), "HAZELSLIP_SEED %d", seed)
+			expect.Expect(refused).NotTo(gomega.BeZero())
+			for pool, targets := range rig.board.State() {
+				expect.Expect(targets[0].Mine).To(gomega.BeZero(), "HAZELSLIP_SEED %d, pool %s", seed, pool)
+			}
+		})
+	}
+}
+
+// randomServer answers, fails or breaks off at some point.
+func randomServer(draw func(most int) int, writer http.ResponseWriter, request *http.Request) {
+	if draw(6) == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	time.Sleep(time.Duration(draw(300)) * time.Millisecond)
+	if draw(4) == 0 {
+		writer.WriteHeader(http.StatusInternalServerError)
+	}
+	for id := range 1 + draw(20) {
+		if _, err := fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", id, strings.Repeat("x", draw(40<<10))); err != nil {
+			return
+		}
+		_ = http.NewResponseController(writer).Flush()
+		time.Sleep(time.Duration(draw(60)) * time.Millisecond)
+		if draw(30) == 0 {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -36,6 +36,8 @@
 	BudgetSpent   Outcome = "BudgetSpent"
 	// Quarantined: servers ended that ran it, so that it is sent to none any more.
 	Quarantined Outcome = "Quarantined"
+	// OutOfMemory: the body didn't fit into the node's budget of memory and was not read.
+	OutOfMemory Outcome = "OutOfMemory"
 	// TimeUp: the caller's deadline or the route's timeout has passed.
 	TimeUp     Outcome = "TimeUp"
 	CallerLeft Outcome = "CallerLeft"
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -16,6 +16,9 @@
 	// spare, and most of what a caller's deadline lets it wait. A caller that
 	// returns sooner finds the same full groups and is refused for good.
 	retryNone = 1300 * time.Millisecond
+	// retryMemory is for a body that doesn't fit at this node: bodies are held for as long as
+	// calls take, and the balancer may choose another node.
+	retryMemory = 400 * time.Millisecond
 )
 
 const (
--- /dev/null
+++ b/internal/serve/forward/rig_test.go
@@ -0,0 +1,204 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/common/clock"
+	"hazelslip/internal/peer/backendserver"
+	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/memory"
+	"hazelslip/internal/policy/notice"
+	"hazelslip/internal/policy/quarantine"
+	"hazelslip/internal/policy/ratelimit"
+	"hazelslip/internal/policy/retry"
+	"hazelslip/internal/serve/forward"
+	"hazelslip/internal/state/configuration"
+	"hazelslip/internal/testlib/network"
+)
+
+const (
+	nodeAddress   = "node:1"
+	serverAddress = "server:1"
+	workspaces    = 6
+	// routeTimeout is that of all routes of the rig.
+	routeTimeout = 5 * time.Second
+)
+
+// rig is a forwarder between callers and one server over connections in memory.
+type rig struct {
+	wires  *network.Network
+	memory *memory.Budget
+	board  *dispatch.Board
+
+	mu       sync.Mutex
+	outcomes map[forward.Outcome]int
+	lines    int
+
+	serving conc.WaitGroup
+	servers []*http.Server
+	pool    *backendserver.Pool
+	callers *http.Client
+}
+
+func newRig(t *testing.T, budget int64, handler http.HandlerFunc) *rig {
+	t.Helper()
+	now := clock.Virtual()
+	rig := &rig{wires: network.New(), memory: memory.New(budget), outcomes: map[forward.Outcome]int{}}
+	notices := notice.New(ratelimit.New(ratelimit.Clock(now)), notice.Clock(now))
+	rig.board = dispatch.New(dispatch.Clock(now), dispatch.Notices(notices))
+	rig.board.Update(map[string][]dispatch.Spec{
+		forward.PoolName("ledger", ""):   {{ID: "s", Address: serverAddress, Slots: 1000}},
+		forward.PoolName("writers", "m"): {{ID: "s", Group: "g", Address: serverAddress, Slots: 1000, Pass: 40 * time.Millisecond}},
+	})
+	table := configuration.NewTable()
+	table.Offer(rigConfiguration())
+	dial := rig.wires.Dialer("node")
+	rig.pool = backendserver.New(backendserver.Codec{
+		Encode: func(call *backendserver.Call) http.Header { return call.Header },
+		Decode: func(*backendserver.Call, int, http.Header) backendserver.Verdict { return backendserver.Verdict{} },
+	}, backendserver.Dial(func(address string, within time.Duration) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(context.Background(), within)
+		defer cancel()
+		return dial(ctx, "tcp", address)
+	}))
+	window := retry.NewWindow(retry.Allowance{Ratio: 0.2, Least: 1000, Span: 10 * time.Second}, func() int { return 1 }, now)
+	forwarder := forward.New(forward.Parts{
+		Configuration: table, Board: rig.board, Pool: rig.pool, Decode: decode, Memory: rig.memory, Now: now,
+		Budget: func(string) *retry.Window { return window }, Stopping: func() bool { return false },
+		Returns: ratelimit.NewReturns(now), Quarantine: quarantine.New(quarantine.Clock(now)), Suspected: func(quarantine.Fingerprint) {},
+		Heard: func(forward.Heard) {}, Failed: func(*dispatch.Target, string) {}, Ended: rig.ended, Nodes: func() int { return 1 },
+		AskPermits: func() {}, Logger: slog.New(slog.NewTextHandler(rig, nil)),
+	})
+	rig.serve(t, nodeAddress, forwarder)
+	rig.serve(t, serverAddress, handler)
+	rig.callers = &http.Client{Transport: &http.Transport{DialContext: rig.wires.Dialer("callers"), DisableCompression: true}}
+	return rig
+}
+
+func rigConfiguration() *configuration.Configuration {
+	route := func(name, service string, kind configuration.Kind) configuration.Route {
+		return configuration.Route{
+			Name: name, Host: "h.example", PathPrefix: "/" + name + "/", Kind: kind, Timeout: routeTimeout, Target: time.Second, MaxAttempts: 2,
+			Resumable: kind == configuration.Streaming, Services: []configuration.WeightedService{{Name: service, Weight: 1}},
+		}
+	}
+	made := &configuration.Configuration{
+		Version:  1,
+		Routes:   []configuration.Route{route("book", "ledger", configuration.NonIdempotent), route("ping", "ledger", configuration.Idempotent), route("draft", "writers", configuration.Streaming)},
+		Services: []configuration.Service{{Name: "ledger"}, {Name: "writers", Engine: &configuration.Engine{}}},
+	}
+	for number := range workspaces {
+		name := strconv.Itoa(number)
+		made.Workspaces = append(made.Workspaces, configuration.Workspace{Name: "workspace-" + name, Keys: []string{"key-" + name}})
+	}
+	return made
+}
+
+func decode(inbound *http.Request) *forward.Request {
+	request := &forward.Request{
+		ID: inbound.Header.Get("Id"), Method: inbound.Method, Target: inbound.RequestURI, Path: inbound.RequestURI, Host: inbound.Host,
+		Header: inbound.Header, Key: inbound.Header.Get("Key"), Model: "m",
+	}
+	forward.StripHopByHop(request.Header)
+	return request
+}
+
+// Write counts the log lines on refusals.
+func (rig *rig) Write(line []byte) (int, error) {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	if strings.Contains(string(line), "lack of memory") {
+		rig.lines++
+	}
+	return len(line), nil
+}
+
+func (rig *rig) ended(summary forward.Summary) {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	rig.outcomes[summary.Outcome]++
+}
+
+func (rig *rig) outcome(outcome forward.Outcome) int {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	return rig.outcomes[outcome]
+}
+
+func (rig *rig) serve(t *testing.T, address string, handler http.Handler) {
+	t.Helper()
+	listener, err := rig.wires.Listen(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	rig.servers = append(rig.servers, server)
+	rig.serving.Go(func() { _ = server.Serve(listener) })
+}
+
+// end ends everything, and returns what the budget still holds.
+func (rig *rig) end() int64 {
+	rig.callers.CloseIdleConnections()
+	time.Sleep(time.Minute)
+	held, _, _ := rig.memory.Sums()
+	for _, server := range rig.servers {
+		server.Close()
+	}
+	rig.pool.Sweep(func(string) bool { return false })
+	rig.serving.Wait()
+	return held
+}
+
+// request builds a request of a workspace.
+func (rig *rig) request(workspace int, path string, body io.Reader) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, "http://"+nodeAddress+path, body)
+	if err != nil {
+		panic(err)
+	}
+	request.Host = "h.example"
+	request.Header.Set("Id", fmt.Sprintf("id-%d", workspace))
+	request.Header.Set("Key", fmt.Sprintf("key-%d", workspace))
+	return request
+}
+
+// answered is what a caller got.
+type answered struct {
+	status int
+	header http.Header
+	body   string
+	took   time.Duration
+	err    error
+}
+
+func (rig *rig) ask(request *http.Request) answered {
+	began := time.Now()
+	response, err := rig.callers.Do(request)
+	if err != nil {
+		return answered{err: err, took: time.Since(began)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answered{status: response.StatusCode, header: response.Header, body: string(body), took: time.Since(began), err: err}
+}
+
+// text is a body of so many bytes.
+func text(length int) io.Reader {
+	return strings.NewReader(strings.Repeat("x", length))
+}
+
+// unsized hides the length of a body.
+func unsized(body io.Reader) io.Reader {
+	return struct{ io.Reader }{body}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -23,6 +23,8 @@
 	resumeBeyond = 6
 	// eventMost bounds one event.
 	eventMost = 1 << 20
+	// pendingKept is how large a buffer is kept for the next events of a stream.
+	pendingKept = 16 << 10
 )
 
 // stream serves a request whose answer is a series of events.
@@ -147,21 +149,26 @@
 
 // streamFailed deals with a group that answered a failure of its own.
 func (exchange *exchange) streamFailed(leg *leg) bool {
-	body, err := io.ReadAll(io.LimitReader(leg, answerMost))
-	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	exchange.exclude = append(exchange.exclude, leg.target.ID)
 	exchange.cause = "server " + leg.target.ID + " answered " + strconv.Itoa(leg.Status)
+	if exchange.begun {
+		exchange.note(leg, leg.Status >= http.StatusInternalServerError)
+		exchange.ran()
+		return false
+	}
+	found, err := exchange.readAnswer(leg)
+	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	if err != nil {
 		exchange.noteEnd(leg, err)
-	}
-	if err != nil || exchange.begun {
 		exchange.ran()
 		return false
 	}
-	found := &answer{status: leg.Status, header: leg.Header, body: body}
+	if found.passed {
+		return true
+	}
 	if leg.Status >= http.StatusInternalServerError && exchange.worthRepeating() {
 		exchange.ran()
-		exchange.fallback = found
+		exchange.keep(found)
 		return false
 	}
 	exchange.deliver(found)
@@ -176,16 +183,25 @@
 func (exchange *exchange) relay(leg *leg) error {
 	buffer, _ := exchange.forwarder.buffers.Get().(*[copyBuffer]byte)
 	defer exchange.forwarder.buffers.Put(buffer)
-	pending := []byte{}
+	pending, counted := []byte{}, 0
+	defer func() { exchange.held.Shrink(int64(counted)) }()
 	for {
 		n, err := leg.Read(buffer[:])
 		pending = append(pending, buffer[:n]...)
+		if grown := cap(pending) - counted; grown > 0 {
+			exchange.held.Take(int64(grown))
+			counted = cap(pending)
+		}
 		whole := bytes.LastIndex(pending, eventEnd) + len(eventEnd)
 		if whole >= len(eventEnd) {
 			if err := exchange.passEvents(leg, pending[:whole]); err != nil {
 				return err
 			}
 			pending = append(pending[:0], pending[whole:]...)
+			if counted > pendingKept && len(pending) == 0 {
+				exchange.held.Shrink(int64(counted))
+				pending, counted = nil, 0
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF):
@@ -228,10 +244,10 @@
 		exchange.begun = true
 		exchange.writer.WriteHeader(http.StatusOK)
 	}
-	if _, err := exchange.writer.Write(events); err != nil {
-		return errors.Wrap(err, "write to the caller")
-	}
-	if err := http.NewResponseController(exchange.writer).Flush(); err != nil {
+	leg.use.Hold()
+	err = exchange.writeEvents(events)
+	leg.use.Resume()
+	if err != nil {
 		return errors.Wrap(err, "write to the caller")
 	}
 	if last >= 0 {
@@ -241,6 +257,15 @@
 	return nil
 }
 
+// writeEvents returns once the caller's connection has taken the events, so that a caller
+// that reads slowly holds back the server, and nothing is buffered for it here.
+func (exchange *exchange) writeEvents(events []byte) error {
+	if _, err := exchange.writer.Write(events); err != nil {
+		return err
+	}
+	return http.NewResponseController(exchange.writer).Flush()
+}
+
 var eventID = []byte("id:")
 
 // lastEvent returns the ID of the last of some whole events, -1 if none has
