feat(gateway): a quarter of the memory limit is the budget; callers that take nothing are cut

Cause: nothing said how much a node may buffer, and a caller that hangs kept its goroutine, its place at a server and its buffers for as long as its host lived. Change: the budget follows from Limits.MemoryBytes (0: no bound); counters MemoryHeld, MemoryMost, MemoryRefused; Memory in the state dump, 16 workspaces at the most. Where there is a bound, a caller's connection of which nothing at all is taken for 15 s (30 s where the kernel buffers) ends, and the kernel's send buffer for it is bounded at 128 KB. One that takes a byte in that time is never cut.

--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -42,6 +42,7 @@
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
@@ -90,6 +91,7 @@
 	keeper        *tenure.Keeper
 	board         *dispatch.Board
 	pool          *backendserver.Pool
+	memory        *memory.Budget
 	forwarder     *forward.Forwarder
 	peers         *peers
 	quarantine    *quarantine.List
@@ -170,6 +172,7 @@
 		dirty: make(chan struct{}, 1), known: make(chan struct{}), suspectsNews: make(chan struct{}, 1), measures: newMeasures(), relays: tree.Relays,
 	}
 	node.services.Store(&engineServices{version: -1})
+	node.memory = memory.New(memory.Part(settings.Limits.MemoryBytes))
 	for _, option := range options {
 		option(node)
 	}
@@ -230,7 +233,7 @@
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Ready: node.known, Stopping: node.stopping.Load,
 		Quarantine: node.quarantine, Suspected: node.suspected, Heard: node.heard,
 		AskPermits: node.refreshPermits, Returns: ratelimit.NewReturns(node.now), Nodes: func() int { return node.peers.nodes() },
-		Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
+		Memory: node.memory, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
 
@@ -248,6 +251,9 @@
 		}
 		node.listeners = append(node.listeners, listener)
 	}
+	if node.memory.Bounded() {
+		node.listeners[0] = boundCallers(node.listeners[0])
+	}
 	node.peers = newPeers(node, node.listeners[2])
 	node.caller = &http.Server{Handler: node.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
 	node.readiness = &http.Server{Handler: http.HandlerFunc(node.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -11,6 +11,7 @@
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/peer/store"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
@@ -56,6 +57,8 @@
 	Notices []notice.State
 	// DrainedDataCentres are those whose servers get no new calls.
 	DrainedDataCentres []string
+	// Memory is what is buffered between callers and servers, by workspace.
+	Memory memory.State
 }
 
 // State returns the dump of the node's state.
@@ -69,7 +72,7 @@
 		Targets: node.board.State(), Former: node.former.State(),
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
 		Suspects: node.quarantine.State(), Limits: node.limits.State(), Notices: node.notices.State(),
-		DrainedDataCentres: node.drained.Drained(),
+		DrainedDataCentres: node.drained.Drained(), Memory: node.memory.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -77,7 +80,7 @@
 	return state
 }
 
-// Metrics are the node's counters, which only grow, and its latencies.
+// Metrics are the node's counters, which only grow but for Goroutines and MemoryHeld, and its latencies.
 type Metrics struct {
 	// Outcomes counts requests by route and by how they ended.
 	Outcomes map[string]map[forward.Outcome]uint64
@@ -121,6 +124,7 @@
 
 func (node *Node) counters() map[string]uint64 {
 	formed, calls, links := &node.former.Counts, &node.pool.Counts, &node.peers.overlay.Counts
+	held, most, refused := node.memory.Sums()
 	return map[string]uint64{
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
@@ -136,6 +140,7 @@
 		"LinksAttached": links.Attached.Load(), "LinksFailed": links.AttachFailed.Load(), "LinksEnded": links.LinksEnded.Load(),
 		"FramesSent": links.FramesSent.Load(), "FramesTaken": links.FramesTaken.Load(), "FrameBytesSent": links.BytesSent.Load(),
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.newsLearnt.Load(),
+		"MemoryHeld": uint64(held), "MemoryMost": uint64(most), "MemoryRefused": refused,
 		"Goroutines": uint64(runtime.NumGoroutine()),
 	}
 }
