fix(forward): a refusal for lack of memory asks callers back while they have time

Cause: callers wait a third of the time they have left at the most, and some routes leave them 0.6 s. Change: Retry-After is 0.4 s, or a quarter of the time left if that is less, before it is spread. Measured: TestRefusedBodyMayComeAgainInTime.

--- a/internal/serve/forward/body.go
+++ b/internal/serve/forward/body.go
@@ -108,7 +108,7 @@
 			slog.String("Workspace", exchange.workspace), slog.String("RequestID", exchange.request.ID))
 	}
 	exchange.closeUnread()
-	exchange.refuse(OutOfMemory, retryMemory, errNoRoom.Error())
+	exchange.refuse(OutOfMemory, min(retryMemory, exchange.left()/retryPart), errNoRoom.Error())
 }
 
 // closeUnread makes the connection end after the answer: what is left of the body must not be
--- a/internal/serve/forward/memory_test.go
+++ b/internal/serve/forward/memory_test.go
@@ -84,6 +84,20 @@
 	})
 }
 
+// Guards against a refusal that asks the caller to come back later than it can.
+func TestRefusedBodyMayComeAgainInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		rig := newRig(t, 16<<10, took(0))
+		request := rig.request(0, "/book/1", text(100<<10))
+		request.Header.Set("Left", "600")
+		again, err := strconv.ParseFloat(rig.ask(request).header.Get("Retry-After"), 64)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		expect.Expect(again).To(gomega.And(gomega.BeNumerically(">", 0.05), gomega.BeNumerically("<", 0.2)))
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
 // Guards against the rest of a refused body that is taken for the next request, and against a
 // refusal that the caller can't read since its connection was reset.
 func TestRestOfARefusedBodyIsNoRequest(t *testing.T) {
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -19,6 +19,9 @@
 	// retryMemory is for a body that doesn't fit at this node: bodies are held for as long as
 	// calls take, and the balancer may choose another node.
 	retryMemory = 400 * time.Millisecond
+	// retryPart is the part of the caller's time that this may be, as a divisor: callers wait
+	// a third of it at the most, and the time is spread by a quarter.
+	retryPart = 4
 )
 
 const (
--- a/internal/serve/forward/rig_test.go
+++ b/internal/serve/forward/rig_test.go
@@ -111,6 +111,8 @@
 		ID: inbound.Header.Get("Id"), Method: inbound.Method, Target: inbound.RequestURI, Path: inbound.RequestURI, Host: inbound.Host,
 		Header: inbound.Header, Key: inbound.Header.Get("Key"), Model: "m",
 	}
+	left, _ := strconv.Atoi(inbound.Header.Get("Left"))
+	request.Left = time.Duration(left) * time.Millisecond
 	forward.StripHopByHop(request.Header)
 	return request
 }
