--- a/internal/serve/forward/rig_test.go
+++ b/internal/serve/forward/rig_test.go
@@ -46,6 +46,7 @@
 	outcomes map[forward.Outcome]int
 	lines    int
 
+	handler http.Handler
 	serving conc.WaitGroup
 	servers []*http.Server
 	pool    *backendserver.Pool
@@ -81,6 +82,7 @@
 		Heard: func(forward.Heard) {}, Failed: func(*dispatch.Target, string) {}, Ended: rig.ended, Nodes: func() int { return 1 },
 		AskPermits: func() {}, Logger: slog.New(slog.NewTextHandler(rig, nil)),
 	})
+	rig.handler = forwarder
 	rig.serve(t, nodeAddress, forwarder)
 	rig.serve(t, serverAddress, handler)
 	rig.callers = &http.Client{Transport: &http.Transport{DialContext: rig.wires.Dialer("callers"), DisableCompression: true}}
@@ -155,12 +157,17 @@
 	rig.callers.CloseIdleConnections()
 	time.Sleep(time.Minute)
 	held, _, _ := rig.memory.Sums()
+	rig.stop()
+	return held
+}
+
+// stop ends the servers.
+func (rig *rig) stop() {
 	for _, server := range rig.servers {
 		server.Close()
 	}
 	rig.pool.Sweep(func(string) bool { return false })
 	rig.serving.Wait()
-	return held
 }
 
 // request builds a request of a workspace.
