feat(demand): count what is asked of each pool, and shed by the rates of all nodes

Cause: each node shed by its own rates times the number of nodes. Where shares are uneven the busy nodes refuse nearly all and places stay free; refused calls were counted nowhere. Change: policy/demand holds rates by pool and rank, averaged over half a second, and the sums of other nodes. dispatch counts a call when it is first considered and sheds by the rates of all nodes where they are known; forward counts streams refused as Full or NoServer, of configured models only, since callers name models freely.

--- a/internal/policy/dispatch/burst_test.go
+++ b/internal/policy/dispatch/burst_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/dispatch"
 )
 
@@ -23,15 +24,20 @@
 	burstFrom, burstTo time.Duration
 	length             time.Duration
 	target, delay      time.Duration
-	// sheds says whether calls that the pool can't run are refused at once.
-	sheds bool
+	// sheds says whether calls that the pool can't run are refused at once, and told whether nodes
+	// hear what the others are asked for.
+	sheds, told bool
+	// heavy are the first nodes that get heavyPart of all calls.
+	heavy     int
+	heavyPart float64
 
-	draw   *rand.Rand
-	at     time.Duration
-	events events
-	boards []*dispatch.Board
-	heads  map[string]*engine
-	order  int
+	draw    *rand.Rand
+	at      time.Duration
+	events  events
+	boards  []*dispatch.Board
+	demands []*demand.Demand
+	heads   map[string]*engine
+	order   int
 
 	asked, inTime, late, refused map[int]int
 }
@@ -107,7 +113,10 @@
 		model.heads[id] = &engine{slots: modelSlots, per: modelToken, pass: modelPass}
 	}
 	for number := range model.nodes {
-		board := dispatch.New(dispatch.Clock(func() time.Duration { return model.at + time.Hour }), dispatch.Random(model.draw.IntN),
+		now := func() time.Duration { return model.at + time.Hour }
+		held := demand.New(demand.Clock(now))
+		model.demands = append(model.demands, held)
+		board := dispatch.New(dispatch.Clock(now), dispatch.Random(model.draw.IntN), dispatch.Demands(held),
 			dispatch.DataCentre(fmt.Sprintf("d%d", number%3)), dispatch.Lots(uint64(number), func() int { return model.nodes }))
 		board.Update(map[string][]dispatch.Spec{pool: specs})
 		model.boards = append(model.boards, board)
@@ -139,9 +148,35 @@
 			board.PeerLoads(others)
 		}
 	})
+	model.tellDemands()
 	model.after(50*time.Millisecond, model.tell)
 }
 
+// tellDemands does the same for what the nodes are asked for.
+func (model *burstModel) tellDemands() {
+	if !model.told {
+		return
+	}
+	owns, sum := make([]demand.Sums, len(model.demands)), demand.Sums{}
+	for number, held := range model.demands {
+		owns[number] = held.Own()
+		sum.Add(owns[number])
+	}
+	model.after(model.delay, func() {
+		for number, held := range model.demands {
+			held.Take(sum.Less(owns[number]))
+		}
+	})
+}
+
+// asks draws the node that a call comes to.
+func (model *burstModel) asks() int {
+	if model.heavy > 0 && model.draw.Float64() < model.heavyPart {
+		return model.draw.IntN(model.heavy)
+	}
+	return model.heavy + model.draw.IntN(model.nodes-model.heavy)
+}
+
 func (model *burstModel) arrive() {
 	rate := model.calm
 	if model.at >= model.burstFrom && model.at < model.burstTo {
@@ -149,7 +184,7 @@
 	}
 	model.after(time.Duration(model.draw.ExpFloat64()/rate*float64(time.Second)), model.arrive)
 	model.call(&work{
-		node: model.draw.IntN(model.nodes), came: model.at,
+		node: model.asks(), came: model.at,
 		prompt: model.spread(modelPrompt, 0.89, 2340), events: model.spread(modelEvents, 0.7, 78),
 	}, 24*time.Millisecond)
 }
@@ -264,3 +299,40 @@
 		expect.Expect(refused).To(gomega.BeZero(), "calls of the second from %d on", window)
 	}
 }
+
+// Guards against shedding that goes by a node's own share of the load: where a few nodes get most of
+// the calls these refuse nearly all of them, and the others none, so that places stay free.
+func TestSheddingByTheRatesOfAllNodesServesUnevenShares(t *testing.T) {
+	for _, perSecond := range []float64{760, 1000, 1300} {
+		t.Run(fmt.Sprintf("%.0f a second", perSecond), func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			inTime := map[bool]int{}
+			for _, told := range []bool{false, true} {
+				model := burst(perSecond)
+				model.heavy, model.heavyPart, model.told = 6, 0.85, told
+				model.run(1)
+				_, inTime[told] = model.inBurst()
+			}
+			t.Logf("%d in time by own rates, %d by those of all nodes", inTime[false], inTime[true])
+			expect.Expect(inTime[true]).To(gomega.BeNumerically(">", inTime[false]*103/100))
+		})
+	}
+}
+
+// Guards against sums of all nodes that let more calls through than an even share of the load needs: what is told late
+// must not cost more than the guess that all nodes are asked for the same.
+func TestSheddingByTheRatesOfAllNodesServesEvenShares(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	inTime := map[bool]int{}
+	for _, told := range []bool{false, true} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			model := burst(1000)
+			model.told = told
+			model.run(seed)
+			_, served := model.inBurst()
+			inTime[told] += served
+		}
+	}
+	t.Logf("%d in time by own rates, %d by those of all nodes", inTime[false], inTime[true])
+	expect.Expect(inTime[true]).To(gomega.BeNumerically(">=", inTime[false]*98/100))
+}
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/drain"
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/warmup"
@@ -155,8 +156,8 @@
 	incarnation uint64
 	nodes       func() int
 
-	// askedBy are the calls that were asked for, by pool.
-	askedBy sync.Map
+	// demand is what is asked of the pools.
+	demand *demand.Demand
 
 	mu sync.Mutex
 	// known are the targets by loadKey.
@@ -197,6 +198,12 @@
 	return func(board *Board) { board.incarnation, board.nodes = incarnation, nodes }
 }
 
+// Demands sets where calls that are asked for and refused are counted, and what all nodes are asked
+// for. By default the board counts on its own and knows of no other node.
+func Demands(held *demand.Demand) Option {
+	return func(board *Board) { board.demand = held }
+}
+
 // New returns a board with no targets.
 func New(options ...Option) *Board {
 	board := &Board{
@@ -207,6 +214,9 @@
 	for _, option := range options {
 		option(board)
 	}
+	if board.demand == nil {
+		board.demand = demand.New(demand.Clock(board.now))
+	}
 	return board
 }
 
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -28,7 +28,7 @@
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
 	if exchange.crowded() {
-		exchange.noTarget(nil, dispatch.Full)
+		exchange.noSlot(nil, dispatch.Full)
 		exchange.end()
 		return
 	}
@@ -42,7 +42,7 @@
 			break
 		}
 		if verdict != dispatch.Chosen {
-			exchange.noTarget(target, verdict)
+			exchange.noSlot(target, verdict)
 			break
 		}
 		if exchange.streamOne(target) {
@@ -52,9 +52,28 @@
 	exchange.end()
 }
 
+// noSlot notes why the stream was given no group, and counts it as demand that its pool has no slot for.
+func (exchange *exchange) noSlot(target *dispatch.Target, verdict dispatch.Verdict) {
+	exchange.noTarget(target, verdict)
+	if exchange.configured() && (exchange.outcome == Full || exchange.outcome == NoServer) {
+		exchange.forwarder.Board.Refused(exchange.pool())
+	}
+}
+
 // crowded says whether the stream's pool is asked for more than it can run, and other streams go first.
 func (exchange *exchange) crowded() bool {
-	return exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency())
+	return exchange.configured() && exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency())
+}
+
+// configured says whether the configuration knows the stream's pool. Callers name models freely, and demand is kept and
+// told by pool, so names that nothing serves must not add to it.
+func (exchange *exchange) configured() bool {
+	service, ok := exchange.snapshot.Service(exchange.service)
+	if !ok || service.Engine == nil {
+		return ok
+	}
+	_, ok = service.Engine.Model(exchange.request.Model)
+	return ok
 }
 
 const (
