feat(gateway): tell the demand of all nodes over the tree

Cause: a node knew only its own part of what is asked of a pool. Change: Demands of Frame, one PoolDemand for each pool, whole in each frame. Leaves tell relays theirs, relays and roots what they speak for, and all are told the sum, off which each takes the report of its own that the sum names. A sum ends with its link. Counters DemandAsked, DemandRefused and DemandTaken; Demands in the state dump.

--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -63,7 +63,7 @@
 		}
 	}
 	tally.Add(inside, own)
-	peers.sums = &sums{at: now, own: own, inside: inside, others: others, insideNodes: insideNodes, nodes: insideNodes + outsideNodes}
+	peers.sums = &sums{at: now, own: own, inside: inside, others: others, insideNodes: insideNodes, nodes: insideNodes + outsideNodes, demands: peers.demandSumsLocked()}
 	peers.census.note(peers.sums.nodes, now)
 	return peers.sums
 }
@@ -89,6 +89,7 @@
 		told.Sequence = channel.reports.Add(added.inside)
 		told.Nodes = uint32(added.insideNodes)
 		peers.addLoads(told, channel, added.inside)
+		peers.addDemands(told, channel, &added.demands)
 		return told
 	}
 	everywhere := tally.Shares{}
@@ -97,6 +98,7 @@
 	told.Included = channel.sequence
 	told.Nodes = uint32(added.nodes)
 	peers.addLoads(told, channel, everywhere)
+	peers.addDemands(told, channel, &added.demands)
 	return told
 }
 
@@ -114,13 +116,15 @@
 	same := version == channel.reportedVersion && maps.Equal(own, channel.reported)
 	told := &frame.Frame{}
 	permits := peers.addPermits(told, channel)
-	if optional && same && !permits && len(channel.silences)+len(channel.suspects)+len(channel.notices) == 0 {
+	asked := peers.node.demand.Own()
+	if optional && same && !permits && !asked.News(channel.demands.reported) && len(channel.silences)+len(channel.suspects)+len(channel.notices) == 0 {
 		return nil
 	}
 	channel.reported, channel.reportedVersion = own, version
 	told.Sequence, told.Nodes, told.Loads, told.SilentHeads = channel.reports.Add(own), 1, loadsOf(own), channel.silences
 	told.ConfigurationVersion, told.Suspects, told.Notices = version, peers.suspectsFor(channel), peers.noticesFor(channel)
 	channel.silences = nil
+	peers.reportDemands(told, channel, asked)
 	return told
 }
 
@@ -166,11 +170,13 @@
 		}
 	}
 	body := peers.encode(told)
-	// How old list and configuration are changes all the time, and is no news.
-	ages := peers.encode(&frame.Frame{
+	demands, demandNews := peers.leafDemands(&added.demands)
+	// How old list and configuration are and what is asked for change all the time, and are no news.
+	rest := peers.encode(&frame.Frame{
 		Listing: listingOf(node.servers.Load().End, node.follower.ListAge()), ConfigurationAgeMs: proto.Uint32(milliseconds(node.follower.ConfigurationAge())),
+		Demands: demands,
 	})
-	return &leafFrame{from: from, to: delta.Version, at: now, news: xxhash.Sum64(body), body: append(body, ages...)}
+	return &leafFrame{from: from, to: delta.Version, at: now, news: xxhash.Sum64(body) ^ demandNews, body: append(body, rest...)}
 }
 
 func catalogueToWire(delta catalogue.Delta) *frame.Catalogue {
--- /dev/null
+++ b/internal/run/gateway/demands.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"hazelslip/internal/policy/demand"
+	"hazelslip/internal/wire/frame"
+)
+
+// demands is what was told and heard of demand over one link.
+type demands struct {
+	// reports are what this node reported, by the sequence numbers of its frames, and
+	// reported is the last of them.
+	reports  demand.Reports
+	reported demand.Sums
+	// sums are what the other side speaks for; from the node above they are those of all
+	// other nodes.
+	sums demand.Sums
+}
+
+// demandSums are added up over nodes as the sums of loads are.
+type demandSums struct {
+	own, inside, others demand.Sums
+}
+
+// everywhere is the demand of all nodes.
+func (sums *demandSums) everywhere() demand.Sums {
+	all := demand.Sums{}
+	all.Add(sums.own)
+	all.Add(sums.others)
+	return all
+}
+
+func (peers *peers) demandSumsLocked() demandSums {
+	added := demandSums{own: peers.node.demand.Own(), inside: demand.Sums{}, others: demand.Sums{}}
+	added.inside.Add(added.own)
+	for link, channel := range peers.channels {
+		added.others.Add(channel.demands.sums)
+		if downstream(link) {
+			added.inside.Add(channel.demands.sums)
+		}
+	}
+	return added
+}
+
+// addDemands tells a relay or root what the nodes are asked for that this node speaks for, or, where it is
+// attached to this node, what all are.
+func (peers *peers) addDemands(told *frame.Frame, channel *channel, sums *demandSums) {
+	if downstream(channel.link) {
+		told.Demands = demandsToWire(sums.everywhere())
+		return
+	}
+	channel.demands.reports.Add(told.Sequence, sums.inside)
+	told.Demands = demandsToWire(sums.inside)
+}
+
+// reportDemands tells the node above what this leaf is asked for.
+func (peers *peers) reportDemands(told *frame.Frame, channel *channel, own demand.Sums) {
+	channel.demands.reported = own
+	channel.demands.reports.Add(told.Sequence, own)
+	told.Demands = demandsToWire(own)
+}
+
+// leafDemands is the demand of all nodes as leaves are told it. News is a number that
+// changes with it when it has changed enough to be told on its own.
+func (peers *peers) leafDemands(sums *demandSums) (told []*frame.PoolDemand, news uint64) {
+	all := sums.everywhere()
+	if all.News(peers.toldDemands) {
+		peers.toldDemands = all
+		peers.leafDemandNews++
+	}
+	return demandsToWire(all), peers.leafDemandNews
+}
+
+// takeDemandsLocked takes what a frame tells of demand. Its sums replace those of the frame
+// before, and end with the link.
+func (peers *peers) takeDemandsLocked(channel *channel, received *frame.Frame) {
+	sums := demandsFromWire(received.Demands)
+	if !channel.link.Upstream() {
+		channel.demands.sums = sums
+		return
+	}
+	own, remembered := channel.demands.reports.At(received.Included)
+	if !remembered {
+		// The part of this node in the sums is not known, so the sums of an earlier frame stay.
+		return
+	}
+	channel.demands.sums = sums.Less(own)
+	if !core(channel.link) && peers.overlay.Upstream() == channel.link {
+		peers.knowDemands(channel.demands.sums, len(sums) > 0)
+	}
+}
+
+// spreadDemands tells what other nodes are asked for, where no frame from above does.
+func (peers *peers) spreadDemands() {
+	peers.mu.Lock()
+	others := peers.sumsLocked().demands.others
+	peers.mu.Unlock()
+	peers.knowDemands(others, len(others) > 0)
+}
+
+// knowDemands puts sums of other nodes in force. A node that is told of no demand at all is alone, or attached to one
+// that has only just started: its own rates and the number of nodes are the better guess.
+func (peers *peers) knowDemands(others demand.Sums, told bool) {
+	if !told {
+		others = nil
+	}
+	peers.node.demand.Take(others)
+}
+
+func demandsToWire(sums demand.Sums) []*frame.PoolDemand {
+	told := make([]*frame.PoolDemand, 0, len(sums))
+	for _, pool := range sums.Pools() {
+		rates := sums[pool]
+		one := &frame.PoolDemand{Pool: pool, Refused: demand.Hundredths(rates.Refused)}
+		for _, asked := range rates.Trimmed() {
+			one.Asked = append(one.Asked, demand.Hundredths(asked))
+		}
+		told = append(told, one)
+	}
+	return told
+}
+
+func demandsFromWire(told []*frame.PoolDemand) demand.Sums {
+	sums := make(demand.Sums, len(told))
+	for _, one := range told {
+		rates := demand.Rates{Refused: demand.FromHundredths(one.Refused)}
+		for rank, asked := range one.Asked {
+			rates.Asked[min(rank, demand.Ranks-1)] += demand.FromHundredths(asked)
+		}
+		sums[one.Pool] = rates
+	}
+	return sums
+}
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -41,6 +41,7 @@
 	"hazelslip/internal/fleet/tree"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/peer/store"
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
@@ -89,6 +90,7 @@
 	former        *formation.Former
 	keeper        *tenure.Keeper
 	board         *dispatch.Board
+	demand        *demand.Demand
 	pool          *backendserver.Pool
 	forwarder     *forward.Forwarder
 	peers         *peers
@@ -183,7 +185,8 @@
 	node.stored.held = map[quarantine.Fingerprint]struct{}{}
 	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation), ratelimit.Settle(settings.Bounds.Settle))
 	node.notices = notice.New(node.limits, notice.Clock(node.now))
-	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices),
+	node.demand = demand.New(demand.Clock(node.now))
+	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices), dispatch.Demands(node.demand),
 		dispatch.Drains(node.drained.Mark), dispatch.Lots(node.Incarnation, func() int { return node.peers.nodes() }))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
 	node.keeper = tenure.New(node.Incarnation, node.claim, node.now)
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -10,6 +10,7 @@
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/peer/store"
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
@@ -56,6 +57,8 @@
 	Notices []notice.State
 	// DrainedDataCentres are those whose servers get no new calls.
 	DrainedDataCentres []string
+	// Demands are what is asked of each pool.
+	Demands []demand.State
 }
 
 // State returns the dump of the node's state.
@@ -69,7 +72,7 @@
 		Targets: node.board.State(), Former: node.former.State(),
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
 		Suspects: node.quarantine.State(), Limits: node.limits.State(), Notices: node.notices.State(),
-		DrainedDataCentres: node.drained.Drained(),
+		DrainedDataCentres: node.drained.Drained(), Demands: node.demand.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -136,6 +139,7 @@
 		"LinksAttached": links.Attached.Load(), "LinksFailed": links.AttachFailed.Load(), "LinksEnded": links.LinksEnded.Load(),
 		"FramesSent": links.FramesSent.Load(), "FramesTaken": links.FramesTaken.Load(), "FrameBytesSent": links.BytesSent.Load(),
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.newsLearnt.Load(),
+		"DemandAsked": node.demand.Counts.Asked.Load(), "DemandRefused": node.demand.Counts.Refused.Load(), "DemandTaken": node.demand.Counts.Taken.Load(),
 		"Goroutines": uint64(runtime.NumGoroutine()),
 	}
 }
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -15,6 +15,7 @@
 	"hazelslip/internal/fleet/tenure"
 	"hazelslip/internal/fleet/tree"
 	"hazelslip/internal/peer/store"
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/state/storelog"
@@ -76,6 +77,7 @@
 	silences []*frame.SilentHead
 	suspects map[quarantine.Fingerprint]struct{}
 	permits  permits
+	demands  demands
 	// notices are the runs of servers that are to be told of with the next frame.
 	notices map[ratelimit.Run]struct{}
 }
@@ -97,6 +99,7 @@
 	// itself among them, and others what all other nodes of the fleet have.
 	own, inside, others tally.Shares
 	insideNodes         int
+	demands             demandSums
 	// nodes counts all of the fleet.
 	nodes int
 }
@@ -139,7 +142,11 @@
 	channels      map[*overlay.Link]*channel
 	sums          *sums
 	encoded       *leafFrame
-	holder        holder
+	// toldDemands are those of all nodes when they were last news to leaves, leafDemandNews counts
+	// how often they were.
+	toldDemands    demand.Sums
+	leafDemandNews uint64
+	holder         holder
 	// ownTerm is the last under which this node gave orders.
 	ownTerm int64
 	// silent is when each silent group was last told of.
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -42,6 +42,7 @@
 	defer peers.mu.Unlock()
 	channel := peers.channel(link)
 	channel.shares, channel.nodes, channel.sequence = sharesOf(received.Loads), int(received.Nodes), received.Sequence
+	peers.takeDemandsLocked(channel, received)
 }
 
 // takeCore takes what a relay or root knows.
@@ -58,6 +59,7 @@
 		nodes = max(0, nodes-peers.sumsLocked().insideNodes)
 	}
 	channel.shares, channel.nodes = shares, nodes
+	peers.takeDemandsLocked(channel, received)
 	peers.mu.Unlock()
 	if returned {
 		peers.node.follower.Hint()
@@ -116,6 +118,7 @@
 	}
 	counts := newCounts(channel, received)
 	channel.calls = counts.sum()
+	peers.takeDemandsLocked(channel, received)
 	peers.census.note(channel.nodes+1, peers.node.now())
 	peers.mu.Unlock()
 	if received.Listing != nil {
@@ -209,6 +212,7 @@
 	others := peers.sumsLocked().others
 	peers.mu.Unlock()
 	peers.node.board.PeerLoads(others)
+	peers.spreadDemands()
 }
 
 // tell queues something for all links that match but the one that it came over,
