feat(formation): refused calls count as demand when groups are planned

Cause: the work of a model was its calls in flight, so one whose places were all taken looked as if it needed no more, while servers were kept for another model that used half of its places. Change: a model's demand is its calls in flight plus the calls refused a second at all nodes times the mean duration of a call, at most three times its places (of one group, where it has none). Whether the other model's places are idle is judged beside a model that refuses calls by what that one is asked for per place.

--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -98,7 +98,7 @@
 		View: created.view, Servers: created.list.Load,
 		Services: func() []formation.Service { return []formation.Service{{Name: service, Engine: engine()}} },
 		Term:     created.currentTerm, Outdated: created.outdated, Announce: created.announce,
-		Load:     func(string, string) (int, int) { return 0, 0 },
+		Load:     func(string, string) formation.Usage { return formation.Usage{} },
 		Quiet:    func() bool { return false },
 		BacksOff: func(server *roster.Server) bool { return created.refuses(server.ID) },
 		Bounds: formation.Bounds{
--- a/internal/fleet/formation/former.go
+++ b/internal/fleet/formation/former.go
@@ -27,9 +27,8 @@
 	Outdated func(term int64)
 	// Announce makes news known to this node and its peers.
 	Announce func(news News)
-	// Load returns how many places of a model's groups are taken, and how many
-	// there are.
-	Load func(service, model string) (taken, places int)
+	// Load returns what is asked of a model's groups.
+	Load func(service, model string) Usage
 	// Told says that this node is told what serves, and knows no servers to give orders
 	// to.
 	Told func() bool
--- a/internal/fleet/formation/work.go
+++ b/internal/fleet/formation/work.go
@@ -21,18 +21,42 @@
 	leastSeen = 1.0
 )
 
+// Usage is what is asked of the groups of a model.
+type Usage struct {
+	// Taken is how many of their Places have a call.
+	Taken, Places int
+	// Refused is how many calls a second are refused for lack of a place, Duration how long
+	// a call takes on average.
+	Refused  float64
+	Duration time.Duration
+}
+
+// demandMost bounds what refusals add to the demand of a model, in multiples of its places:
+// a caller that comes again after a refusal is refused once more.
+const demandMost = 3
+
+// demand is how many places the model would need, those of refused calls included. A model
+// without a group counts as if it had one, of so many slots.
+func (usage *Usage) demand(slots int) float64 {
+	refused := usage.Refused * usage.Duration.Seconds()
+	most := float64(demandMost * max(usage.Places, slots))
+	return max(float64(usage.Taken), min(float64(usage.Taken)+refused, most))
+}
+
 // sight is the part of a service's work that each model has had on average, as of
 // a time.
 type sight struct {
 	shares map[string]float64
-	// taken is the part of each model's places that is taken.
+	// taken is the part of each model's places that is taken, over 1 where calls are refused
+	// beside.
 	taken map[string]float64
 	at    time.Duration
 }
 
 const (
 	// usedTaken is the part of a model's places below which it has more groups than its
-	// work needs, losses included; at idleTaken the work seen alone counts.
+	// work needs, losses included; at idleTaken the work seen alone counts. Beside a model
+	// that refuses calls, they are parts of what that one is asked for per place.
 	usedTaken = 0.45
 	idleTaken = 0.30
 )
@@ -48,15 +72,15 @@
 	if most < usedTaken {
 		return demandTrust
 	}
-	idle := (usedTaken - least) / (usedTaken - idleTaken)
+	idle := (usedTaken - least/max(1, most)) / (usedTaken - idleTaken)
 	return demandTrust + (1-demandTrust)*min(1, max(0, idle))
 }
 
 // shares returns the part of the servers that each model should have: what the
 // operator states at first, corrected by the work that is seen.
 //
-// Calls that are refused can't be seen, so a model whose places are all taken, or
-// that has none, is never thought to need less than before: after losses fewer
+// Refused calls count as demand, as long as callers come. A model whose places are all taken, or
+// that has none, is moreover never thought to need less than before: after losses fewer
 // groups would seem to need fewer.
 func (former *Former) shares(service Service) map[string]float64 {
 	stated := map[string]float64{}
@@ -87,10 +111,12 @@
 	}
 	work, full, part := map[string]float64{}, map[string]bool{}, map[string]float64{}
 	for _, model := range service.Engine.Models {
-		taken, places := former.Load(service.Name, model.Name)
-		work[model.Name] = float64(taken*model.Size) / float64(max(1, service.Engine.Slots))
-		full[model.Name] = float64(taken) >= saturated*float64(places)
-		part[model.Name] = min(1, float64(taken)/float64(max(1, places)))
+		usage := former.Load(service.Name, model.Name)
+		needed := usage.demand(service.Engine.Slots)
+		work[model.Name] = needed * float64(model.Size) / float64(max(1, service.Engine.Slots))
+		full[model.Name] = needed >= saturated*float64(usage.Places)
+		places := float64(max(1, usage.Places))
+		part[model.Name] = min(1, float64(usage.Taken)/places) + (needed-float64(usage.Taken))/places
 	}
 	held = held.next(work, full, part, now)
 	former.seen[service.Name] = held
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -220,9 +220,18 @@
 	return services
 }
 
-func (node *Node) modelLoad(service, model string) (taken, places int) {
-	occupancy := node.board.Occupancy(forward.PoolName(service, model))
-	return occupancy.Taken, occupancy.Places
+// modelLoad is what is asked of the groups of a model.
+func (node *Node) modelLoad(service, model string) formation.Usage {
+	pool := forward.PoolName(service, model)
+	occupancy := node.board.Occupancy(pool)
+	rates, _ := node.demand.Rates(pool)
+	usage := formation.Usage{Taken: occupancy.Taken, Places: occupancy.Places, Refused: rates.Refused}
+	for _, known := range node.engineServices() {
+		if of, named := known.Engine.Model(model); named && known.Name == service {
+			usage.Duration = turnover(known.Engine, of) * time.Duration(max(1, known.Engine.Slots))
+		}
+	}
+	return usage
 }
 
 // watch looks for groups that stand still and tells whoever mends them, for data centres
