--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/drain"
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/pace"
 	"hazelslip/internal/policy/ratelimit"
@@ -166,10 +167,10 @@
 	// PaceCounts count what was learnt of how slow groups are.
 	PaceCounts pace.Counts
 
-	// askedBy are the calls that were asked for, by pool.
-	askedBy sync.Map
 	// holdings are the times that calls hold their places, by pool; the lock guards the map.
 	holdings map[string]*holding
+	// demand is what is asked of the pools.
+	demand *demand.Demand
 
 	mu sync.Mutex
 	// known are the targets by loadKey.
@@ -215,6 +216,12 @@
 	return func(board *Board) { board.counted = nodes }
 }
 
+// Demands sets where calls that are asked for and refused are counted, and what all nodes are asked
+// for. By default the board counts on its own and knows of no other node.
+func Demands(held *demand.Demand) Option {
+	return func(board *Board) { board.demand = held }
+}
+
 // New returns a board with no targets.
 func New(options ...Option) *Board {
 	board := &Board{
@@ -225,6 +232,9 @@
 	for _, option := range options {
 		option(board)
 	}
+	if board.demand == nil {
+		board.demand = demand.New(demand.Clock(board.now))
+	}
 	return board
 }
 
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -10,6 +10,7 @@
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/peer/store"
+	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/notice"
@@ -59,6 +60,8 @@
 	DrainedDataCentres []string
 	// Memory is what is buffered between callers and servers, by workspace.
 	Memory memory.State
+	// Demands are what is asked of each pool.
+	Demands []demand.State
 }
 
 // State returns the dump of the node's state.
@@ -72,7 +75,7 @@
 		Targets: node.board.State(), Former: node.former.State(),
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
 		Suspects: node.quarantine.State(), Limits: node.limits.State(), Notices: node.notices.State(),
-		DrainedDataCentres: node.drained.Drained(), Memory: node.memory.State(),
+		DrainedDataCentres: node.drained.Drained(), Demands: node.demand.State(), Memory: node.memory.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -143,6 +146,7 @@
 		"FramesSent": links.FramesSent.Load(), "FramesTaken": links.FramesTaken.Load(), "FrameBytesSent": links.BytesSent.Load(),
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.newsLearnt.Load(),
 		"MemoryHeld": uint64(held), "MemoryMost": uint64(most), "MemoryRefused": refused,
+		"DemandAsked": node.demand.Counts.Asked.Load(), "DemandRefused": node.demand.Counts.Refused.Load(), "DemandTaken": node.demand.Counts.Taken.Load(),
 		"Goroutines": uint64(runtime.NumGoroutine()),
 	}
 }
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -30,9 +30,9 @@
 
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
-	if crowd, refused := exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency()); refused {
+	if crowd, refused := exchange.crowded(); refused {
 		exchange.cause = fmt.Sprintf("the pool takes %.0f calls a second, %.0f are asked for, of which %.0f go first", crowd.Takes, crowd.Asked, crowd.Before)
-		exchange.noTarget(nil, dispatch.Full)
+		exchange.noSlot(nil, dispatch.Full)
 		exchange.end()
 		return
 	}
@@ -46,7 +46,7 @@
 			break
 		}
 		if verdict != dispatch.Chosen {
-			exchange.noTarget(target, verdict)
+			exchange.noSlot(target, verdict)
 			break
 		}
 		if exchange.streamOne(target) {
@@ -56,6 +56,33 @@
 	exchange.end()
 }
 
+// noSlot notes why the stream was given no group, and counts it as demand that its pool has no slot for.
+func (exchange *exchange) noSlot(target *dispatch.Target, verdict dispatch.Verdict) {
+	exchange.noTarget(target, verdict)
+	if exchange.configured() && (exchange.outcome == Full || exchange.outcome == NoServer) {
+		exchange.forwarder.Board.Refused(exchange.pool())
+	}
+}
+
+// crowded says whether the stream's pool is asked for more than it can run, and other streams go first.
+func (exchange *exchange) crowded() (dispatch.Crowd, bool) {
+	if !exchange.configured() {
+		return dispatch.Crowd{}, false
+	}
+	return exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency())
+}
+
+// configured says whether the configuration knows the stream's pool. Callers name models freely, and demand is kept and
+// told by pool, so names that nothing serves must not add to it.
+func (exchange *exchange) configured() bool {
+	service, ok := exchange.snapshot.Service(exchange.service)
+	if !ok || service.Engine == nil {
+		return ok
+	}
+	_, ok = service.Engine.Model(exchange.request.Model)
+	return ok
+}
+
 const (
 	// waitShare is the part of its target that a stream may wait here for a
 	// place. A place of a full pool comes free every few milliseconds; whoever
