fix(dispatch): load shedding refuses nothing for a pool without open targets

Load shedding left out all targets whose breakers are open, also where that is so for most of a pool and the breakers are ignored. After a reset of all connections of a node it found a pool with 0 of 0 places, and refused every call as Full until the breakers closed. Where all servers of a pool ask for a backoff, calls ended as Full in place of BackedOff, without the servers' Retry-After.

Open breakers count for shedding as they do for the choice of a target, and where no target is open nothing is shed: the choice says why.

TestPoolWithoutOpenTargetsIsNotCrowded fails without the change.

--- a/internal/policy/dispatch/breaker_test.go
+++ b/internal/policy/dispatch/breaker_test.go
@@ -55,6 +55,39 @@
 	})
 }
 
+// Guards against load shedding that refuses all calls of a pool none of whose targets is open: after a reset of
+// all connections, when the breakers are ignored, and while all servers ask for backoffs, which has its own answer.
+func TestPoolWithoutOpenTargetsIsNotCrowded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		specs := []dispatch.Spec{head("a"), head("b"), head("c")}
+		for number := range specs {
+			specs[number].PerPrompt = 15 * time.Millisecond
+		}
+		board := newBoard(specs...)
+		expect.Expect(board.Crowded(pool, 0)).To(gomega.BeFalse())
+		for broken := map[string]bool{}; len(broken) < len(specs); {
+			target := pick(board)
+			if !broken[target.ID] {
+				target.Broke(lastSent)
+			}
+			broken[target.ID] = true
+		}
+		for range 20 {
+			expect.Expect(board.Crowded(pool, 0)).To(gomega.BeFalse(), "all were reset")
+		}
+	})
+	expect := gomega.NewWithT(t)
+	board, notices, _ := noticedBoard()
+	specs := []dispatch.Spec{head("a"), head("b")}
+	for number := range specs {
+		specs[number].PerPrompt = 15 * time.Millisecond
+		backoff(notices, specs[number].ID, 3*time.Second)
+	}
+	board.Update(map[string][]dispatch.Spec{pool: specs})
+	expect.Expect(board.Crowded(pool, 0)).To(gomega.BeFalse(), "all ask for a backoff")
+}
+
 // Guards against a breaker that stays open after its head answers again, and one that a reset opens of a
 // call from before the last answer.
 func TestAnswerClosesTheBreaker(t *testing.T) {
--- a/internal/policy/dispatch/crowding.go
+++ b/internal/policy/dispatch/crowding.go
@@ -61,18 +61,18 @@
 
 // takes is how many calls a second the targets take of all nodes together: as many as end there, and those
 // for which places are free, less those that are beyond their places. It is without bound while too few
-// places are taken for any call to be refused.
+// places are taken for any call to be refused, and where no target is open: then the choice of a target says why.
 func (board *Board) takes(targets []*Target, now time.Duration) float64 {
-	perSecond, taken, slots := 0.0, 0, 0
+	perSecond, taken, slots, trusted := 0.0, 0, 0, trustBreakers(targets, now)
 	for _, target := range targets {
-		if target.closed(now) || target.breaker.open(now) || target.reach.away() {
+		if target.closed(now) || (trusted && target.breaker.open(now)) || target.reach.away() {
 			continue
 		}
 		calls := target.Taken()
 		taken, slots = taken+calls, slots+target.Slots
 		perSecond += target.endsPerSecond() + float64(max(target.Slots-calls, -target.Slots))/correctedOver.Seconds()
 	}
-	if float64(taken) < crowdedFrom*float64(slots) {
+	if slots == 0 || float64(taken) < crowdedFrom*float64(slots) {
 		return math.Inf(1)
 	}
 	return perSecond
