test(standin): a head that resets its calls, and a node whose connections are all reset

The stand-in has servers whose address accepts connections and resets them before any answer (POST /resets/ID?value=1), the soak a fault of that kind (server-break), the network in memory a reset of all connections of a place.

TestHeadThatResetsItsCallsIsFoundLost: 2 or 3 calls reset, the group announced lost within a second of the second at one node.

--- a/internal/run/soak/fault.go
+++ b/internal/run/soak/fault.go
@@ -34,6 +34,7 @@
 	ServerEnd   Kind = "server-end"   // a server's process ends and is back later
 	ServerKill  Kind = "server-kill"  // a server falls silent, and starts again under its ID
 	ServerReset Kind = "server-reset" // connections to a server are reset
+	ServerBreak Kind = "server-break" // a server accepts connections and resets them before any answer
 	ServerMute  Kind = "server-mute"  // nothing passes to a server, or from it
 	PlainReset  Kind = "plain-reset"  // the same of a plain server's connections
 	PlainMute   Kind = "plain-mute"   // nothing passes to a plain server, or from it
@@ -93,6 +94,7 @@
 	{ServerEnd, 5, 0, 0},
 	{ServerKill, 4, 4 * time.Second, 6 * time.Second},
 	{ServerReset, 3, 0, 0},
+	{ServerBreak, 2, 500 * time.Millisecond, 4 * time.Second},
 	{ServerMute, 3, 300 * time.Millisecond, 4 * time.Second},
 	{PlainReset, 2, 0, 0},
 	{PlainMute, 2, 300 * time.Millisecond, 3 * time.Second},
@@ -159,7 +161,7 @@
 // targets is how many things a kind of fault may strike.
 func targets(kind Kind, nodes, engines, plain int) int {
 	switch kind {
-	case ServerEnd, ServerKill, ServerReset, ServerMute:
+	case ServerEnd, ServerKill, ServerReset, ServerBreak, ServerMute:
 		return engines
 	case PlainReset, PlainMute, PlainLost, PlainDrain:
 		return plain
--- a/internal/run/soak/fleet.go
+++ b/internal/run/soak/fleet.go
@@ -327,6 +327,9 @@
 	case ServerKill:
 		id := fleet.engines[fault.Target]
 		return telling("/servers/" + id + "/kill"), telling("/servers/" + id + "/restart")
+	case ServerBreak:
+		path := "/resets/" + fleet.engines[fault.Target]
+		return telling(path + "?value=1"), telling(path)
 	case PlainDrain:
 		return telling("/servers/" + fleet.plain[fault.Target] + "/drain"), nil
 	case Configure:
--- a/internal/testlib/network/network.go
+++ b/internal/testlib/network/network.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// Reset ends all connections that the place opened, as where a load balancer or a host
+// between them starts again. It may connect anew at once.
+func (network *Network) Reset(place string) {
+	network.mu.Lock()
+	ended := []*conn{}
+	for open := range network.conns {
+		if open.link.from == place && open.remote == place {
+			ended = append(ended, open)
+		}
+	}
+	network.mu.Unlock()
+	for _, open := range ended {
+		_ = open.Close()
+	}
+}
+
 // Heal joins the place to the addresses again.
 func (network *Network) Heal(place string, addresses ...string) {
 	network.mu.Lock()
