--- a/internal/policy/dispatch/crowding.go
+++ b/internal/policy/dispatch/crowding.go
@@ -42,11 +42,11 @@
 
 // takes is how many calls a second the targets take of all nodes together: as many as end there, and those
 // for which places are free up to the part that is aimed at, less those that are beyond it. It is without bound while too few
-// places are taken for any call to be refused.
+// places are taken for any call to be refused, and where no target is open: then the choice of a target says why.
 func (board *Board) takes(targets []*Target, now time.Duration) float64 {
-	perSecond, taken, slots := 0.0, 0, 0.0
+	perSecond, taken, slots, trusted := 0.0, 0, 0.0, trustBreakers(targets, now)
 	for _, target := range targets {
-		if target.closed(now) || target.breaker.open(now) || target.reach.away() {
+		if target.closed(now) || (trusted && target.breaker.open(now)) || target.reach.away() {
 			continue
 		}
 		calls := target.Taken()
@@ -59,7 +59,7 @@
 		taken, slots = taken+calls, slots+float64(target.Slots)-unused
 		perSecond += target.endsPerSecond() + free/correctedOver.Seconds()
 	}
-	if float64(taken) < crowdedFrom*slots {
+	if slots == 0 || float64(taken) < crowdedFrom*slots {
 		return math.Inf(1)
 	}
 	return perSecond
