--- a/internal/policy/demand/demand.go
+++ b/internal/policy/demand/demand.go
@@ -29,7 +29,7 @@
 	// Ranks is how many ranks of urgency are told apart, 0 for the most urgent.
 	Ranks = 12
 	// averagedOver is the time constant of the averages.
-	averagedOver = 500 * time.Millisecond
+	averagedOver = 250 * time.Millisecond
 	// least is the rate below which a pool's demand counts as none. One stream fades to it within two seconds.
 	least = 0.05
 	// step is what rates that are told are multiples of. As a power of two it keeps sums the same in
--- a/internal/policy/dispatch/breaker_test.go
+++ b/internal/policy/dispatch/breaker_test.go
@@ -57,6 +57,7 @@
 
 // refused says whether the next call would be shed.
 func refused(board *dispatch.Board) bool {
+	board.Asked(pool, 0)
 	_, refused := board.Crowded(pool, 0)
 	return refused
 }
--- a/internal/policy/dispatch/crowding.go
+++ b/internal/policy/dispatch/crowding.go
@@ -73,9 +73,8 @@
 }
 
 // Crowded says whether a call of a rank that was just asked for should be refused, since the pool can't run all
-// that is asked for. It counts the call, so it is asked once for each.
+// that is asked for.
 func (board *Board) Crowded(name string, rank int) (Crowd, bool) {
-	board.demand.Asked(name, rank)
 	filled, ok := board.pool(name)
 	if !ok || len(filled.targets) == 0 || filled.targets[0].PerPrompt == 0 {
 		return Crowd{}, false
@@ -95,6 +94,11 @@
 	return crowd, part < 1 && float64(board.random(1<<20))/(1<<20) >= part
 }
 
+// Asked counts a call of a rank that a pool is asked for.
+func (board *Board) Asked(name string, rank int) {
+	board.demand.Asked(name, rank)
+}
+
 // Refused counts a call that was refused since its pool had no slot for it.
 func (board *Board) Refused(name string) {
 	board.demand.Refused(name)
--- a/internal/policy/dispatch/pace_test.go
+++ b/internal/policy/dispatch/pace_test.go
@@ -275,7 +275,8 @@
 		refused := func() int {
 			count := 0
 			for range 400 {
-				if board.Crowded(pool, 0) {
+				board.Asked(pool, 0)
+				if _, shed := board.Crowded(pool, 0); shed {
 					count++
 				}
 				time.Sleep(5 * time.Millisecond)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -64,12 +64,19 @@
 	}
 }
 
-// crowded says whether the stream's pool is asked for more than it can run, and other streams go first.
+// crowded counts the stream as demand, and says whether its pool is asked for more than it can run and other streams go
+// first. Only an operator who gives streams different priorities says which are refused so that others are in time;
+// elsewhere they wait at the servers.
 func (exchange *exchange) crowded() (dispatch.Crowd, bool) {
 	if !exchange.configured() {
 		return dispatch.Crowd{}, false
 	}
-	return exchange.forwarder.Board.Crowded(exchange.pool(), exchange.urgency())
+	board := exchange.forwarder.Board
+	board.Asked(exchange.pool(), exchange.urgency())
+	if !exchange.snapshot.Ranked(exchange.service) {
+		return dispatch.Crowd{}, false
+	}
+	return board.Crowded(exchange.pool(), exchange.urgency())
 }
 
 // configured says whether the configuration knows the stream's pool. Callers name models freely, and demand is kept and
--- a/internal/state/configuration/table.go
+++ b/internal/state/configuration/table.go
@@ -13,6 +13,8 @@
 	byHost     map[string][]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	// ranked are the services whose streams the operator gave different priorities.
+	ranked map[string]bool
 }
 
 func index(configuration *Configuration) *Snapshot {
@@ -21,6 +23,7 @@
 		byHost:        map[string][]*Route{},
 		services:      make(map[string]*Service, len(configuration.Services)),
 		workspaces:    make(map[string]*Workspace, len(configuration.Workspaces)),
+		ranked:        ranked(configuration),
 	}
 	for number := range configuration.Routes {
 		route := &configuration.Routes[number]
@@ -102,3 +105,31 @@
 		}
 	}
 }
+
+// ranked returns the services whose streams have different priorities, by their routes or by workspaces.
+func ranked(configuration *Configuration) map[string]bool {
+	anyWorkspace := false
+	for number := range configuration.Workspaces {
+		anyWorkspace = anyWorkspace || configuration.Workspaces[number].HasPriority
+	}
+	first, found := map[string]int{}, map[string]bool{}
+	for number := range configuration.Routes {
+		route := &configuration.Routes[number]
+		if route.Kind != Streaming {
+			continue
+		}
+		for _, service := range route.Services {
+			priority, known := first[service.Name]
+			if !known {
+				first[service.Name] = route.Priority
+			}
+			found[service.Name] = found[service.Name] || anyWorkspace || (known && priority != route.Priority)
+		}
+	}
+	return found
+}
+
+// Ranked says whether the operator gave streams of a service different priorities.
+func (snapshot *Snapshot) Ranked(service string) bool {
+	return snapshot.ranked[service]
+}
