feat(forward): shed streams and unanswered calls are counted and shown

A stream that load shedding refused couldn't be told from one that found no place, and an open breaker not be seen. The cause in a request's line names the rank that is shed, Counters.Shed and Unanswered count both, and Broken in the targets of /state says that a breaker is open.

--- a/internal/policy/dispatch/breaker_test.go
+++ b/internal/policy/dispatch/breaker_test.go
@@ -98,7 +98,9 @@
 		time.Sleep(time.Second)
 		expect.Expect(target.Broke(lastSent)).To(gomega.Equal(1))
 		expect.Expect(target.Broke(lastSent)).To(gomega.Equal(2))
+		expect.Expect(board.State()[pool][0].Broken).To(gomega.BeTrue())
 		target.Heard()
+		expect.Expect(board.State()[pool][0].Broken).To(gomega.BeFalse())
 		expect.Expect(target.Broke(0)).To(gomega.BeZero())
 	})
 }
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -309,9 +309,9 @@
 	// Slots are its places, Mine and Others the calls under way there from this node
 	// and from all others, Unread the prompt tokens of those without an event.
 	Slots, Mine, Others, Unread int
-	// Avoided says that new calls are kept off it after failures, BacksOff and Draining that
-	// they are since its server wants none.
-	Avoided, BacksOff, Draining bool
+	// Avoided says that new calls are kept off it after failures, Broken that its circuit breaker is
+	// open, BacksOff and Draining that they are since its server wants none.
+	Avoided, Broken, BacksOff, Draining bool
 	// Drained says that its data centre is drained, Cold that it bears few calls as yet.
 	Drained, Cold bool
 }
@@ -325,7 +325,7 @@
 			states[name] = append(states[name], TargetState{
 				Server: target.ID, Address: target.Address, Group: target.Group, DataCentre: target.DataCentre, Slots: target.Slots,
 				Mine: int(target.mine.Load()), Others: int(target.peers.Load()),
-				Unread: int(target.unread.Load() + target.peersUnread.Load()), Avoided: target.Avoided(now),
+				Unread: int(target.unread.Load() + target.peersUnread.Load()), Avoided: target.Avoided(now), Broken: target.breaker.open(now),
 				BacksOff: !target.record.Draining() && !target.record.Takes(now), Draining: target.record.Draining(),
 				Drained: target.drain.Drained(), Cold: target.cold(now),
 			})
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -124,7 +124,7 @@
 	return map[string]uint64{
 		"Requests": node.forwarder.Counts.Requests.Load(), "Repeats": node.forwarder.Counts.Repeats.Load(),
 		"Quarantined": node.forwarder.Counts.Quarantined.Load(), "ServerEnds": node.forwarder.Counts.ServerEnds.Load(),
-		"Limited": node.forwarder.Counts.Limited.Load(), "BackedOff": node.forwarder.Counts.BackedOff.Load(), "LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
+		"Limited": node.forwarder.Counts.Limited.Load(), "BackedOff": node.forwarder.Counts.BackedOff.Load(), "Shed": node.forwarder.Counts.Shed.Load(), "Unanswered": node.forwarder.Counts.Unanswered.Load(), "LimitsLearnt": node.limits.Counts.Learnt.Load(), "LimitsUnreadable": node.limits.Counts.Unreadable.Load(),
 		"BackoffsLearnt": node.notices.Counts.Backoffs.Load(), "BackoffsHinted": node.notices.Counts.Hints.Load(), "BackoffsUnreadable": node.notices.Counts.Unreadable.Load(),
 		"DrainsLearnt": node.notices.Counts.Drains.Load(), "CallsWithheld": node.notices.Counts.Withheld.Load(),
 		"GroupsFormed": formed.Formed.Load(), "GroupsAbandoned": formed.Abandoned.Load(), "GroupsLost": formed.Lost.Load(),
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -106,6 +106,10 @@
 	Limited    atomic.Uint64
 	BackedOff  atomic.Uint64
 	ServerEnds atomic.Uint64
+	// Shed are the streams that were refused since their pool can't run all that is asked of it and
+	// others go first, Unanswered the calls whose connection was closed before any answer.
+	Shed       atomic.Uint64
+	Unanswered atomic.Uint64
 }
 
 // Forwarder is an http.Handler.
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -133,8 +133,11 @@
 	}
 	exchange.arrivals++
 	exchange.ran()
-	if closedUnanswered(err) && !exchange.gone() && !leg.use.Moved() && target.Broke(leg.sent) >= dispatch.BreaksTold {
-		exchange.forwarder.Failed(target, "")
+	if closedUnanswered(err) && !exchange.gone() && !leg.use.Moved() {
+		exchange.forwarder.Counts.Unanswered.Add(1)
+		if target.Broke(leg.sent) >= dispatch.BreaksTold {
+			exchange.forwarder.Failed(target, "")
+		}
 	}
 	exchange.note(leg, true)
 	exchange.noteEnd(leg, err)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -28,6 +28,8 @@
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
 	if exchange.crowded() {
+		exchange.forwarder.Counts.Shed.Add(1)
+		exchange.cause = "streams of rank " + strconv.Itoa(exchange.urgency()) + " are shed"
 		exchange.noTarget(nil, dispatch.Full)
 		exchange.end()
 		return
