--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -31,7 +31,9 @@
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
 	if crowd, refused := exchange.crowded(); refused {
-		exchange.cause = fmt.Sprintf("the pool takes %.0f calls a second, %.0f are asked for, of which %.0f go first", crowd.Takes, crowd.Asked, crowd.Before)
+		exchange.forwarder.Counts.Shed.Add(1)
+		exchange.cause = fmt.Sprintf("streams of rank %d are shed: the pool takes %.0f calls a second, %.0f are asked for, of which %.0f go first",
+			exchange.urgency(), crowd.Takes, crowd.Asked, crowd.Before)
 		exchange.noSlot(nil, dispatch.Full)
 		exchange.end()
 		return
@@ -66,14 +68,14 @@
 
 // crowded counts the stream as demand, and says whether its pool is asked for more than it can run and other streams go
 // first. Only an operator who gives streams different priorities says which are refused so that others are in time;
-// elsewhere they wait at the servers.
+// elsewhere they wait at the servers. A caller that has a part of its answer isn't refused the rest.
 func (exchange *exchange) crowded() (dispatch.Crowd, bool) {
 	if !exchange.configured() {
 		return dispatch.Crowd{}, false
 	}
 	board := exchange.forwarder.Board
 	board.Asked(exchange.pool(), exchange.urgency())
-	if !exchange.snapshot.Ranked(exchange.service) {
+	if !exchange.snapshot.Ranked(exchange.service) || exchange.request.Continues {
 		return dispatch.Crowd{}, false
 	}
 	return board.Crowded(exchange.pool(), exchange.urgency())
