fix(forward): a caller that hangs gives its place at a server back when its time is up

Cause: the timer that ends a call is noticed only when the server is read again, which waits for as long as the caller is written to. Its place, and the server's, stayed taken until the write ended. Change: when a call's time is up while its caller is written to, its place is given back and the server's connection closed at once, and the target isn't blamed for it. Measured: TestHungCallerKeepsNoPlaceBeyondItsTime fails without the change and passes with it, also with the race detector.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -304,6 +304,11 @@
 	_ = reply.conn.SetReadDeadline(deadline)
 }
 
+// Abort closes the connection. It may be called from another goroutine, before Close.
+func (reply *Reply) Abort() {
+	reply.conn.Close()
+}
+
 // Close gives the connection back if the whole body was read, else ends it,
 // at which most servers stop working on the call.
 func (reply *Reply) Close() {
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -14,7 +14,11 @@
 	// tag tells what the call asks.
 	tag     uint64
 	running atomic.Bool
-	moved   atomic.Bool
+	// held says that the caller is being written to.
+	held atomic.Bool
+	// over says that the call was uncounted.
+	over  atomic.Bool
+	moved atomic.Bool
 	// withdrawn says that the call was ended for what it asks.
 	withdrawn atomic.Bool
 	// end stops the call from another goroutine.
@@ -48,12 +52,23 @@
 // Hold tells that the call's caller is being written to. Until Resume, no event can be
 // read, which says nothing of the target: a caller may read slowly.
 func (use *Use) Hold() {
+	if use.over.Load() || use.held.Swap(true) {
+		return
+	}
 	use.load.held.Add(1)
 }
 
+// Held says whether the call's caller is being written to.
+func (use *Use) Held() bool {
+	return use.held.Load()
+}
+
 // Resume tells that the caller has taken what it was written.
 func (use *Use) Resume() {
 	load := use.load
+	if !use.held.Swap(false) {
+		return
+	}
 	if held := load.held.Add(-1); load.running.Load()-held == 1 {
 		// Nothing was read of the target for as long as all its streams were held back.
 		load.progress.Store(int64(load.now()))
@@ -74,7 +89,11 @@
 		return
 	}
 	delete(load.uses, use)
+	use.over.Store(true)
 	load.mine.Add(-1)
+	if use.held.Swap(false) {
+		load.held.Add(-1)
+	}
 	if use.running.Load() {
 		load.running.Add(-1)
 		return
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +34,8 @@
 	patience *time.Timer
 	// sent is when the call was begun, admitted when it was about to be written.
 	sent, admitted time.Duration
+	// overdue says that its time was up while the caller was being written to.
+	overdue atomic.Bool
 	// withheld says that it wasn't, since the server wants no calls.
 	withheld bool
 }
@@ -52,6 +55,17 @@
 	}
 }
 
+// expire ends a call that has taken as long as it may. While its caller is being written to, which
+// may take much longer, nothing notices that; its place at the server is given back at once.
+func (leg *leg) expire() {
+	leg.ender.end()
+	if leg.use.Held() {
+		leg.overdue.Store(true)
+		leg.Abort()
+		leg.use.End()
+	}
+}
+
 // ender ends a call from another goroutine, also one that is yet to be sent.
 type ender struct {
 	mu    sync.Mutex
@@ -103,7 +117,7 @@
 	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
 	leg := &leg{target: target, ender: &ender{}, sent: exchange.forwarder.Now()}
 	leg.use = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), leg.ender.end)
-	leg.patience = time.AfterFunc(within, leg.ender.end)
+	leg.patience = time.AfterFunc(within, leg.expire)
 	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
 	call.Cancel, call.Heard = leg.ender.set, exchange.hear(leg)
 	call.Admit = exchange.admitLeg(leg)
@@ -148,7 +162,7 @@
 
 // note tells how a call ended, unless that says nothing of its server.
 func (exchange *exchange) note(leg *leg, failed bool) {
-	if failed && (exchange.gone() || leg.use.Moved() || leg.use.Withdrawn()) {
+	if failed && (exchange.gone() || leg.overdue.Load() || leg.use.Moved() || leg.use.Withdrawn()) {
 		return
 	}
 	leg.target.Note(failed)
--- a/internal/serve/forward/memory_test.go
+++ b/internal/serve/forward/memory_test.go
@@ -289,6 +289,35 @@
 	})
 }
 
+// Guards against a caller that hangs and keeps its place at a server after its time is up.
+func TestHungCallerKeepsNoPlaceBeyondItsTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		ended := make(chan struct{})
+		rig := newRig(t, megabyte, func(writer http.ResponseWriter, request *http.Request) {
+			defer close(ended)
+			_, _ = io.Copy(io.Discard, request.Body)
+			for id := 0; request.Context().Err() == nil; id++ {
+				if _, err := fmt.Fprintf(writer, "id: %d\ndata: x\n\n", id); err != nil {
+					return
+				}
+				_ = http.NewResponseController(writer).Flush()
+			}
+		})
+		conn, err := rig.wires.Dialer("caller")(context.Background(), "tcp", nodeAddress)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		_, _ = io.WriteString(conn, "POST /draft/1 HTTP/1.1\r\nHost: h.example\r\nId: a\r\nKey: key-0\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(routeTimeout - 100*time.Millisecond)
+		taken := func() int { return rig.board.State()[forward.PoolName("writers", "m")][0].Mine }
+		expect.Expect(taken()).To(gomega.Equal(1))
+		time.Sleep(200 * time.Millisecond)
+		expect.Expect(taken()).To(gomega.BeZero())
+		<-ended
+		conn.Close()
+		expect.Expect(rig.end()).To(gomega.BeZero())
+	})
+}
+
 // Guards against bytes that stay counted, or a place that stays taken, whoever breaks off and when.
 func TestRandomEndsLeaveNothingHeld(t *testing.T) {
 	for round := range suite.Rounds(4) {
