--- a/internal/fleet/formation/work.go
+++ b/internal/fleet/formation/work.go
@@ -116,6 +116,9 @@
 		work[model.Name] = needed * float64(model.Size) / float64(max(1, service.Engine.Slots))
 		full[model.Name] = needed >= saturated*float64(usage.Places)
 		places := float64(max(1, usage.Places))
+		if usage.Places == 0 {
+			places = float64(max(1, service.Engine.Slots))
+		}
 		part[model.Name] = min(1, float64(usage.Taken)/places) + (needed-float64(usage.Taken))/places
 	}
 	held = held.next(work, full, part, now)
--- a/internal/policy/demand/demand_test.go
+++ b/internal/policy/demand/demand_test.go
@@ -31,7 +31,7 @@
 	expect.Expect(rates.Asked[1]).To(gomega.BeNumerically("~", 100, 3))
 	expect.Expect(rates.Asked[0]).To(gomega.BeZero())
 	expect.Expect(rates.Refused).To(gomega.BeNumerically("~", 25, 2))
-	*now += 500 * time.Millisecond
+	*now += 250 * time.Millisecond
 	rates, _ = held.Rates(pool)
 	expect.Expect(rates.Asked[1]).To(gomega.BeNumerically("~", 37, 2))
 }
--- a/internal/policy/dispatch/breaker.go
+++ b/internal/policy/dispatch/breaker.go
@@ -30,13 +30,16 @@
 	unanswered atomic.Int32
 	openUntil  atomic.Int64
 	answeredAt atomic.Int64
+	brokeAt    atomic.Int64
 }
 
-// broke notes a call, sent at a time, that got no answer, and returns how many there were in a row.
-func (breaker *breaker) broke(sent, now time.Duration) int {
-	if time.Duration(breaker.answeredAt.Load()) > sent {
+// note notes a call, sent at a time, that got no answer, and returns how many there were in a row. Calls that one reset
+// ended together count once.
+func (breaker *breaker) note(sent, now time.Duration) int {
+	if time.Duration(max(breaker.answeredAt.Load(), breaker.brokeAt.Load())) > sent {
 		return 0
 	}
+	breaker.brokeAt.Store(int64(now))
 	count := breaker.unanswered.Add(1)
 	span := breakMost
 	if count < 5 {
@@ -58,10 +61,10 @@
 	return time.Duration(breaker.openUntil.Load()) > now
 }
 
-// Broke tells that the connection of a call, sent at a time, was closed before any answer. It
+// Unanswered tells that the connection of a call, sent at a time, was closed before any answer. It
 // returns how many calls in a row ended so.
-func (target *Target) Broke(sent time.Duration) int {
-	return target.breaker.broke(sent, target.now())
+func (target *Target) Unanswered(sent time.Duration) int {
+	return target.breaker.note(sent, target.now())
 }
 
 // trustBreakers says whether calls pass by targets whose breakers are open: not where that is so
--- a/internal/policy/dispatch/breaker_test.go
+++ b/internal/policy/dispatch/breaker_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"math"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,7 +12,7 @@
 )
 
 // lastSent is after every answer: the call that ends was sent after them.
-const lastSent = time.Hour
+const lastSent = time.Duration(math.MaxInt64)
 
 // Guards against a head that resets all its calls and so looks like the emptiest of all groups.
 func TestHeadThatResetsItsCallsIsPassedBy(t *testing.T) {
@@ -23,7 +24,7 @@
 			target := pick(board)
 			use := target.Begin(700, 0, func() {})
 			if target.ID == "a" {
-				target.Broke(lastSent)
+				target.Unanswered(lastSent)
 				reset["a"]++
 			} else {
 				target.Heard()
@@ -45,7 +46,7 @@
 		for _, id := range []string{"a", "b", "c"} {
 			for {
 				if target := pick(board); target.ID == id {
-					target.Broke(lastSent)
+					target.Unanswered(lastSent)
 					break
 				}
 			}
@@ -57,9 +58,9 @@
 
 // refused says whether the next call would be shed.
 func refused(board *dispatch.Board) bool {
+	_, shed := board.Sheds(pool, 0, dispatch.Wish{})
 	board.Asked(pool, 0)
-	_, refused := board.Crowded(pool, 0)
-	return refused
+	return shed
 }
 
 // Guards against load shedding that refuses all calls of a pool none of whose targets is open: after a reset of
@@ -76,7 +77,7 @@
 		for broken := map[string]bool{}; len(broken) < len(specs); {
 			target := pick(board)
 			if !broken[target.ID] {
-				target.Broke(lastSent)
+				target.Unanswered(lastSent)
 			}
 			broken[target.ID] = true
 		}
@@ -103,11 +104,11 @@
 		board := newBoard(head("a"))
 		target := pick(board)
 		time.Sleep(time.Second)
-		expect.Expect(target.Broke(lastSent)).To(gomega.Equal(1))
-		expect.Expect(target.Broke(lastSent)).To(gomega.Equal(2))
+		expect.Expect(target.Unanswered(lastSent)).To(gomega.Equal(1))
+		expect.Expect(target.Unanswered(lastSent)).To(gomega.Equal(2))
 		expect.Expect(board.State()[pool][0].Broken).To(gomega.BeTrue())
 		target.Heard()
 		expect.Expect(board.State()[pool][0].Broken).To(gomega.BeFalse())
-		expect.Expect(target.Broke(0)).To(gomega.BeZero())
+		expect.Expect(target.Unanswered(0)).To(gomega.BeZero())
 	})
 }
--- a/internal/policy/dispatch/burst_test.go
+++ b/internal/policy/dispatch/burst_test.go
@@ -200,8 +200,9 @@
 func (model *burstModel) call(one *work, patience time.Duration) {
 	if one.came == model.at {
 		model.asked[model.window()]++
+		_, shed := model.boards[one.node].Sheds(pool, 0, dispatch.Wish{})
 		model.boards[one.node].Asked(pool, 0)
-		if _, refused := model.boards[one.node].Crowded(pool, 0); refused && model.sheds {
+		if shed && model.sheds {
 			model.refused[int(one.came/(2*time.Second))*2]++
 			return
 		}
--- a/internal/policy/dispatch/pace.go
+++ b/internal/policy/dispatch/pace.go
@@ -97,7 +97,7 @@
 	reading := target.reading()
 	before := time.Duration(use.eventAt.Swap(int64(now)))
 	readBefore := time.Duration(use.reading.Swap(int64(reading)))
-	if before == 0 || use.held.Swap(false) {
+	if before == 0 || use.callerSlow.Swap(false) {
 		return
 	}
 	expected := target.Pass - time.Duration(max(0, target.Slots-target.Taken()))*target.PerCall
@@ -108,7 +108,7 @@
 // PassedOn tells how long passing the last event on to the caller took.
 func (use *Use) PassedOn(took time.Duration) {
 	if took > use.target.Pass/passedOnPart {
-		use.held.Store(true)
+		use.callerSlow.Store(true)
 	}
 }
 
--- a/internal/policy/dispatch/pace_test.go
+++ b/internal/policy/dispatch/pace_test.go
@@ -275,8 +275,9 @@
 		refused := func() int {
 			count := 0
 			for range 400 {
+				_, shed := board.Sheds(pool, 0, dispatch.Wish{})
 				board.Asked(pool, 0)
-				if _, shed := board.Crowded(pool, 0); shed {
+				if shed {
 					count++
 				}
 				time.Sleep(5 * time.Millisecond)
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -21,6 +21,8 @@
 	Urgency int
 	// anywhere also takes data centres that are not reached.
 	anywhere bool
+	// broken also takes targets whose breakers are open.
+	broken bool
 	// Proven asks for a group whose streams this node has just seen going on,
 	// if there is one with a place. A stream that was moved has mostly one more
 	// attempt: servers are lost several at a time, and an idle group beside the
@@ -69,8 +71,11 @@
 	if !ok || len(filled.targets) == 0 {
 		return nil, None
 	}
-	costs, usable := wish.costs(filled.targets, board.now(), board.coldPart)
+	costs, usable, broken := wish.costs(filled.targets, board.now(), board.coldPart)
 	switch {
+	case usable == 0 && broken > 0:
+		wish.broken = true
+		return board.Pick(name, wish)
 	case usable == 0 && !wish.anywhere:
 		wish.anywhere = true
 		return board.Pick(name, wish)
@@ -81,19 +86,20 @@
 }
 
 // costs returns what each target costs, never for those that can't be chosen, and how many
-// could be if they had a place.
-func (wish *Wish) costs(targets []*Target, now time.Duration, part func(target *Target) int) (costs []time.Duration, usable int) {
+// could be if they had a place. Those whose breakers are open are counted apart.
+func (wish *Wish) costs(targets []*Target, now time.Duration, part func(target *Target) int) (costs []time.Duration, usable, broken int) {
 	costs = make([]time.Duration, len(targets))
-	trusted := trustBreakers(targets, now)
+	trusted := !wish.broken && trustBreakers(targets, now)
 	for number, target := range targets {
 		costs[number] = never
 		if target.closed(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) || (!wish.anywhere && target.reach.away()) {
 			continue
 		}
-		usable++
 		if trusted && target.breaker.open(now) {
+			broken++
 			continue
 		}
+		usable++
 		if target.Taken() >= target.Slots+wish.Beyond || (target.cold(now) && !target.warmup.Open(now, part(target))) {
 			continue
 		}
@@ -105,7 +111,7 @@
 			costs[number] += unproven
 		}
 	}
-	return costs, usable
+	return costs, usable, broken
 }
 
 // allows says whether the call may go to the target's region.
--- a/internal/policy/dispatch/crowding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -23,8 +23,8 @@
 	// filledTo is the part of a pool's places that admission aims at. Calls are never spread quite
 	// evenly: at an average of all places, calls of the fuller groups wait for one and miss their target.
 	filledTo = 0.94
-	// crowdedFrom is the part of a pool's places that is taken before any call is refused.
-	crowdedFrom = 0.8
+	// shedFrom is the part of a pool's places that is taken before any call is refused.
+	shedFrom = 0.8
 )
 
 // admitted returns the part of the calls of a rank that may be sent where a pool takes so many
@@ -40,13 +40,14 @@
 	return max(0, capacity/max(1e-9, rates[rank]))
 }
 
-// takes is how many calls a second the targets take of all nodes together: as many as end there, and those
-// for which places are free up to the part that is aimed at, less those that are beyond it. It is without bound while too few
-// places are taken for any call to be refused, and where no target is open: then the choice of a target says why.
-func (board *Board) takes(targets []*Target, now time.Duration) float64 {
+// capacity is how many calls a second the targets that a call may use can begin, for all nodes together: as many
+// as end there, and those for which places are free up to the part that is aimed at, less those that are beyond it. It is without
+// bound while too few places are taken for any call to be refused, and where no target is open: then the choice
+// of a target says why.
+func (board *Board) capacity(targets []*Target, now time.Duration, wish *Wish) float64 {
 	perSecond, taken, slots, trusted := 0.0, 0, 0.0, trustBreakers(targets, now)
 	for _, target := range targets {
-		if target.closed(now) || (trusted && target.breaker.open(now)) || target.reach.away() {
+		if target.closed(now) || (trusted && target.breaker.open(now)) || target.reach.away() || !wish.allows(target) {
 			continue
 		}
 		calls := target.Taken()
@@ -59,41 +60,44 @@
 		taken, slots = taken+calls, slots+float64(target.Slots)-unused
 		perSecond += target.endsPerSecond() + free/correctedOver.Seconds()
 	}
-	if slots == 0 || float64(taken) < crowdedFrom*slots {
+	if slots == 0 || float64(taken) < shedFrom*slots {
 		return math.Inf(1)
 	}
 	return perSecond
 }
 
-// Crowd is why a call was refused in place of being sent.
-type Crowd struct {
-	// Takes is how many calls a second the pool takes of all nodes, Asked how many are asked of it, and Before
-	// how many of these go first.
-	Takes, Asked, Before float64
+// Overload is why a call is refused in place of being sent.
+type Overload struct {
+	// Capacity is how many calls a second the pool can begin, Asked how many are asked of it by all nodes, and
+	// Before how many of these go first.
+	Capacity, Asked, Before float64
 }
 
-// Crowded says whether a call of a rank that was just asked for should be refused, since the pool can't run all
-// that is asked for.
-func (board *Board) Crowded(name string, rank int) (Crowd, bool) {
+// Sheds says whether a call of a rank should be refused, since its pool can't run all that is asked of it. It
+// is to be asked before the call itself is counted: one call is no burst.
+func (board *Board) Sheds(name string, rank int, wish Wish) (Overload, bool) {
 	filled, ok := board.pool(name)
 	if !ok || len(filled.targets) == 0 || filled.targets[0].PerPrompt == 0 {
-		return Crowd{}, false
+		return Overload{}, false
 	}
 	rates, known := board.demand.Rates(name)
 	if !known {
 		rates = rates.Times(float64(max(1, board.counted())))
 	}
-	crowd := Crowd{Takes: board.takes(filled.targets, board.now())}
+	overload := Overload{Capacity: board.capacity(filled.targets, board.now(), &wish)}
 	for number, rate := range rates.Asked {
-		crowd.Asked += rate
+		overload.Asked += rate
 		if number < rank {
-			crowd.Before += rate
+			overload.Before += rate
 		}
 	}
-	part := admitted(rates.Asked, rank, crowd.Takes)
-	return crowd, part < 1 && float64(board.random(1<<20))/(1<<20) >= part
+	part := admitted(rates.Asked, rank, overload.Capacity)
+	return overload, part < 1 && float64(board.random(draws))/draws >= part
 }
 
+// draws is how finely shares are drawn.
+const draws = 1 << 20
+
 // Asked counts a call of a rank that a pool is asked for.
 func (board *Board) Asked(name string, rank int) {
 	board.demand.Asked(name, rank)
--- a/internal/policy/dispatch/spread.go
+++ b/internal/policy/dispatch/spread.go
@@ -20,8 +20,8 @@
 // frames up the tree and two down.
 const countsAge = 120 * time.Millisecond
 
-// crowd is what the calls that are yet to come add to a target's cost.
-type crowd struct {
+// candidate is a target that may be chosen, and what further calls add to its cost.
+type candidate struct {
 	number int
 	cost   time.Duration
 	// each is what a call with a place adds, queued what one beyond the places does.
@@ -30,18 +30,18 @@
 	free, room float64
 }
 
-// takes returns how many calls bring the target's cost to a level.
-func (crowd *crowd) takes(level time.Duration) float64 {
-	above := float64(level - crowd.cost)
+// callsTo returns how many calls bring the target's cost to a level.
+func (candidate *candidate) callsTo(level time.Duration) float64 {
+	above := float64(level - candidate.cost)
 	if above <= 0 {
 		return 0
 	}
-	calls := above / crowd.each
-	if calls <= crowd.free {
+	calls := above / candidate.each
+	if calls <= candidate.free {
 		return calls
 	}
-	above -= crowd.free * crowd.each
-	return min(crowd.free+above/crowd.queued, crowd.free+crowd.room)
+	above -= candidate.free * candidate.each
+	return min(candidate.free+above/candidate.queued, candidate.free+candidate.room)
 }
 
 // unseen is how many calls other nodes are expected to have sent to the targets since the
@@ -58,9 +58,12 @@
 	return perSecond * countsAge.Seconds() * float64(nodes-1) / float64(nodes)
 }
 
+// bisections is how often the level is halved, which leaves less than a call.
+const bisections = 24
+
 // spread draws a target among those whose cost isn't never, and returns its place, -1 for none.
 func (board *Board) spread(targets []*Target, costs []time.Duration, beyond int) int {
-	crowds := make([]crowd, 0, len(targets))
+	candidates := make([]candidate, 0, len(targets))
 	lowest, highest := time.Duration(math.MaxInt64), time.Duration(0)
 	for number, cost := range costs {
 		if cost == never {
@@ -70,43 +73,43 @@
 		taken := float64(target.Taken())
 		free := max(0, float64(target.Slots)-taken)
 		room := max(0, float64(target.Slots+beyond)-taken-free)
-		crowds = append(crowds, crowd{
+		candidates = append(candidates, candidate{
 			number: number, cost: cost, free: free, room: room,
 			each: max(1, float64(target.slowed(target.PerCall+target.PerPrompt))), queued: max(1, float64(target.slowed(target.turnover()))),
 		})
 		lowest, highest = min(lowest, cost), max(highest, cost)
 	}
-	if len(crowds) == 0 {
+	if len(candidates) == 0 {
 		return -1
 	}
 	calls := board.unseen(targets) + 1
 	low, high := lowest, highest+time.Duration(calls)*time.Second
-	for range 24 {
+	for range bisections {
 		level := low + (high-low)/2
-		if total(crowds, level) < calls {
+		if total(candidates, level) < calls {
 			low = level
 		} else {
 			high = level
 		}
 	}
-	sum := total(crowds, high)
+	sum := total(candidates, high)
 	if sum <= 0 {
-		return crowds[0].number
+		return candidates[0].number
 	}
-	drawn := float64(board.random(1<<20)) / (1 << 20) * sum
-	for number := range crowds {
-		drawn -= crowds[number].takes(high)
+	drawn := float64(board.random(draws)) / draws * sum
+	for number := range candidates {
+		drawn -= candidates[number].callsTo(high)
 		if drawn < 0 {
-			return crowds[number].number
+			return candidates[number].number
 		}
 	}
-	return crowds[len(crowds)-1].number
+	return candidates[len(candidates)-1].number
 }
 
-func total(crowds []crowd, level time.Duration) float64 {
+func total(candidates []candidate, level time.Duration) float64 {
 	sum := 0.0
-	for number := range crowds {
-		sum += crowds[number].takes(level)
+	for number := range candidates {
+		sum += candidates[number].callsTo(level)
 	}
 	return sum
 }
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -23,10 +23,10 @@
 	// withdrawn says that the call was ended for what it asks.
 	withdrawn atomic.Bool
 	// eventAt is when the last event came, reading how long the target's prompts should have taken by
-	// then, and held says that the caller was slow to take it.
-	eventAt atomic.Int64
-	reading atomic.Int64
-	held    atomic.Bool
+	// then, and callerSlow says that the caller was slow to take it.
+	eventAt    atomic.Int64
+	reading    atomic.Int64
+	callerSlow atomic.Bool
 	// end stops the call from another goroutine.
 	end func()
 }
--- a/internal/run/gateway/callers.go
+++ b/internal/run/gateway/callers.go
@@ -74,6 +74,15 @@
 	}
 }
 
+// CloseWrite ends what is written to the caller, as the connection itself does: an answer to a body that isn't
+// read to its end is followed by that.
+func (conn *callerConn) CloseWrite() error {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		return tcp.CloseWrite()
+	}
+	return nil
+}
+
 // unknown stands for a count of bytes that can't be had.
 const unknown = -1
 
--- a/internal/run/gateway/demands.go
+++ b/internal/run/gateway/demands.go
@@ -94,11 +94,12 @@
 	peers.mu.Lock()
 	others := peers.sumsLocked().demands.others
 	peers.mu.Unlock()
-	peers.knowDemands(others, len(others) > 0)
+	peers.knowDemands(others, true)
 }
 
-// knowDemands puts sums of other nodes in force. A node that is told of no demand at all is alone, or attached to one
-// that has only just started: its own rates and the number of nodes are the better guess.
+// knowDemands puts sums of other nodes in force. A leaf that is told of no demand at all is attached to a node that has
+// only just started: its own rates and the number of nodes are the better guess. A relay or root hears of the others'
+// demand itself, and none is an answer.
 func (peers *peers) knowDemands(others demand.Sums, told bool) {
 	if !told {
 		others = nil
--- a/internal/serve/forward/demand_test.go
+++ b/internal/serve/forward/demand_test.go
@@ -29,8 +29,8 @@
 func TestStreamsWithoutASlotCountAsDemand(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	exchange, held := counted("large")
-	_, refused := exchange.crowded()
-	expect.Expect(refused).To(gomega.BeFalse())
+	_, shed := exchange.sheds()
+	expect.Expect(shed).To(gomega.BeFalse())
 	exchange.noSlot(nil, dispatch.None)
 	expect.Expect(held.Counts.Asked.Load()).To(gomega.BeNumerically("==", 1))
 	expect.Expect(held.Counts.Refused.Load()).To(gomega.BeNumerically("==", 1))
@@ -43,8 +43,8 @@
 func TestModelsThatNothingServesAreNoDemand(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	exchange, held := counted("made up")
-	_, refused := exchange.crowded()
-	expect.Expect(refused).To(gomega.BeFalse())
+	_, shed := exchange.sheds()
+	expect.Expect(shed).To(gomega.BeFalse())
 	exchange.noSlot(nil, dispatch.None)
 	expect.Expect(held.Own()).To(gomega.BeEmpty())
 }
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -149,7 +149,7 @@
 	exchange.ran()
 	if closedUnanswered(err) && !exchange.gone() && !leg.use.Moved() {
 		exchange.forwarder.Counts.Unanswered.Add(1)
-		if target.Broke(leg.sent) >= dispatch.BreaksTold {
+		if target.Unanswered(leg.sent) >= dispatch.BreaksTold {
 			exchange.forwarder.Failed(target, "")
 		}
 	}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -30,10 +30,11 @@
 
 // stream serves a request whose answer is a series of events.
 func (exchange *exchange) stream() {
-	if crowd, refused := exchange.crowded(); refused {
+	if overload, shed := exchange.sheds(); shed {
 		exchange.forwarder.Counts.Shed.Add(1)
-		exchange.cause = fmt.Sprintf("streams of rank %d are shed: the pool takes %.0f calls a second, %.0f are asked for, of which %.0f go first",
-			exchange.urgency(), crowd.Takes, crowd.Asked, crowd.Before)
+		exchange.cause = fmt.Sprintf("streams of rank %d are shed: the pool can begin %.0f calls a second, %.0f are asked for, of which %.0f go first",
+			exchange.urgency(), overload.Capacity, overload.Asked, overload.Before)
+		exchange.again = min(retryNone, exchange.left()/retryPart)
 		exchange.noSlot(nil, dispatch.Full)
 		exchange.end()
 		return
@@ -66,19 +67,19 @@
 	}
 }
 
-// crowded counts the stream as demand, and says whether its pool is asked for more than it can run and other streams go
-// first. Only an operator who gives streams different priorities says which are refused so that others are in time;
-// elsewhere they wait at the servers. A caller that has a part of its answer isn't refused the rest.
-func (exchange *exchange) crowded() (dispatch.Crowd, bool) {
+// sheds counts the stream as demand, and says whether it is refused since its pool is asked for more than it can run and
+// other streams go first. Only an operator who gives streams different priorities says which are refused so that
+// others are in time; elsewhere they wait at the servers. A caller that has a part of its answer isn't refused the rest.
+func (exchange *exchange) sheds() (dispatch.Overload, bool) {
 	if !exchange.configured() {
-		return dispatch.Crowd{}, false
+		return dispatch.Overload{}, false
 	}
-	board := exchange.forwarder.Board
-	board.Asked(exchange.pool(), exchange.urgency())
+	board, pool, rank := exchange.forwarder.Board, exchange.pool(), exchange.urgency()
+	defer board.Asked(pool, rank)
 	if !exchange.snapshot.Ranked(exchange.service) || exchange.request.Continues {
-		return dispatch.Crowd{}, false
+		return dispatch.Overload{}, false
 	}
-	return board.Crowded(exchange.pool(), exchange.urgency())
+	return board.Sheds(pool, rank, dispatch.Wish{Regions: exchange.regions})
 }
 
 // configured says whether the configuration knows the stream's pool. Callers name models freely, and demand is kept and
--- a/internal/state/configuration/table.go
+++ b/internal/state/configuration/table.go
@@ -1,6 +1,7 @@
 package configuration
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -108,27 +109,47 @@
 
 // ranked returns the services whose streams have different priorities, by their routes or by workspaces.
 func ranked(configuration *Configuration) map[string]bool {
-	anyWorkspace := false
-	for number := range configuration.Workspaces {
-		anyWorkspace = anyWorkspace || configuration.Workspaces[number].HasPriority
-	}
 	first, found := map[string]int{}, map[string]bool{}
+	note := func(service string, priority int) {
+		if earlier, known := first[service]; known {
+			found[service] = found[service] || earlier != priority
+			return
+		}
+		first[service] = priority
+	}
 	for number := range configuration.Routes {
 		route := &configuration.Routes[number]
 		if route.Kind != Streaming {
 			continue
 		}
-		for _, service := range route.Services {
-			priority, known := first[service.Name]
-			if !known {
-				first[service.Name] = route.Priority
+		for _, priority := range configuration.priorities(route) {
+			for _, service := range route.Services {
+				note(service.Name, priority)
 			}
-			found[service.Name] = found[service.Name] || anyWorkspace || (known && priority != route.Priority)
 		}
 	}
 	return found
 }
 
+// priorities are those that streams of a route may have.
+func (configuration *Configuration) priorities(route *Route) []int {
+	if route.Anonymous || len(configuration.Workspaces) == 0 {
+		return []int{route.Priority}
+	}
+	priorities := []int{}
+	for number := range configuration.Workspaces {
+		workspace := &configuration.Workspaces[number]
+		priority := route.Priority
+		if workspace.HasPriority {
+			priority = workspace.Priority
+		}
+		if !slices.Contains(priorities, priority) {
+			priorities = append(priorities, priority)
+		}
+	}
+	return priorities
+}
+
 // Ranked says whether the operator gave streams of a service different priorities.
 func (snapshot *Snapshot) Ranked(service string) bool {
 	return snapshot.ranked[service]
