fix(gateway): a caller is cut only after a minute in which it takes nothing

Cause: a kernel tells the sender of freed room only when a part of its buffer is free. With 15 s, a caller that read 2 KB a second was cut after a minute. Change: a minute; what the kernel still holds is compared from the first time-out on.

--- a/internal/run/gateway/callers.go
+++ b/internal/run/gateway/callers.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// callerStall is how long a caller may take nothing at all of what is written to it, twice
-	// as long at the most where the kernel has to be asked: longer than any caller waits for
-	// an answer, so that only those are cut that have given up without closing. Each of them
-	// keeps a place at a server.
-	callerStall = 15 * time.Second
+	// callerStall is how long a caller may take nothing at all of what is written to it. Over
+	// TCP it is some times as long, since the caller's kernel takes a little more now and then.
+	// A kernel tells the sender of freed room only when a part of its buffer is free:
+	// with 15 s a caller that read 2 KB a second was cut.
+	callerStall = time.Minute
 	// callerBuffer bounds what the kernel takes of an answer for a caller that doesn't read;
 	// it may grow to megabytes otherwise, which count for the process's limit as well.
 	callerBuffer = 128 << 10
@@ -58,17 +58,14 @@
 		}
 		n, err := conn.Conn.Write(buffer[written:])
 		written += n
-		switch {
-		case !errors.Is(err, os.ErrDeadlineExceeded) || written == len(buffer):
+		if !errors.Is(err, os.ErrDeadlineExceeded) || written == len(buffer) {
 			return written, err
-		case n > 0:
-			unsent = unknown
-			continue
 		}
 		// The kernel takes more only when a third of its buffer is free, so what it still
 		// holds tells whether a slow caller takes anything.
 		before := unsent
-		if unsent = conn.unsent(); unsent == unknown || (before != unknown && unsent >= before) {
+		unsent = conn.unsent()
+		if n == 0 && (unsent == unknown || (before != unknown && unsent >= before)) {
 			return written, err
 		}
 	}
