--- a/internal/state/configuration/table.go
+++ b/internal/state/configuration/table.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -14,7 +13,7 @@
 	byHost     map[string][]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
-	// ranked are the services whose streams the operator gave different priorities.
+	// ranked are the services whose streaming routes the operator gave different priorities.
 	ranked map[string]bool
 }
 
@@ -107,50 +106,27 @@
 	}
 }
 
-// ranked returns the services whose streams have different priorities, by their routes or by workspaces.
+// ranked returns the services whose streaming routes have different priorities. Priorities of workspaces rank callers
+// of one kind of stream among each other, at the servers.
 func ranked(configuration *Configuration) map[string]bool {
 	first, found := map[string]int{}, map[string]bool{}
-	note := func(service string, priority int) {
-		if earlier, known := first[service]; known {
-			found[service] = found[service] || earlier != priority
-			return
-		}
-		first[service] = priority
-	}
 	for number := range configuration.Routes {
 		route := &configuration.Routes[number]
 		if route.Kind != Streaming {
 			continue
 		}
-		for _, priority := range configuration.priorities(route) {
-			for _, service := range route.Services {
-				note(service.Name, priority)
+		for _, service := range route.Services {
+			priority, known := first[service.Name]
+			if !known {
+				first[service.Name] = route.Priority
 			}
+			found[service.Name] = found[service.Name] || (known && priority != route.Priority)
 		}
 	}
 	return found
 }
 
-// priorities are those that streams of a route may have.
-func (configuration *Configuration) priorities(route *Route) []int {
-	if route.Anonymous || len(configuration.Workspaces) == 0 {
-		return []int{route.Priority}
-	}
-	priorities := []int{}
-	for number := range configuration.Workspaces {
-		workspace := &configuration.Workspaces[number]
-		priority := route.Priority
-		if workspace.HasPriority {
-			priority = workspace.Priority
-		}
-		if !slices.Contains(priorities, priority) {
-			priorities = append(priorities, priority)
-		}
-	}
-	return priorities
-}
-
-// Ranked says whether the operator gave streams of a service different priorities.
+// Ranked says whether the operator gave streaming routes of a service different priorities.
 func (snapshot *Snapshot) Ranked(service string) bool {
 	return snapshot.ranked[service]
 }
