--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -3,8 +3,9 @@
 //
 // A pool is a set of Targets that can do the same work: the heads of the groups
 // of one model, or the servers of a plain service. A call goes where its first
-// event should come soonest, at random among those nearly as good, because all
-// nodes see the same counts late and would rush to the same one. The count of
+// event should come soonest. All nodes see the same counts late and would rush to
+// the same target, so the choice is random: among the servers nearly as good, and among groups in
+// proportion to what each would get of the calls that other nodes are expected to have sent. The count of
 // calls hardly matters until all places are taken: a group that was just opened
 // reads prompts no faster than a busy one, and a rush to it makes its first
 // events late. What is known of a target is what this node has there and what
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -272,8 +272,8 @@
 	}
 }
 
-// callFailed is told of a server that could not be reached, or that refused a
-// call because its group is not whole.
+// callFailed is told of a server that could not be reached, that reset calls, or that refused one
+// because its group is not whole. It is told up the tree, where the node that gives orders asks its members.
 func (node *Node) callFailed(target *dispatch.Target, culprit string) {
 	if target.Group == "" {
 		return
@@ -281,7 +281,7 @@
 	if !node.peers.freshSilence(target.Group) {
 		return
 	}
-	node.logger.Warn("gateway: a group refused a call.", "Group", target.Group, "Head", target.ID, "Culprit", culprit)
+	node.logger.Warn("gateway: a group did not take a call.", "Group", target.Group, "Head", target.ID, "Culprit", culprit)
 	node.former.Suspect(target.ID, target.Group)
 	node.peers.tellSilence(&frame.SilentHead{Server: target.ID, Group: target.Group}, nil)
 }
