--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -280,24 +280,6 @@
 	return held
 }
 
-// nodes is how many nodes share the fleet's budgets, this one included.
-func (peers *peers) nodes() int {
-	return peers.census.most(peers.node.now())
-}
-
-// noteNodes takes a count of nodes, this one included.
-func (peers *peers) noteNodes(nodes int, now time.Duration) {
-	peers.census.note(nodes, now)
-	peers.counted.Store(int64(nodes))
-}
-
-// count is how many nodes there are now by what this one hears, itself included.
-func (peers *peers) count() int {
-	peers.mu.Lock()
-	defer peers.mu.Unlock()
-	return peers.sumsLocked().nodes
-}
-
 // busy says whether any other node has calls under way.
 func (peers *peers) busy() bool {
 	peers.mu.Lock()
