--- a/internal/policy/dispatch/holding.go
+++ b/internal/policy/dispatch/holding.go
@@ -33,8 +33,8 @@
 	return (unseen*expected + time.Duration(holding.calls)*holding.mean) / holdingCalls
 }
 
-// turnover is how long it takes, with all places taken, until one comes free.
-func (target *Target) turnover() time.Duration {
+// learntTurnover is Turnover by how long calls of the pool held their places lately.
+func (target *Target) learntTurnover() time.Duration {
 	if target.holding == nil || target.Turnover <= 0 {
 		return target.Turnover
 	}
@@ -44,7 +44,7 @@
 
 // endsPerSecond is how many calls a second end at a target.
 func (target *Target) endsPerSecond() float64 {
-	turnover := target.slowed(target.turnover())
+	turnover := target.slowed(target.learntTurnover())
 	if turnover <= 0 {
 		return 0
 	}
--- a/internal/policy/dispatch/spread.go
+++ b/internal/policy/dispatch/spread.go
@@ -75,7 +75,7 @@
 		room := max(0, float64(target.Slots+beyond)-taken-free)
 		candidates = append(candidates, candidate{
 			number: number, cost: cost, free: free, room: room,
-			each: max(1, float64(target.slowed(target.PerCall+target.PerPrompt))), queued: max(1, float64(target.slowed(target.turnover()))),
+			each: max(1, float64(target.slowed(target.PerCall+target.PerPrompt))), queued: max(1, float64(target.slowed(target.learntTurnover()))),
 		})
 		lowest, highest = min(lowest, cost), max(highest, cost)
 	}
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -38,22 +38,22 @@
 	// fastBelow is the pace below which a slow group is as expected again. It is less than
 	// SlowFrom so that a pace near that isn't told over and over.
 	fastBelow = 1.25
-	// least is from how many passes a pace is learnt, most how many are remembered.
-	least = 8
-	most  = 24
-	// kept is for how long passes are remembered: longer than a slow group is passed by.
-	kept = 15 * time.Second
-	// resumed is after which pause a group counts as tried again, and known is how many
+	// passesNeeded is from how many passes a pace is learnt, passesKept how many are remembered.
+	passesNeeded = 8
+	passesKept   = 24
+	// passLife is for how long passes are remembered: longer than a slow group is passed by.
+	passLife = 15 * time.Second
+	// pause is after how long without a pass a group counts as tried again, and passesBefore is how many
 	// passes before the pause still count then: with three more there are enough, so that one
 	// that is as slow as before is passed by again soon.
-	resumed = 2 * time.Second
-	known   = 5
-	// half is the time after which half of what a group was slower is forgotten. A group four
+	pause        = 2 * time.Second
+	passesBefore = 5
+	// halfLife is the time after which half of what a group was slower is forgotten. A group four
 	// times as slow is tried again after five seconds.
-	half = 2 * time.Second
-	// change is by which ratio a pace must have changed to be told to other nodes, and tellEvery how
+	halfLife = 2 * time.Second
+	// tellRatio is by which ratio a pace must have changed to be told to other nodes, and tellEvery how
 	// often that may be.
-	change    = 1.25
+	tellRatio = 1.25
 	tellEvery = 200 * time.Millisecond
 	// measuredKept is for how long a measurement counts towards what is usual in a pool.
 	measuredKept = 2 * time.Minute
@@ -81,7 +81,7 @@
 	if finding.factor <= 1 {
 		return 1
 	}
-	return 1 + (finding.factor-1)*math.Exp2(-float64(max(0, now-finding.at))/float64(half))
+	return 1 + (finding.factor-1)*math.Exp2(-float64(max(0, now-finding.at))/float64(halfLife))
 }
 
 // effective is the same as far as it takes effect.
@@ -101,7 +101,7 @@
 // Meter learns the pace of one run of a server in one group.
 type Meter struct {
 	mu     sync.Mutex
-	rounds [most]round
+	rounds [passesKept]round
 	// last is the place of the newest round, count how many there are.
 	last, count int
 	// fresh says that there were events since the last measurement, anew that there was a measurement
@@ -128,32 +128,32 @@
 			newest.ratio = min(newest.ratio, ratio)
 			return
 		}
-		if since > resumed {
-			meter.count = min(meter.count, known)
+		if since > pause {
+			meter.count = min(meter.count, passesBefore)
 		}
 	}
-	meter.last = (meter.last + 1) % most
+	meter.last = (meter.last + 1) % passesKept
 	meter.rounds[meter.last] = round{ratio: ratio, at: now}
-	meter.count = min(meter.count+1, most)
+	meter.count = min(meter.count+1, passesKept)
 }
 
 // measureLocked returns the pace by the passes that are remembered, and when the last of them was.
 func (meter *Meter) measureLocked(now time.Duration) (found finding, enough bool) {
-	var held [most]float64
+	var held [passesKept]float64
 	ratios := held[:0]
 	for number := range meter.count {
-		one := &meter.rounds[(meter.last-number+most)%most]
-		if now-one.at > kept {
+		one := &meter.rounds[(meter.last-number+passesKept)%passesKept]
+		if now-one.at > passLife {
 			break
 		}
 		ratios = append(ratios, one.ratio)
 	}
-	if len(ratios) < least {
+	if len(ratios) < passesNeeded {
 		return finding{}, false
 	}
 	// A group that becomes slow shows it in its last passes long before it does in most of those
 	// that are remembered.
-	latest := slices.Min(ratios[:least])
+	latest := slices.Min(ratios[:passesNeeded])
 	slices.Sort(ratios)
 	return finding{factor: min(max(1, latest, ratios[(len(ratios)-1)/4]), highest), at: meter.rounds[meter.last].at}, true
 }
@@ -219,7 +219,7 @@
 }
 
 func differs(one, other float64) bool {
-	return one >= change*other || other >= change*one
+	return one >= tellRatio*other || other >= tellRatio*one
 }
 
 // Told returns what other nodes are to know, and how old that is.
