--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -128,22 +128,29 @@
 		leg.Reply = reply
 		return leg
 	}
+	exchange.noReply(leg, err)
+	return leg
+}
+
+// noReply notes a call that brought no answer.
+func (exchange *exchange) noReply(leg *leg, err error) {
+	target := leg.target
 	exchange.cause = err.Error()
 	exchange.exclude = append(exchange.exclude, target.ID)
 	if leg.withheld = errors.Is(err, notice.ErrWithheld); leg.withheld {
-		return leg
+		return
 	}
 	givenUp := errors.Is(err, errGivenUp)
 	if (givenUp || errors.Is(err, os.ErrDeadlineExceeded)) && !exchange.gone() && !leg.use.Moved() {
 		target.Missed(leg.sent)
 	}
 	if givenUp {
-		return leg
+		return
 	}
 	if errors.Is(err, backendserver.ErrNotSent) {
 		target.Avoid(avoidUnreachable)
 		exchange.forwarder.Failed(target, "")
-		return leg
+		return
 	}
 	exchange.arrivals++
 	exchange.ran()
@@ -155,7 +162,6 @@
 	}
 	exchange.note(leg, true)
 	exchange.noteEnd(leg, err)
-	return leg
 }
 
 // closedUnanswered says whether a call ended since its connection was closed before any answer.
