refactor(dispatch): what a second reading of the change found

Behaviour stays. Left: demand.Reports and tally.Reports remember the same reports by the same numbers and could be one that keeps both sums.

--- a/internal/policy/demand/sums.go
+++ b/internal/policy/demand/sums.go
@@ -1,8 +1,9 @@
 package demand
 
 import (
+	"maps"
 	"math"
-	"sort"
+	"slices"
 )
 
 // Add adds to a sum.
@@ -25,12 +26,7 @@
 
 // Pools returns the pools of a sum in order.
 func (sums Sums) Pools() []string {
-	pools := make([]string, 0, len(sums))
-	for pool := range sums {
-		pools = append(pools, pool)
-	}
-	sort.Strings(pools)
-	return pools
+	return slices.Sorted(maps.Keys(sums))
 }
 
 const (
--- a/internal/policy/dispatch/breaker.go
+++ b/internal/policy/dispatch/breaker.go
@@ -18,7 +18,9 @@
 const (
 	// breakLeast and breakMost bound how long a breaker stays open.
 	breakLeast = 150 * time.Millisecond
-	breakMost  = 2400 * time.Millisecond
+	breakMost  = breakLeast << breakDoublings
+	// breakDoublings is how often the span is doubled.
+	breakDoublings = 4
 	// BreaksTold is how many unanswered calls in a row make a group worth telling of: one
 	// may have been reset with all the others of its node.
 	BreaksTold = 2
@@ -41,10 +43,7 @@
 	}
 	breaker.brokeAt.Store(int64(now))
 	count := breaker.unanswered.Add(1)
-	span := breakMost
-	if count < 5 {
-		span = breakLeast << (count - 1)
-	}
+	span := breakLeast << min(count-1, breakDoublings)
 	breaker.openUntil.Store(int64(now + span))
 	return int(count)
 }
--- a/internal/policy/dispatch/holding.go
+++ b/internal/policy/dispatch/holding.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,7 +14,13 @@
 // size of an answer for all models and kinds of requests together; those of one pool may be much shorter or longer, and
 // so may passes in which many prompts are read.
 type holding struct {
-	mu    sync.Mutex
+	// mu is held by writers; the choice of a target reads without it.
+	mu   sync.Mutex
+	seen atomic.Pointer[held]
+}
+
+// held is what was seen so far.
+type held struct {
 	mean  time.Duration
 	calls int
 }
@@ -21,16 +28,23 @@
 func (holding *holding) note(span time.Duration) {
 	holding.mu.Lock()
 	defer holding.mu.Unlock()
-	holding.calls = min(holding.calls+1, holdingCalls)
-	holding.mean += (span - holding.mean) / time.Duration(holding.calls)
+	seen := held{}
+	if before := holding.seen.Load(); before != nil {
+		seen = *before
+	}
+	seen.calls = min(seen.calls+1, holdingCalls)
+	seen.mean += (span - seen.mean) / time.Duration(seen.calls)
+	holding.seen.Store(&seen)
 }
 
 // read returns the time, with what is expected where little was seen.
 func (holding *holding) read(expected time.Duration) time.Duration {
-	holding.mu.Lock()
-	defer holding.mu.Unlock()
-	unseen := time.Duration(holdingCalls - holding.calls)
-	return (unseen*expected + time.Duration(holding.calls)*holding.mean) / holdingCalls
+	seen := holding.seen.Load()
+	if seen == nil {
+		return expected
+	}
+	unseen := time.Duration(holdingCalls - seen.calls)
+	return (unseen*expected + time.Duration(seen.calls)*seen.mean) / holdingCalls
 }
 
 // learntTurnover is Turnover by how long calls of the pool held their places lately.
--- a/internal/policy/dispatch/pace_test.go
+++ b/internal/policy/dispatch/pace_test.go
@@ -272,22 +272,20 @@
 				begin(board, id)
 			}
 		}
-		refused := func() int {
+		refusals := func() int {
 			count := 0
 			for range 400 {
-				_, shed := board.Sheds(pool, 0, dispatch.Wish{})
-				board.Asked(pool, 0)
-				if shed {
+				if refused(board) {
 					count++
 				}
 				time.Sleep(5 * time.Millisecond)
 			}
 			return count
 		}
-		expect.Expect(refused()).To(gomega.BeZero())
+		expect.Expect(refusals()).To(gomega.BeZero())
 		expect.Expect(board.TakePace(&dispatch.ToldPace{Server: "a", Group: "g-a", Factor: 4})).To(gomega.BeTrue())
 		board.Paces()
-		expect.Expect(refused()).To(gomega.BeNumerically(">", 200))
+		expect.Expect(refusals()).To(gomega.BeNumerically(">", 200))
 	})
 }
 
--- a/internal/policy/dispatch/use.go
+++ b/internal/policy/dispatch/use.go
@@ -7,9 +7,7 @@
 
 // Use is one call at a target. End must be called once.
 type Use struct {
-	load   *load
 	target *Target
-	reach  *reach
 	sent   time.Duration
 	tokens int64
 	// tag tells what the call asks.
@@ -34,7 +32,7 @@
 // Begin counts a call with a prompt of so many tokens, whose tag tells what it asks. The
 // function given ends it from another goroutine.
 func (target *Target) Begin(tokens int, tag uint64, end func()) *Use {
-	use := &Use{load: target.load, target: target, reach: target.reach, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
+	use := &Use{target: target, sent: target.now(), tokens: int64(tokens), tag: tag, end: end}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.mine.Add(1)
@@ -51,12 +49,12 @@
 
 // Events is Event for so many events of a stream that came together.
 func (use *Use) Events(count int) {
-	now := use.load.now()
-	use.load.progress.Store(int64(now))
-	use.reach.hear(now)
+	now := use.target.now()
+	use.target.progress.Store(int64(now))
+	use.target.reach.hear(now)
 	if !use.running.Swap(true) {
-		use.load.running.Add(1)
-		use.load.unread.Add(-use.tokens)
+		use.target.running.Add(1)
+		use.target.unread.Add(-use.tokens)
 	}
 	use.notePace(now, count)
 }
@@ -67,7 +65,7 @@
 	if use.over.Load() || use.held.Swap(true) {
 		return
 	}
-	use.load.held.Add(1)
+	use.target.held.Add(1)
 }
 
 // Held says whether the call's caller is being written to.
@@ -77,7 +75,7 @@
 
 // Resume tells that the caller has taken what it was written.
 func (use *Use) Resume() {
-	load := use.load
+	load := use.target.load
 	if !use.held.Swap(false) {
 		return
 	}
@@ -94,7 +92,7 @@
 
 // End uncounts the call.
 func (use *Use) End() {
-	load := use.load
+	load := use.target.load
 	load.mu.Lock()
 	defer load.mu.Unlock()
 	if _, ok := load.uses[use]; !ok {
--- a/internal/run/gateway/demands.go
+++ b/internal/run/gateway/demands.go
@@ -85,25 +85,22 @@
 	}
 	channel.demands.sums = sums.Less(own)
 	if !core(channel.link) && peers.overlay.Upstream() == channel.link {
-		peers.knowDemands(channel.demands.sums, len(sums) > 0)
+		// A leaf that is told of no demand at all is attached to a node that has only just started: its own
+		// rates and the number of nodes are the better guess.
+		others := channel.demands.sums
+		if len(sums) == 0 {
+			others = nil
+		}
+		peers.node.demand.Take(others)
 	}
 }
 
-// spreadDemands tells what other nodes are asked for, where no frame from above does.
+// spreadDemands tells what other nodes are asked for, where no frame from above does. A relay or root hears of the
+// others' demand itself, and none is an answer.
 func (peers *peers) spreadDemands() {
 	peers.mu.Lock()
 	others := peers.sumsLocked().demands.others
 	peers.mu.Unlock()
-	peers.knowDemands(others, true)
-}
-
-// knowDemands puts sums of other nodes in force. A leaf that is told of no demand at all is attached to a node that has
-// only just started: its own rates and the number of nodes are the better guess. A relay or root hears of the others'
-// demand itself, and none is an answer.
-func (peers *peers) knowDemands(others demand.Sums, told bool) {
-	if !told {
-		others = nil
-	}
 	peers.node.demand.Take(others)
 }
 
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -226,8 +226,8 @@
 	occupancy := node.board.Occupancy(pool)
 	rates, _ := node.demand.Rates(pool)
 	usage := formation.Usage{Taken: occupancy.Taken, Places: occupancy.Places, Refused: rates.Refused}
-	for _, known := range node.engineServices() {
-		if of, named := known.Engine.Model(model); named && known.Name == service {
+	if known, ok := node.configuration.Load().Service(service); ok && known.Engine != nil {
+		if of, named := known.Engine.Model(model); named {
 			usage.Duration = turnover(known.Engine, of) * time.Duration(max(1, known.Engine.Slots))
 		}
 	}
@@ -248,8 +248,7 @@
 		}
 		node.logger.Warn("gateway: a group stands still.", "Group", found.Group, "Head", found.Head,
 			"SilentMilliseconds", found.For.Milliseconds(), "Calls", found.Calls)
-		node.former.Suspect(found.Head, found.Group)
-		node.peers.tellSilence(&frame.SilentHead{Server: found.Head, Group: found.Group}, nil)
+		node.suspectHead(found.Head, found.Group)
 	}
 }
 
@@ -282,8 +281,13 @@
 		return
 	}
 	node.logger.Warn("gateway: a group did not take a call.", "Group", target.Group, "Head", target.ID, "Culprit", culprit)
-	node.former.Suspect(target.ID, target.Group)
-	node.peers.tellSilence(&frame.SilentHead{Server: target.ID, Group: target.Group}, nil)
+	node.suspectHead(target.ID, target.Group)
+}
+
+// suspectHead has the members of a group asked whether one is lost, by the node that gives orders.
+func (node *Node) suspectHead(head, group string) {
+	node.former.Suspect(head, group)
+	node.peers.tellSilence(&frame.SilentHead{Server: head, Group: group}, nil)
 }
 
 // announce makes news known here and to all other nodes.
