--- a/internal/testlib/network/network.go
+++ b/internal/testlib/network/network.go
@@ -4,7 +4,8 @@
 //
 // A cut is silent, as a lost link is: what is written on a connection that a
 // cut goes through vanishes, and nothing more is read from it. New connections
-// time out. A slow place takes its time for everything that it sends and is sent.
+// time out. A place may also be refused new connections while its open ones live on, or have
+// those reset. A slow place takes its time for everything that it sends and is sent.
 //
 // # Usage
 //
@@ -18,8 +19,10 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +38,7 @@
 	mu        sync.Mutex
 	listeners map[string]*listener
 	cuts      map[link]bool
+	refused   map[link]bool
 	delays    map[string]time.Duration
 	conns     map[*conn]struct{}
 }
@@ -43,7 +47,7 @@
 
 // New returns an empty network.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, cuts: map[link]bool{}, delays: map[string]time.Duration{}, conns: map[*conn]struct{}{}}
+	return &Network{listeners: map[string]*listener{}, cuts: map[link]bool{}, refused: map[link]bool{}, delays: map[string]time.Duration{}, conns: map[*conn]struct{}{}}
 }
 
 // Listen opens a listener at an address.
@@ -68,10 +72,13 @@
 func (network *Network) dial(ctx context.Context, place, address string) (net.Conn, error) {
 	network.mu.Lock()
 	target, ok := network.listeners[address]
-	cut := network.cuts[link{place, address}]
+	cut, refused := network.cuts[link{place, address}], network.refused[link{place, address}]
 	network.mu.Unlock()
-	if cut {
+	switch {
+	case cut:
 		return nil, timeOut(ctx)
+	case refused:
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: syscall.ECONNREFUSED}
 	}
 	if !ok {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: errors.Newf("nobody listens at %s", address)}
@@ -131,12 +138,40 @@
 	}
 }
 
+// Refuse makes new connections of the place to the addresses be refused. Open ones live on.
+func (network *Network) Refuse(place string, addresses ...string) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	for _, address := range addresses {
+		network.refused[link{place, address}] = true
+	}
+}
+
+// Sever resets the open connections of the place to the addresses.
+func (network *Network) Sever(place string, addresses ...string) {
+	network.mu.Lock()
+	severed := []*conn{}
+	for open := range network.conns {
+		if open.link.from == place && slices.Contains(addresses, open.link.to) {
+			severed = append(severed, open)
+		}
+	}
+	network.mu.Unlock()
+	for _, open := range severed {
+		open.reset.Store(true)
+	}
+	for _, open := range severed {
+		_ = open.Conn.Close()
+	}
+}
+
 // Heal joins the place to the addresses again.
 func (network *Network) Heal(place string, addresses ...string) {
 	network.mu.Lock()
 	defer network.mu.Unlock()
 	for _, address := range addresses {
 		delete(network.cuts, link{place, address})
+		delete(network.refused, link{place, address})
 	}
 }
 
@@ -211,6 +246,16 @@
 	remote  string
 	peer    *conn
 	lost    atomic.Bool
+	reset   atomic.Bool
+}
+
+// Read returns what the other end wrote.
+func (conn *conn) Read(buffer []byte) (int, error) {
+	n, err := conn.Conn.Read(buffer)
+	if err != nil && conn.reset.Load() {
+		err = &net.OpError{Op: "read", Net: "memory", Err: syscall.ECONNRESET}
+	}
+	return n, err
 }
 
 // Write passes data on, or loses it where a cut goes through the connection.
