--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -55,7 +55,7 @@
 // runPlatform runs three nodes before a stand-in of the platform.
 func (command *demoCommand) runPlatform(streams *streams) error {
 	stop := interrupted()
-	offsets := map[string]int{"store": 0, "caller": 10, "readiness": 20, "operator": 30, "peer": 40, "server": 100}
+	offsets := map[string]int{"store": 0, "caller": 10, "readiness": 20, "operator": 30, "peer": 40, "detour": 60, "server": 100}
 	deployment := standin.New(
 		standin.Shape{Nodes: 3, Domains: 3, Servers: 8, Ledgers: 2, Seed: 1, Heartbeat: heartbeat},
 		standin.Addresses(func(place string, number int) string {
--- a/internal/fleet/overlay/attach.go
+++ b/internal/fleet/overlay/attach.go
@@ -191,8 +191,12 @@
 		refusal = overlay.refusal(hello, remote)
 	}
 	told := overlay.heads()
+	detours := []*frame.Detour(nil)
+	if hello.Purpose == frame.Purpose_Ask && overlay.Detours != nil {
+		detours = overlay.Detours()
+	}
 	welcome := &frame.Welcome{Incarnation: overlay.Incarnation, Sender: toWire(overlay.Self), Refusal: refusal, Root: overlay.Root()}
-	if !overlay.reply(conn, &frame.Frame{Welcome: welcome, Heads: told.nodes, Stopping: overlay.leaving.Load()}) || hello.Purpose == frame.Purpose_Ask || refusal != "" {
+	if !overlay.reply(conn, &frame.Frame{Welcome: welcome, Heads: told.nodes, Detours: detours, Stopping: overlay.leaving.Load()}) || hello.Purpose == frame.Purpose_Ask || refusal != "" {
 		return
 	}
 	link := newLink(conn, hello.Purpose, false, remote, hello.Incarnation)
--- a/internal/fleet/overlay/directory.go
+++ b/internal/fleet/overlay/directory.go
@@ -333,6 +333,37 @@
 	return true
 }
 
+// AskDetours asks a node which nodes take requests of others, itself and some that hear from it. A node that stops
+// takes none.
+func (overlay *Overlay) AskDetours(address string) []*frame.Detour {
+	conn, answer, err := overlay.open(address, frame.Purpose_Ask)
+	if err != nil || answer.Stopping {
+		if err == nil {
+			conn.Close()
+		}
+		return nil
+	}
+	conn.Close()
+	return answer.Detours
+}
+
+// Others returns the peer addresses of nodes that didn't fail lately, those of the own data centre first, each
+// in an order drawn anew.
+func (overlay *Overlay) Others() []string {
+	near, far := []string{}, []string{}
+	for _, member := range overlay.answering() {
+		if member.DataCentre == overlay.Self.DataCentre {
+			near = append(near, member.Address)
+		} else {
+			far = append(far, member.Address)
+		}
+	}
+	for _, addresses := range [][]string{near, far} {
+		rand.Shuffle(len(addresses), func(one, other int) { addresses[one], addresses[other] = addresses[other], addresses[one] })
+	}
+	return append(near, far...)
+}
+
 // readDirectory learns of the nodes in the store's directory, and says whether that
 // could be read.
 func (overlay *Overlay) readDirectory() bool {
--- a/internal/fleet/overlay/overlay.go
+++ b/internal/fleet/overlay/overlay.go
@@ -82,6 +82,8 @@
 	Changed func(role Role)
 	// Configuration returns the configuration in force, for whoever fetches it.
 	Configuration func() []byte
+	// Detours are the nodes that take requests of others, for whoever asks.
+	Detours func() []*frame.Detour
 	// Fit says whether this node knows what its leaves need.
 	Fit    func() bool
 	Dial   sibling.Dial
--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -40,6 +40,8 @@
 var (
 	// ErrNotSent means that no byte of the call left this process.
 	ErrNotSent = errors.New("the call was not sent")
+	// ErrNotOpened means that it wasn't since no connection was opened.
+	ErrNotOpened = errors.New("no connection was opened")
 	// ErrNoAnswer means that the call was sent, at least in part, and no whole
 	// head of an answer came.
 	ErrNoAnswer = errors.New("the call was sent and got no answer")
@@ -69,6 +71,8 @@
 	// Cancel, when set, is given a function that ends the call at once from
 	// another goroutine. It is called before anything is sent.
 	Cancel func(end func())
+	// Opened, when set, is told that a new connection was opened for the call.
+	Opened func()
 	// Admit, when set, is asked just before the call is written, and ends it by an error:
 	// connecting takes a while, in which the server may have said that it wants no more.
 	Admit func() error
@@ -177,6 +181,14 @@
 	return func(pool *Pool) { pool.dial = dial }
 }
 
+// ConnectWithin bounds connecting beside what a call allows.
+func ConnectWithin(most time.Duration) Option {
+	return func(pool *Pool) {
+		dial := pool.dial
+		pool.dial = func(address string, within time.Duration) (net.Conn, error) { return dial(address, min(within, most)) }
+	}
+}
+
 // New returns a pool with no connections.
 func New(codec Codec, options ...Option) *Pool {
 	pool := &Pool{codec: codec, dial: dialTCP, idle: map[string][]*conn{}}
@@ -204,9 +216,12 @@
 
 // Send sends a call and reads the head of its answer.
 func (pool *Pool) Send(call *Call) (*Reply, error) {
-	connection, err := pool.connection(call.Address, call.dialTime())
+	connection, fresh, err := pool.connection(call.Address, call.dialTime())
 	if err != nil {
-		return nil, errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotSent)
+		return nil, errors.Mark(errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotOpened), ErrNotSent)
+	}
+	if fresh && call.Opened != nil {
+		call.Opened()
 	}
 	if call.Cancel != nil {
 		call.Cancel(func() { _ = connection.SetDeadline(longAgo) })
@@ -348,7 +363,8 @@
 	pool.put(address, connection, keep)
 }
 
-func (pool *Pool) connection(address string, within time.Duration) (*conn, error) {
+// connection returns a connection to a server, and whether it is a new one.
+func (pool *Pool) connection(address string, within time.Duration) (connection *conn, fresh bool, err error) {
 	for {
 		connection := pool.take(address)
 		if connection == nil {
@@ -356,7 +372,7 @@
 		}
 		if time.Now().Before(connection.until) && quiet(connection.Conn) {
 			pool.Counts.Reused.Add(1)
-			return connection, nil
+			return connection, false, nil
 		}
 		pool.Counts.Discarded.Add(1)
 		connection.Close()
@@ -365,22 +381,33 @@
 	dialled, err := pool.dial(address, within)
 	if err != nil {
 		pool.Counts.DialFailed.Add(1)
-		return nil, err
+		return nil, false, err
 	}
-	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}, nil
+	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}, true, nil
 }
 
 // Reaches says whether a server takes a connection within a time. One that it takes is
 // kept for calls; one that it refuses shows that its host is reached.
 func (pool *Pool) Reaches(address string, within time.Duration) bool {
+	err := pool.open(address, within)
+	return err == nil || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// Opens says whether a server takes a connection within a time, which is kept for calls.
+func (pool *Pool) Opens(address string, within time.Duration) bool {
+	return pool.open(address, within) == nil
+}
+
+// open connects to a server and keeps the connection.
+func (pool *Pool) open(address string, within time.Duration) error {
 	pool.Counts.Dialled.Add(1)
 	dialled, err := pool.dial(address, within)
 	if err != nil {
 		pool.Counts.DialFailed.Add(1)
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+		return err
 	}
 	pool.put(address, &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBuffer)}, idleUnsaid)
-	return true
+	return nil
 }
 
 // take returns the connection used last, which is the least likely to have
--- a/internal/policy/dispatch/breaker.go
+++ b/internal/policy/dispatch/breaker.go
@@ -63,6 +63,7 @@
 // Unanswered tells that the connection of a call, sent at a time, was closed before any answer. It
 // returns how many calls in a row ended so.
 func (target *Target) Unanswered(sent time.Duration) int {
+	target.Broke()
 	return target.breaker.note(sent, target.now())
 }
 
--- a/internal/policy/dispatch/reach.go
+++ b/internal/policy/dispatch/centre.go
@@ -42,8 +42,8 @@
 	cut
 )
 
-// reach is the way to another data centre.
-type reach struct {
+// centre is the way to another data centre.
+type centre struct {
 	// standing changes under the lock, and is read without it while a call is routed.
 	standing atomic.Int32
 
@@ -57,68 +57,68 @@
 }
 
 // away says whether calls should go elsewhere.
-func (reach *reach) away() bool {
-	return reach != nil && reach.standing.Load() != reached
+func (centre *centre) away() bool {
+	return centre != nil && centre.standing.Load() != reached
 }
 
 // hear notes that something came.
-func (reach *reach) hear(now time.Duration) {
-	if reach == nil {
+func (centre *centre) hear(now time.Duration) {
+	if centre == nil {
 		return
 	}
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	reach.heard = now
-	reach.standing.Store(reached)
-	if len(reach.timedOut) > 0 {
-		clear(reach.timedOut)
+	centre.mu.Lock()
+	defer centre.mu.Unlock()
+	centre.heard = now
+	centre.standing.Store(reached)
+	if len(centre.timedOut) > 0 {
+		clear(centre.timedOut)
 	}
 }
 
 // missed notes a call that timed out.
-func (reach *reach) missed(server string, sent time.Duration) {
-	if reach == nil {
+func (centre *centre) missed(server string, sent time.Duration) {
+	if centre == nil {
 		return
 	}
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	if reach.heard > sent {
+	centre.mu.Lock()
+	defer centre.mu.Unlock()
+	if centre.heard > sent {
 		return
 	}
-	reach.timedOut[server] = struct{}{}
-	if reach.standing.Load() == reached && len(reach.timedOut) >= doubtTargets {
-		reach.standing.Store(doubted)
+	centre.timedOut[server] = struct{}{}
+	if centre.standing.Load() == reached && len(centre.timedOut) >= doubtTargets {
+		centre.standing.Store(doubted)
 	}
 }
 
 // still notes that streams stand still there.
-func (reach *reach) still(now time.Duration, pass time.Duration, streams, groups int) {
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	silent := now-reach.heard >= max(doubtSilence, silentPasses*pass)
-	if reach.standing.Load() == reached && silent && streams >= doubtStreams && groups >= doubtTargets {
-		reach.standing.Store(doubted)
+func (centre *centre) still(now time.Duration, pass time.Duration, streams, groups int) {
+	centre.mu.Lock()
+	defer centre.mu.Unlock()
+	silent := now-centre.heard >= max(doubtSilence, silentPasses*pass)
+	if centre.standing.Load() == reached && silent && streams >= doubtStreams && groups >= doubtTargets {
+		centre.standing.Store(doubted)
 	}
 }
 
 // due says whether servers there are to be tried, and notes that they are.
-func (reach *reach) due(now time.Duration) bool {
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	if reach.standing.Load() == reached || (reach.triedAt != 0 && now-reach.triedAt < probeEvery) {
+func (centre *centre) due(now time.Duration) bool {
+	centre.mu.Lock()
+	defer centre.mu.Unlock()
+	if centre.standing.Load() == reached || (centre.triedAt != 0 && now-centre.triedAt < probeEvery) {
 		return false
 	}
-	reach.triedAt = now
+	centre.triedAt = now
 	return true
 }
 
 // fail notes that no server there could be connected to, and says whether that is news.
-func (reach *reach) fail() bool {
-	reach.mu.Lock()
-	defer reach.mu.Unlock()
-	news := reach.standing.Load() == doubted
+func (centre *centre) fail() bool {
+	centre.mu.Lock()
+	defer centre.mu.Unlock()
+	news := centre.standing.Load() == doubted
 	if news {
-		reach.standing.Store(cut)
+		centre.standing.Store(cut)
 	}
 	return news
 }
@@ -128,8 +128,8 @@
 	DataCentre string
 	Addresses  []string
 
-	board *Board
-	reach *reach
+	board  *Board
+	centre *centre
 }
 
 // Probes returns the data centres to be tried now.
@@ -138,11 +138,11 @@
 	held := board.layout.Load()
 	board.noteStill(held, now)
 	probes := []Probe{}
-	for name, reach := range held.reaches {
-		if !reach.due(now) {
+	for name, centre := range held.centres {
+		if !centre.due(now) {
 			continue
 		}
-		probe := Probe{DataCentre: name, board: board, reach: reach}
+		probe := Probe{DataCentre: name, board: board, centre: centre}
 		addresses := []string{}
 		for _, target := range held.all {
 			if target.DataCentre == name {
@@ -161,14 +161,14 @@
 
 // noteStill looks for data centres of which all streams stand still.
 func (board *Board) noteStill(held *layout, now time.Duration) {
-	for name, reach := range held.reaches {
+	for name, centre := range held.centres {
 		streams, groups, pass := 0, 0, time.Duration(0)
 		for _, target := range held.all {
 			if running := int(target.active()); target.DataCentre == name && running > 0 {
 				streams, groups, pass = streams+running, groups+1, max(pass, target.Pass)
 			}
 		}
-		reach.still(now, pass, streams, groups)
+		centre.still(now, pass, streams, groups)
 	}
 }
 
@@ -176,10 +176,10 @@
 // on elsewhere; it returns how many calls were moved, and whether that is news.
 func (probe *Probe) Done(answered bool) (moved int, news bool) {
 	if answered {
-		probe.reach.hear(probe.board.now())
+		probe.centre.hear(probe.board.now())
 		return 0, false
 	}
-	if !probe.reach.fail() {
+	if !probe.centre.fail() {
 		return 0, false
 	}
 	for _, target := range probe.board.layout.Load().all {
@@ -193,10 +193,12 @@
 // Heard tells that something came of a call at the target.
 func (target *Target) Heard() {
 	target.breaker.answered(target.now())
-	target.reach.hear(target.now())
+	target.centre.hear(target.now())
+	target.way.Heard(target.ID)
 }
 
 // Missed tells that a call at the target, sent at a time, timed out.
 func (target *Target) Missed(sent time.Duration) {
-	target.reach.missed(target.ID, sent)
+	target.centre.missed(target.ID, sent)
+	target.way.Broke(target.ID, sent)
 }
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -39,6 +39,7 @@
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/pace"
 	"hazelslip/internal/policy/ratelimit"
+	"hazelslip/internal/policy/reach"
 	"hazelslip/internal/policy/warmup"
 )
 
@@ -51,6 +52,8 @@
 	Address    string
 	DataCentre string
 	Region     string
+	// Service is the one that the server belongs to.
+	Service string
 	// Group is empty for a plain server.
 	Group string
 	// Number is the target's place in what peers tell of all of them.
@@ -79,8 +82,10 @@
 type Target struct {
 	Spec
 	*load
-	// reach is the way to the target's data centre, nil for the node's own.
-	reach *reach
+	// centre is the way to the target's data centre, nil for the node's own.
+	centre *centre
+	// way is this node's way to the servers of the target's service in its data centre.
+	way *reach.Way
 	// holding is what was seen of the calls of the target's pool, nil for a plain server.
 	holding *holding
 	// drain is the mark of the target's data centre.
@@ -144,8 +149,8 @@
 	// list of servers, often before its silence is noticed: its calls would
 	// wait for nothing until their deadline if nobody watched them.
 	all []*Target
-	// reaches are the ways to other data centres.
-	reaches map[string]*reach
+	// centres are the ways to other data centres.
+	centres map[string]*centre
 	// runs are those of the servers, with their data centres.
 	runs map[ratelimit.Run]string
 }
@@ -158,6 +163,7 @@
 	random     func(n int) int
 	now        clock.Now
 	record     func(run ratelimit.Run) *notice.Record
+	ways       *reach.Ways
 	drain      func(dataCentre string) *drain.Mark
 	// incarnation and nodes decide this node's part of what a cold server bears.
 	incarnation uint64
@@ -206,6 +212,11 @@
 	return func(board *Board) { board.drain = mark }
 }
 
+// Ways sets what this node knows of its ways to servers.
+func Ways(ways *reach.Ways) Option {
+	return func(board *Board) { board.ways = ways }
+}
+
 // Lots sets what decides this node's part of what a cold server bears: its incarnation, and
 // how many nodes share that.
 func Lots(incarnation uint64, nodes func() int) Option {
@@ -236,6 +247,9 @@
 	if board.demand == nil {
 		board.demand = demand.New(demand.Clock(board.now))
 	}
+	if board.ways == nil {
+		board.ways = reach.New(reach.Clock(board.now), reach.Random(board.random))
+	}
 	return board
 }
 
@@ -251,12 +265,12 @@
 func (board *Board) Update(pools map[string][]Spec) {
 	board.mu.Lock()
 	defer board.mu.Unlock()
-	next := &layout{pools: make(map[string]*pool, len(pools)), reaches: map[string]*reach{}}
+	next := &layout{pools: make(map[string]*pool, len(pools)), centres: map[string]*centre{}}
 	listed := map[string]*Target{}
 	for name, specs := range pools {
 		filled := &pool{}
 		for _, spec := range specs {
-			target := &Target{Spec: spec, load: board.load(spec), reach: board.reach(spec.DataCentre, next), drain: board.drain(spec.DataCentre)}
+			target := &Target{Spec: spec, load: board.load(spec), centre: board.centre(spec.DataCentre, next), way: board.ways.Of(wayOf(&spec)), drain: board.drain(spec.DataCentre)}
 			if spec.Group != "" {
 				target.holding = board.holding(name)
 			}
@@ -272,7 +286,7 @@
 			target.former.Store(true)
 			listed[key] = target
 			next.all = append(next.all, target)
-			board.reach(target.DataCentre, next)
+			board.centre(target.DataCentre, next)
 		}
 	}
 	next.runs = make(map[ratelimit.Run]string, len(next.all))
@@ -281,6 +295,7 @@
 	}
 	board.known = listed
 	board.layout.Store(next)
+	board.listWays(next)
 }
 
 func (board *Board) holding(pool string) *holding {
@@ -290,19 +305,19 @@
 	return board.holdings[pool]
 }
 
-// reach returns the way to a data centre, and notes it in the next layout.
-func (board *Board) reach(dataCentre string, next *layout) *reach {
+// centre returns the way to a data centre, and notes it in the next layout.
+func (board *Board) centre(dataCentre string, next *layout) *centre {
 	if dataCentre == board.dataCentre || board.dataCentre == "" {
 		return nil
 	}
-	if next.reaches[dataCentre] == nil {
-		held := board.layout.Load().reaches[dataCentre]
+	if next.centres[dataCentre] == nil {
+		held := board.layout.Load().centres[dataCentre]
 		if held == nil {
-			held = &reach{timedOut: map[string]struct{}{}, heard: board.now()}
+			held = &centre{timedOut: map[string]struct{}{}, heard: board.now()}
 		}
-		next.reaches[dataCentre] = held
+		next.centres[dataCentre] = held
 	}
-	return next.reaches[dataCentre]
+	return next.centres[dataCentre]
 }
 
 // goneKept is how long a target that is in no pool any more is kept without
@@ -388,3 +403,12 @@
 		}
 	}
 }
+
+// Apart returns a target that is in no pool and counts its calls: another node that calls go through.
+func Apart(spec Spec, now clock.Now) *Target {
+	notices := notice.New(ratelimit.New(ratelimit.Clock(now)), notice.Clock(now))
+	return &Target{
+		Spec: spec, drain: drain.New().Mark(spec.DataCentre),
+		load: &load{now: now, record: notices.Record(spec.serverRun()), uses: map[*Use]struct{}{}},
+	}
+}
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -19,7 +19,9 @@
 	// Urgency ranks the call among those that wait for a server that names a limit, 0 the
 	// most urgent.
 	Urgency int
-	// anywhere also takes data centres that are not reached.
+	// ReachedOnly takes no servers that this node doesn't reach, since another node may.
+	ReachedOnly bool
+	// anywhere also takes data centres and servers that are not reached.
 	anywhere bool
 	// broken also takes targets whose breakers are open.
 	broken bool
@@ -46,6 +48,8 @@
 	// BackedOff means that only servers could take the call that asked for a backoff. The
 	// target returned with it is the one that takes calls first.
 	BackedOff
+	// Unreached means that only servers could take the call that this node doesn't reach.
+	Unreached
 )
 
 const (
@@ -71,28 +75,38 @@
 	if !ok || len(filled.targets) == 0 {
 		return nil, None
 	}
-	costs, usable, broken := wish.costs(filled.targets, board.now(), board.coldPart)
+	costs, usable, broken, unreached := wish.costs(filled.targets, board.now(), board.coldPart)
 	switch {
 	case usable == 0 && broken > 0:
 		wish.broken = true
 		return board.Pick(name, wish)
+	case usable == 0 && wish.ReachedOnly && unreached > 0:
+		return nil, Unreached
 	case usable == 0 && !wish.anywhere:
 		wish.anywhere = true
 		return board.Pick(name, wish)
 	case usable == 0:
 		return wish.opensFirst(filled.targets, board.now())
 	}
-	return board.choose(filled.targets, costs, &wish)
+	target, verdict := board.choose(filled.targets, costs, &wish)
+	if verdict == Full && wish.ReachedOnly && unreached > 0 {
+		verdict = Unreached
+	}
+	return target, verdict
 }
 
 // costs returns what each target costs, never for those that can't be chosen, and how many
-// could be if they had a place. Those whose breakers are open are counted apart.
-func (wish *Wish) costs(targets []*Target, now time.Duration, part func(target *Target) int) (costs []time.Duration, usable, broken int) {
+// could be if they had a place. Those whose breakers are open are counted apart, and those that are not reached.
+func (wish *Wish) costs(targets []*Target, now time.Duration, part func(target *Target) int) (costs []time.Duration, usable, broken, unreached int) {
 	costs = make([]time.Duration, len(targets))
 	trusted := !wish.broken && trustBreakers(targets, now)
 	for number, target := range targets {
 		costs[number] = never
-		if target.closed(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) || (!wish.anywhere && target.reach.away()) {
+		if target.closed(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) {
+			continue
+		}
+		if !wish.anywhere && (target.centre.away() || target.way.Blocks(target.ID)) {
+			unreached++
 			continue
 		}
 		if trusted && target.breaker.open(now) {
@@ -111,7 +125,7 @@
 			costs[number] += unproven
 		}
 	}
-	return costs, usable, broken
+	return costs, usable, broken, unreached
 }
 
 // allows says whether the call may go to the target's region.
@@ -294,6 +308,8 @@
 	Group string
 	For   time.Duration
 	Calls int
+	// Unsure says that the way to the group is doubted or lost.
+	Unsure bool
 }
 
 // Idle says that this node has no calls at any group.
@@ -317,7 +333,7 @@
 			continue
 		}
 		target.Avoid(avoidSilent)
-		found := Silent{Head: target.ID, Group: target.Group, For: span, Calls: int(target.mine.Load())}
+		found := Silent{Head: target.ID, Group: target.Group, For: span, Calls: int(target.mine.Load()), Unsure: !target.Reached()}
 		if span >= move {
 			target.move()
 		}
--- a/internal/policy/dispatch/shedding.go
+++ b/internal/policy/dispatch/shedding.go
@@ -47,7 +47,7 @@
 func (board *Board) capacity(targets []*Target, now time.Duration, wish *Wish) float64 {
 	perSecond, taken, slots, trusted := 0.0, 0, 0.0, trustBreakers(targets, now)
 	for _, target := range targets {
-		if target.closed(now) || (trusted && target.breaker.open(now)) || target.reach.away() || !wish.allows(target) {
+		if target.closed(now) || (trusted && target.breaker.open(now)) || target.centre.away() || !wish.allows(target) {
 			continue
 		}
 		calls := target.Taken()
--- /dev/null
+++ b/internal/policy/dispatch/way.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"time"
+
+	"hazelslip/internal/policy/reach"
+)
+
+const (
+	// waySilence is how long nothing may come of the calls of a way, at least; silentPasses goes for it
+	// as for one group.
+	waySilence = 300 * time.Millisecond
+	// wayAlive is within how long something must have come of a group's calls for them to be left
+	// there when their way is lost: connections may live on while new ones are refused.
+	wayAlive = 250 * time.Millisecond
+)
+
+func wayOf(spec *Spec) reach.Place {
+	return reach.Place{Service: spec.Service, DataCentre: spec.DataCentre}
+}
+
+// listWays tells the ways which servers they lead to.
+func (board *Board) listWays(held *layout) {
+	servers := map[reach.Place][]string{}
+	for _, filled := range held.pools {
+		for _, target := range filled.targets {
+			servers[wayOf(&target.Spec)] = append(servers[wayOf(&target.Spec)], target.ID)
+		}
+	}
+	for _, way := range board.ways.All() {
+		way.List(servers[way.Place])
+	}
+}
+
+// Opened tells that the target was connected to for a call.
+func (target *Target) Opened() {
+	target.way.Opened(target.ID)
+}
+
+// Unopened tells that the target could not be connected to, by an attempt begun at a time.
+func (target *Target) Unopened(began time.Duration) {
+	target.way.Unopened(target.ID, began)
+}
+
+// Broke tells that the connection of a call at the target broke.
+func (target *Target) Broke() {
+	target.way.Broke(target.ID, target.now())
+}
+
+// Reached says whether the way to the target is beyond doubt. What calls there end by says nothing of the
+// server where it isn't.
+func (target *Target) Reached() bool {
+	return target.way.Standing() == reach.Open
+}
+
+// Way is this node's way to the target.
+func (target *Target) Way() *reach.Way {
+	return target.way
+}
+
+// WatchWays looks for ways of which all calls stand still.
+func (board *Board) WatchWays() {
+	now := board.now()
+	for _, target := range board.layout.Load().all {
+		if target.mine.Load() == 0 {
+			continue
+		}
+		if span := max(waySilence, silentPasses*target.Pass, slowPasses*target.learntPass()); target.active() > 0 || now-target.oldest(now) >= span {
+			target.way.Silent(span)
+		}
+	}
+}
+
+// WayProbe is servers to be connected to, with their addresses.
+type WayProbe struct {
+	reach.Probe
+	Addresses map[string]string
+}
+
+// WayProbes returns what is to be tried of ways that are doubted or lost.
+func (board *Board) WayProbes() []WayProbe {
+	due := board.ways.Due()
+	if len(due) == 0 {
+		return nil
+	}
+	addresses := map[string]string{}
+	for _, target := range board.layout.Load().all {
+		addresses[target.ID] = target.Address
+	}
+	found := make([]WayProbe, 0, len(due))
+	for _, probe := range due {
+		found = append(found, WayProbe{Probe: probe, Addresses: addresses})
+	}
+	return found
+}
+
+// Leave ends the calls of a way that is lost, but for those of which something has just come, so that they go on
+// elsewhere. It returns how many there were.
+func (board *Board) Leave(way *reach.Way) int {
+	moved, now := 0, board.now()
+	for _, target := range board.layout.Load().all {
+		if target.way == way && target.Group != "" && now-time.Duration(target.progress.Load()) > wayAlive {
+			moved += target.move()
+		}
+	}
+	return moved
+}
+
+// Calls counts this node's calls at all targets.
+func (board *Board) Calls() int {
+	calls := 0
+	for _, target := range board.layout.Load().all {
+		calls += int(target.mine.Load())
+	}
+	return calls
+}
+
+// Stalled ends the calls of a target that is apart, where nothing has come of them for too long: of those that have
+// had an event, or of one that hasn't. It says whether it did.
+func (target *Target) Stalled(still, unanswered time.Duration) bool {
+	now := target.now()
+	switch {
+	case target.mine.Load() == 0:
+		return false
+	case target.active() > 0 && now-time.Duration(target.progress.Load()) < still:
+		return false
+	case target.active() == 0 && now-max(target.oldest(now), time.Duration(target.progress.Load())) < unanswered:
+		return false
+	}
+	target.move()
+	return true
+}
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -81,6 +82,7 @@
 		Drains: drainsToWire(node.drained.Records()),
 	}
 	channel.news, channel.silences = nil, nil
+	told.Unreached = peers.unreachedFor(link)
 	peers.addPermits(told, channel)
 	peers.addPaces(told, channel)
 	if held := peers.holder; held.term != 0 {
@@ -119,6 +121,8 @@
 	permits := peers.addPermits(told, channel)
 	paces := peers.addPaces(told, channel)
 	asked := peers.node.demand.Own()
+	unreached := peers.unreachedFor(channel.link)
+	same = same && slices.Equal(unreached, channel.toldUnreached)
 	news := len(channel.silences)+len(channel.suspects)+len(channel.notices) > 0 || asked.News(channel.demands.reported)
 	if optional && same && !permits && !paces && !news {
 		return nil
@@ -127,6 +131,10 @@
 	told.Sequence, told.Nodes, told.Loads, told.SilentHeads = channel.reports.Add(own), 1, loadsOf(own), channel.silences
 	told.ConfigurationVersion, told.Suspects, told.Notices = version, peers.suspectsFor(channel), peers.noticesFor(channel)
 	channel.silences = nil
+	told.Unreached, channel.toldUnreached = unreached, unreached
+	if !channel.toldDetour {
+		channel.toldDetour, told.DetourAddress = true, peers.node.settings.Listen.Detour
+	}
 	peers.reportDemands(told, channel, asked)
 	return told
 }
--- a/internal/run/gateway/fetch.go
+++ b/internal/run/gateway/fetch.go
@@ -60,13 +60,16 @@
 // connection of its own. Within a link it would hold up everything else on a
 // slow one.
 func (peers *peers) heardVersion(link *overlay.Link, version int64) {
+	peers.heardVersionAt(link.Remote.Address, version)
+}
+
+func (peers *peers) heardVersionAt(address string, version int64) {
 	if version <= peers.node.configuration.Load().Configuration.Version {
 		return
 	}
 	if held := peers.newer.Load(); held == nil || held.version < version {
 		peers.newer.Store(&newerVersion{version: version, since: peers.node.now()})
 	}
-	address := link.Remote.Address
 	if !peers.fetching.begin(address, peers.node.now()) {
 		return
 	}
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -96,6 +96,7 @@
 	memory        *memory.Budget
 	forwarder     *forward.Forwarder
 	peers         *peers
+	detours       *detours
 	quarantine    *quarantine.List
 	limits        *ratelimit.Limits
 	notices       *notice.Notices
@@ -113,6 +114,7 @@
 	knownOnce  sync.Once
 	stopping   atomic.Bool
 	newsLearnt atomic.Uint64
+	waysLost   atomic.Uint64
 	// suspectsGone says that the store may lack what was written of suspects.
 	suspectsGone atomic.Bool
 
@@ -189,7 +191,8 @@
 	node.limits = ratelimit.New(ratelimit.Clock(node.now), ratelimit.Incarnation(node.Incarnation), ratelimit.Settle(settings.Bounds.Settle))
 	node.notices = notice.New(node.limits, notice.Clock(node.now))
 	node.demand = demand.New(demand.Clock(node.now))
-	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices), dispatch.Demands(node.demand),
+	node.detours = newDetours(node)
+	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices), dispatch.Demands(node.demand), dispatch.Ways(node.detours.ways),
 		dispatch.Drains(node.drained.Mark), dispatch.Lots(node.Incarnation, func() int { return node.peers.nodes() }),
 		dispatch.Counted(func() int { return int(node.peers.counted.Load()) }))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
@@ -218,7 +221,7 @@
 func (node *Node) formerParts() formation.Parts {
 	return formation.Parts{
 		Fleet: node.platform.Fleet, View: node.view, Servers: node.servers.Load, Services: node.engineServices,
-		Term: node.keeper.Term, Outdated: node.outdated, Announce: node.announce, Load: node.modelLoad,
+		Term: node.orderTerm, Outdated: node.outdated, Announce: node.announce, Load: node.modelLoad,
 		Told: func() bool { return node.peers.fed() },
 		Quiet: func() bool {
 			return node.settings.FirstStart && node.forwarder.Counts.Requests.Load() == 0 && !node.peers.busy()
@@ -237,6 +240,8 @@
 		DataCentre: node.settings.DataCentre, Budget: node.budget, Ready: node.known, Stopping: node.stopping.Load,
 		Quarantine: node.quarantine, Suspected: node.suspected, Heard: node.heard,
 		AskPermits: node.refreshPermits, Returns: ratelimit.NewReturns(node.now), Nodes: func() int { return node.peers.nodes() },
+		Detours: node.detours.tableOrNil(), DetourPool: node.detours.pool, DetourWanted: node.detours.want, Unsure: node.detours.unsureOf,
+		Name: node.settings.Name, NewerAt: func(address string, version int64) { node.peers.newerAt(address, version) },
 		Memory: node.memory, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
@@ -255,6 +260,15 @@
 		}
 		node.listeners = append(node.listeners, listener)
 	}
+	if node.detours.enabled() {
+		listener, err := node.listen(node.settings.Listen.Detour)
+		if err != nil {
+			node.closeListeners()
+			return errors.Wrapf(err, "listen at %s", node.settings.Listen.Detour)
+		}
+		node.detours.listener = listener
+		node.detours.served = &http.Server{Handler: node.forwarder.Inward(), ReadHeaderTimeout: headerTimeout, IdleTimeout: detourIdle, ErrorLog: silent()}
+	}
 	if node.memory.Bounded() {
 		node.listeners[0] = boundCallers(node.listeners[0])
 	}
@@ -291,6 +305,10 @@
 	node.EveryAs("sweep", time.Second, node.sweep)
 	node.GoAs("suspects", node.followSuspects)
 	node.former.Start()
+	node.GoAs("detours", node.detours.follow)
+	if served := node.detours.served; served != nil {
+		node.GoAs("http", func() { node.serve(served, node.detours.listener) })
+	}
 	servers := []*http.Server{node.caller, node.readiness, nil, node.operator}
 	for number, listener := range node.listeners {
 		if server := servers[number]; server != nil {
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -7,6 +7,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"hazelslip/internal/common/jsonhttp"
+	"hazelslip/internal/fleet/detour"
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/peer/store"
@@ -16,6 +17,7 @@
 	"hazelslip/internal/policy/notice"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
+	"hazelslip/internal/policy/reach"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/serve/forward"
 	"hazelslip/internal/state/storelog"
@@ -62,6 +64,9 @@
 	Memory memory.State
 	// Demands are what is asked of each pool.
 	Demands []demand.State
+	// Ways are the ways to servers that are not open, Detours the nodes that requests go through.
+	Ways    []reach.State
+	Detours []detour.State
 }
 
 // State returns the dump of the node's state.
@@ -76,6 +81,7 @@
 		Budgets: node.budgetStates(), Nodes: node.peers.count(), Overlay: node.peers.overlay.State(),
 		Suspects: node.quarantine.State(), Limits: node.limits.State(), Notices: node.notices.State(),
 		DrainedDataCentres: node.drained.Drained(), Demands: node.demand.State(), Memory: node.memory.State(),
+		Ways: node.detours.ways.State(), Detours: node.detours.table.State(),
 	}
 	if err := node.Ready(); err != nil {
 		state.Ready = err.Error()
@@ -147,6 +153,8 @@
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.newsLearnt.Load(),
 		"MemoryHeld": uint64(held), "MemoryMost": uint64(most), "MemoryRefused": refused,
 		"DemandAsked": node.demand.Counts.Asked.Load(), "DemandRefused": node.demand.Counts.Refused.Load(), "DemandTaken": node.demand.Counts.Taken.Load(),
+		"WaysLost": node.waysLost.Load(), "DetoursSent": node.forwarder.Counts.DetoursSent.Load(),
+		"DetoursTaken": node.forwarder.Counts.DetoursTaken.Load(), "DetoursRefused": node.forwarder.Counts.DetoursRefused.Load(),
 		"Goroutines": uint64(runtime.NumGoroutine()),
 	}
 }
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -50,6 +50,10 @@
 	sequence  uint64
 	fit       bool
 	storeAway bool
+	// unreached are the services of which the other side reaches no server, detour where it takes
+	// requests of others.
+	unreached []string
+	detour    string
 	// telling and told are the two sides of a sum of which only the changes are sent.
 	telling tally.Changes
 	told    tally.Copy
@@ -68,6 +72,8 @@
 	copied        *catalogue.Copy
 	// reported and reportedVersion are what this node reported last as a leaf, leafNews
 	// is a hash of what a leaf was told last.
+	toldUnreached   []string
+	toldDetour      bool
 	reported        tally.Shares
 	reportedVersion int64
 	leafNews        uint64
@@ -176,7 +182,7 @@
 		Incarnation: node.Incarnation, Seeds: settings.Seeds, FirstStart: settings.FirstStart, Relays: node.relays,
 		Register: peers.register, Known: peers.known,
 		Compose: peers.compose, Take: peers.take, Ended: peers.ended, Changed: peers.changed,
-		Configuration: peers.configuration, Fit: peers.fit,
+		Configuration: peers.configuration, Fit: peers.fit, Detours: func() []*frame.Detour { return peers.node.detours.told() },
 		Dial: dial, Now: node.now, Logger: node.logger,
 	})
 	return peers
@@ -350,7 +356,7 @@
 	}
 	for link, channel := range peers.channels {
 		if link.Purpose == frame.Purpose_Root {
-			found = append(found, tenure.Peer{Incarnation: link.Incarnation, Fit: channel.fit})
+			found = append(found, tenure.Peer{Incarnation: link.Incarnation, Fit: channel.fit && !lacksEngines(peers.node, channel.unreached)})
 		}
 	}
 	return found
--- a/internal/run/gateway/settings.go
+++ b/internal/run/gateway/settings.go
@@ -38,6 +38,9 @@
 	// PeerAdvertised is where other nodes reach Peer, where that is another address;
 	// empty for the same.
 	PeerAdvertised string
+	// Detour is for requests of nodes that don't reach the servers; empty for none, and then this
+	// node sends none through others.
+	Detour string
 }
 
 // advertised is where other nodes reach this one.
--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -4,7 +4,10 @@
 	"context"
 	"io"
 	"log"
+	"net/http"
 	"time"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -30,10 +33,19 @@
 	left := limit - (node.now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, 0))
 	defer cancel()
-	if err := node.caller.Shutdown(ctx); err != nil {
-		node.logger.Warn("gateway: requests were cut off at the end of the grace time.", "Error", err.Error())
-		node.caller.Close()
+	ends := conc.WaitGroup{}
+	for _, served := range []*http.Server{node.caller, node.detours.served} {
+		if served == nil {
+			continue
+		}
+		ends.Go(func() {
+			if err := served.Shutdown(ctx); err != nil {
+				node.logger.Warn("gateway: requests were cut off at the end of the grace time.", "Error", err.Error())
+				served.Close()
+			}
+		})
 	}
+	ends.Wait()
 	node.end()
 	node.logger.Info("gateway: stopped.", "Name", node.settings.Name, "Milliseconds", (node.now() - began).Milliseconds())
 }
@@ -42,6 +54,9 @@
 // off, and nobody is told.
 func (node *Node) Kill() {
 	node.caller.Close()
+	if node.detours.served != nil {
+		node.detours.served.Close()
+	}
 	node.end()
 }
 
@@ -57,6 +72,7 @@
 	node.follower.Stop()
 	node.Part.Stop()
 	node.pool.Sweep(func(string) bool { return false })
+	node.detours.pool.Sweep(func(string) bool { return false })
 	if node.platform.Close != nil {
 		node.platform.Close()
 	}
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -30,6 +30,7 @@
 	default:
 		peers.takeReport(link, received)
 	}
+	peers.takeUnreached(link, received)
 	peers.takeSilences(link, received.SilentHeads)
 	peers.takeSuspects(link, received.Suspects)
 	peers.takePermits(link, received)
@@ -37,6 +38,20 @@
 	peers.takePaces(link, received.Paces)
 }
 
+// takeUnreached takes what the other side says of its ways to servers.
+func (peers *peers) takeUnreached(link *overlay.Link, received *frame.Frame) {
+	if link.Upstream() {
+		return
+	}
+	peers.mu.Lock()
+	defer peers.mu.Unlock()
+	channel := peers.channel(link)
+	channel.unreached = received.Unreached
+	if received.DetourAddress != "" {
+		channel.detour = received.DetourAddress
+	}
+}
+
 // takeReport takes what a leaf has under way.
 func (peers *peers) takeReport(link *overlay.Link, received *frame.Frame) {
 	peers.mu.Lock()
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -43,7 +43,7 @@
 }
 
 func (node *Node) watchPause() time.Duration {
-	if node.board.Idle() && !node.limits.Any() {
+	if node.board.Idle() && !node.limits.Any() && !node.detours.ways.Unsettled() {
 		return watchIdle
 	}
 	return watchTick
@@ -145,7 +145,7 @@
 // know what it serves.
 func (node *Node) spec(row *catalogue.Row) (dispatch.Spec, bool) {
 	spec := dispatch.Spec{
-		ID: row.Server, Born: row.Born, Address: row.Address, DataCentre: row.DataCentre, Region: node.settings.regionOf(row.DataCentre),
+		ID: row.Server, Born: row.Born, Service: row.Service, Address: row.Address, DataCentre: row.DataCentre, Region: node.settings.regionOf(row.DataCentre),
 		Group: row.Group, Slots: row.Slots, Cold: row.Cold,
 	}
 	if service, known := node.configuration.Load().Service(row.Service); known {
@@ -239,11 +239,12 @@
 func (node *Node) watch() {
 	node.refreshPermits()
 	node.lookPaces()
+	node.detours.look()
 	for _, probe := range node.board.Probes() {
 		node.GoAs("probe", func() { node.probe(&probe) })
 	}
 	for _, found := range node.board.Watch() {
-		if !node.peers.freshSilence(found.Group) {
+		if found.Unsure || !node.peers.freshSilence(found.Group) {
 			continue
 		}
 		node.logger.Warn("gateway: a group stands still.", "Group", found.Group, "Head", found.Head,
@@ -274,7 +275,7 @@
 // callFailed is told of a server that could not be reached, that reset calls, or that refused one
 // because its group is not whole. It is told up the tree, where the node that gives orders asks its members.
 func (node *Node) callFailed(target *dispatch.Target, culprit string) {
-	if target.Group == "" {
+	if target.Group == "" || node.detours.doubts(target) {
 		return
 	}
 	if !node.peers.freshSilence(target.Group) {
@@ -334,8 +335,10 @@
 // the others that it has it.
 func (node *Node) lookTenure() {
 	fit := node.peers.overlay.Role() == overlay.Root && node.servers.Load().Known() && node.Ready() == nil &&
-		node.now()-node.startedAt > bootWait
-	if node.keeper.Look(node.peers.tenants(), fit) {
+		node.now()-node.startedAt > bootWait && !node.withoutEngines()
+	tenants := node.peers.tenants()
+	node.yieldTerm(tenants)
+	if node.keeper.Look(tenants, fit) {
 		node.logger.Info("gateway: this node gives orders now.", "Term", node.keeper.Term())
 	}
 	node.peers.beat(node.keeper.Term())
@@ -358,6 +361,7 @@
 		}
 	}
 	node.pool.Sweep(func(address string) bool { return listed[address] })
+	node.detours.pool.Sweep(func(string) bool { return true })
 }
 
 // recentNews is the news of groups to tell a node that was just connected to.
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -48,28 +48,41 @@
 // memory is passed on as it comes.
 func (exchange *exchange) call() {
 	for exchange.left() > leastLeft && !exchange.gone() && !exchange.quarantined() && exchange.mayRepeat() {
-		target, verdict := exchange.pickWithin(exchange.placeWait(), plainBeyond, func(verdict dispatch.Verdict) bool {
-			return verdict == dispatch.Limited || verdict == dispatch.BackedOff
-		})
+		target, verdict := exchange.pickPlain()
+		if verdict == dispatch.Unreached && exchange.mayDetour() {
+			if ended, sent := exchange.detour(exchange.callOne); ended {
+				return
+			} else if sent {
+				continue
+			}
+			target, verdict = exchange.pickPlain()
+		}
 		if verdict != dispatch.Chosen {
 			exchange.noTarget(target, verdict)
 			break
 		}
-		if answer := exchange.callOne(target); answer != nil {
-			if !answer.passed {
-				exchange.deliver(answer)
-			}
+		if exchange.callOne(exchange.attempt(target, exchange.patience())) {
 			return
 		}
 	}
 	exchange.end()
 }
 
+// pickPlain chooses a server, and waits a little where one may take the call soon.
+func (exchange *exchange) pickPlain() (*dispatch.Target, dispatch.Verdict) {
+	return exchange.pickWithin(exchange.placeWait(), plainBeyond, func(verdict dispatch.Verdict) bool {
+		return verdict == dispatch.Limited || verdict == dispatch.BackedOff
+	})
+}
+
 // noTarget notes why no server was chosen, after what was tried before. The target is the one
 // that is free first, where that is known.
 func (exchange *exchange) noTarget(target *dispatch.Target, verdict dispatch.Verdict) {
 	occupancy := exchange.forwarder.Board.Occupancy(exchange.pool())
 	reason := fmt.Sprintf("pool %s has %d of %d places taken at %d targets", exchange.pool(), occupancy.Taken, occupancy.Places, occupancy.Targets)
+	if exchange.straight && (verdict == dispatch.None || verdict == dispatch.Full) {
+		verdict = dispatch.Unreached
+	}
 	switch verdict {
 	case dispatch.Full:
 		exchange.outcome = Full
@@ -84,6 +97,10 @@
 		opens := target.OpensAt() - exchange.forwarder.Now()
 		exchange.notBefore = exchange.returnAfter(opens)
 		reason += fmt.Sprintf(", and all that could take it asked for a backoff, %s for %v more", target.ID, opens.Round(time.Millisecond))
+	case dispatch.Unreached:
+		exchange.outcome = Unreached
+		exchange.again = retryUnreached
+		reason += ", and no server of it is reached from here"
 	default:
 		exchange.outcome = NoServer
 	}
@@ -93,48 +110,48 @@
 	exchange.cause = reason
 }
 
-// callOne sends the call to one server and returns its answer if that is to
-// be delivered.
-func (exchange *exchange) callOne(target *dispatch.Target) *answer {
-	leg := exchange.attempt(target, exchange.patience())
+// callOne reads the answer to one call, passes it on if it is to be delivered, and says whether the request
+// has ended.
+func (exchange *exchange) callOne(leg *leg) bool {
 	defer leg.end()
 	if leg.Reply == nil {
 		exchange.lateAnswer(leg)
-		return nil
+		return false
 	}
 	if leg.NotRun {
 		exchange.refused(leg)
-		return nil
+		return false
 	}
 	found, err := exchange.readAnswer(leg)
 	exchange.note(leg, err != nil || leg.Status >= http.StatusInternalServerError)
 	if err != nil {
 		exchange.ran()
 		exchange.noteEnd(leg, err)
-		exchange.cause = "the answer of " + target.ID + " broke off: " + err.Error()
-		exchange.exclude = append(exchange.exclude, target.ID)
-		return nil
+		exchange.cause = "the answer of " + leg.target.ID + " broke off: " + err.Error()
+		exchange.exclude = append(exchange.exclude, leg.target.ID)
+		return false
 	}
 	if found.passed {
-		return found
+		return true
 	}
 	if leg.Status >= http.StatusInternalServerError && exchange.worthRepeating() {
 		exchange.ran()
-		exchange.cause = "server " + target.ID + " failed: " + strconv.Itoa(leg.Status)
-		exchange.exclude = append(exchange.exclude, target.ID)
+		exchange.cause = "server " + leg.target.ID + " failed: " + strconv.Itoa(leg.Status)
+		exchange.exclude = append(exchange.exclude, leg.target.ID)
 		exchange.keep(found)
-		return nil
+		return false
 	}
 	if leg.Status < http.StatusInternalServerError {
 		exchange.noteServed(leg)
 	}
-	return found
+	exchange.deliver(found)
+	return true
 }
 
 // lateAnswer keeps calls off a server that answered nothing in time: it may
 // have lost power, and the next call would be lost like this one.
 func (exchange *exchange) lateAnswer(leg *leg) {
-	if !exchange.gone() && !leg.withheld {
+	if !exchange.gone() && !leg.withheld && leg.peer == nil {
 		leg.target.Avoid(avoidUnreachable)
 		exchange.forwarder.Pool.Drop(leg.target.Address)
 	}
--- /dev/null
+++ b/internal/serve/forward/detour.go
@@ -0,0 +1,385 @@
+package forward
+
+import (
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/fleet/detour"
+	"hazelslip/internal/peer/backendserver"
+	"hazelslip/internal/state/configuration"
+)
+
+// A request whose servers this node doesn't reach goes on through another node, once: the other one serves it as
+// if the caller had come there, and sends it no further. The head of the request tells, beside what the
+// caller wrote, what has become of it so far; the head of the answer tells whether that is a server's, and what has become
+// of the request at the other node.
+
+// headerDetour carries what two nodes tell each other of a request. It never reaches a caller or a server.
+const headerDetour = "Hazelslip-Detour"
+
+// The names of what is told.
+const (
+	fieldSender   = "Sender"
+	fieldVersion  = "ConfigurationVersion"
+	fieldKey      = "KeyDigest"
+	fieldRuns     = "Runs"
+	fieldGoesOn   = "GoesOn"
+	fieldCounted  = "Counted"
+	fieldResult   = "Result"
+	fieldOutcome  = "Outcome"
+	fieldCause    = "Cause"
+	fieldArrivals = "Arrivals"
+)
+
+// result is what the answer of another node is.
+type result string
+
+const (
+	// resultServer: a server's answer, as it came.
+	resultServer result = "Server"
+	// resultNotRun: the request has not run there and never will.
+	resultNotRun result = "NotRun"
+	// resultDenied: the request is wrong in itself.
+	resultDenied result = "Denied"
+	// resultMayHaveRun: the request may have run, and there is no answer of a server.
+	resultMayHaveRun result = "MayHaveRun"
+)
+
+// inward is what another node told of a request that it sent.
+type inward struct {
+	Sender    string
+	Version   int64
+	KeyDigest string
+	// Runs counts the servers that may have run it, GoesOn says that its caller has a part of the answer,
+	// Counted that it was counted as demand.
+	Runs    int
+	GoesOn  bool
+	Counted bool
+}
+
+func (inward *inward) sender() string {
+	if inward == nil {
+		return ""
+	}
+	return inward.Sender
+}
+
+func (inward *inward) counted() bool {
+	return inward != nil && inward.Counted
+}
+
+func (inward *inward) encode() string {
+	values := url.Values{}
+	values.Set(fieldSender, inward.Sender)
+	values.Set(fieldVersion, strconv.FormatInt(inward.Version, 10))
+	values.Set(fieldKey, inward.KeyDigest)
+	values.Set(fieldRuns, strconv.Itoa(inward.Runs))
+	values.Set(fieldGoesOn, strconv.FormatBool(inward.GoesOn))
+	values.Set(fieldCounted, strconv.FormatBool(inward.Counted))
+	return values.Encode()
+}
+
+// errNotOfANode says that a request was not sent by a node.
+var errNotOfANode = errors.New("the request was not sent by a node")
+
+func decodeInward(header http.Header) (*inward, error) {
+	values, err := url.ParseQuery(header.Get(headerDetour))
+	if err != nil || values.Get(fieldSender) == "" {
+		return nil, errNotOfANode
+	}
+	version, err := strconv.ParseInt(values.Get(fieldVersion), 10, 64)
+	if err != nil {
+		return nil, errors.Mark(err, errNotOfANode)
+	}
+	runs, err := strconv.Atoi(values.Get(fieldRuns))
+	if err != nil || runs < 0 {
+		return nil, errNotOfANode
+	}
+	return &inward{
+		Sender: values.Get(fieldSender), Version: version, KeyDigest: values.Get(fieldKey), Runs: runs,
+		GoesOn: values.Get(fieldGoesOn) == "true", Counted: values.Get(fieldCounted) == "true",
+	}, nil
+}
+
+const (
+	// detoursMost bounds the requests of other nodes that a node has under way: each takes two connections.
+	detoursMost = 1024
+	// versionWait is how long a request waits for the configuration that its sender has.
+	versionWait = 200 * time.Millisecond
+	// detourWait is how long a request waits until a node is known that it can go through, and
+	// detourPart the part of its time that this may be, as a divisor.
+	detourWait = 300 * time.Millisecond
+	detourPart = 4
+	// detourTries is through how many nodes a request is sent that none has taken.
+	detourTries = 3
+)
+
+// Why a request of another node isn't taken, beside what callers are refused for.
+const (
+	// Behind: the node doesn't have the configuration that the sender has.
+	Behind Outcome = "Behind"
+	// Busy: it has as many requests of other nodes as it takes.
+	Busy Outcome = "Busy"
+)
+
+// Inward returns the handler of requests that other nodes send. Who else reaches it gets what a caller would: a
+// request counts as a workspace's only by the digest of its key.
+func (forwarder *Forwarder) Inward() http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		from, err := decodeInward(request.Header)
+		if err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		request.Header.Del(headerDetour)
+		defer forwarder.inwards.Add(-1)
+		if forwarder.inwards.Add(1) > detoursMost {
+			forwarder.turnAway(writer, Busy)
+			return
+		}
+		if !forwarder.awaitVersion(request, from.Version) {
+			forwarder.turnAway(writer, Behind)
+			return
+		}
+		forwarder.Counts.DetoursTaken.Add(1)
+		forwarder.serve(writer, request, from)
+	})
+}
+
+// turnAway answers that the request was not taken, before any of it was looked at.
+func (forwarder *Forwarder) turnAway(writer http.ResponseWriter, outcome Outcome) {
+	forwarder.Counts.DetoursRefused.Add(1)
+	writer.Header().Set(headerDetour, forwarder.told(resultNotRun, outcome, "", 0, 0))
+	writer.Header().Set("Content-Length", "0")
+	writer.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// awaitVersion waits a moment until the node has a version of the configuration: one that handles a request by an
+// older one than its sender would let callers in whose keys were taken away.
+func (forwarder *Forwarder) awaitVersion(request *http.Request, version int64) bool {
+	for until := forwarder.Now() + versionWait; forwarder.Configuration.Load().Configuration.Version < version; time.Sleep(waitStep) {
+		if forwarder.Now() >= until || request.Context().Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (forwarder *Forwarder) told(result result, outcome Outcome, cause string, runs, arrivals int) string {
+	values := url.Values{}
+	values.Set(fieldResult, string(result))
+	values.Set(fieldVersion, strconv.FormatInt(forwarder.Configuration.Load().Configuration.Version, 10))
+	values.Set(fieldRuns, strconv.Itoa(runs))
+	values.Set(fieldArrivals, strconv.Itoa(arrivals))
+	if outcome != "" {
+		values.Set(fieldOutcome, string(outcome))
+		values.Set(fieldCause, cause)
+	}
+	return values.Encode()
+}
+
+// tellSender puts what has become of the request into the head of the answer, if another node sent it.
+func (exchange *exchange) tellSender(result result) {
+	if exchange.inward == nil {
+		return
+	}
+	outcome, cause := exchange.outcome, exchange.cause
+	if result == resultServer {
+		outcome, cause = "", ""
+	}
+	exchange.writer.Header().Set(headerDetour, exchange.forwarder.told(result, outcome, cause, exchange.runs, exchange.arrivals))
+}
+
+// holder returns the workspace that holds the caller's key, or whose key has the digest that a node sent.
+func (exchange *exchange) holder() (*configuration.Workspace, bool) {
+	if exchange.inward != nil {
+		return exchange.snapshot.WorkspaceByDigest(exchange.inward.KeyDigest)
+	}
+	return exchange.snapshot.Workspace(exchange.request.Key)
+}
+
+// goesOn says whether the caller has a part of the answer.
+func (exchange *exchange) goesOn() bool {
+	return exchange.begun || (exchange.inward != nil && exchange.inward.GoesOn)
+}
+
+// reachedOnly says whether servers that this node doesn't reach are left to other nodes.
+func (exchange *exchange) reachedOnly() bool {
+	return exchange.inward != nil || (exchange.forwarder.Detours != nil && !exchange.straight)
+}
+
+// mayDetour says whether the request may go through another node.
+func (exchange *exchange) mayDetour() bool {
+	return exchange.inward == nil && exchange.forwarder.Detours != nil
+}
+
+// detour sends the request through other nodes, one after the other, as long as none took it. Serve
+// passes on the answer of the one that did. It returns whether the request has ended, and whether it reached a server, so
+// that sending it once more is a repeat.
+func (exchange *exchange) detour(serve func(leg *leg) bool) (ended, sent bool) {
+	for range detourTries {
+		peer, found := exchange.choosePeer()
+		if !found || exchange.left() <= leastLeft || exchange.gone() {
+			break
+		}
+		leg := exchange.attemptVia(peer)
+		switch {
+		case leg.Reply != nil:
+			ended, sent = exchange.takeReply(leg, serve)
+		default:
+			sent = !leg.unsent
+			leg.end()
+		}
+		if ended || sent {
+			return ended, sent
+		}
+	}
+	exchange.straight = true
+	return false, false
+}
+
+// choosePeer returns a node that reaches the request's service. Where none is known as yet it waits a
+// moment: nodes are asked as soon as a way is doubted.
+func (exchange *exchange) choosePeer() (*detour.Peer, bool) {
+	until := exchange.forwarder.Now() + min(detourWait, exchange.left()/detourPart)
+	for {
+		peer, found := exchange.forwarder.Detours.Choose(exchange.service, exchange.excludePeers)
+		if found || len(exchange.excludePeers) > 0 || exchange.forwarder.Now() >= until || exchange.gone() {
+			return peer, found
+		}
+		exchange.forwarder.DetourWanted()
+		time.Sleep(waitStep)
+	}
+}
+
+// attemptVia sends the request to another node and reads the head of its answer.
+func (exchange *exchange) attemptVia(peer *detour.Peer) *leg {
+	forwarder := exchange.forwarder
+	exchange.via = peer.Address
+	exchange.excludePeers = append(exchange.excludePeers, peer.Address)
+	exchange.last = dispatched{taken: peer.Taken()}
+	leg := exchange.newLeg(peer.Target, exchange.peerPatience())
+	leg.peer = peer
+	call := exchange.newCall(peer.Target)
+	call.Server, call.Workspace = "", ""
+	call.Header = call.Header.Clone()
+	call.Header.Set(headerDetour, (&inward{
+		Sender: forwarder.Name, Version: exchange.snapshot.Configuration.Version, KeyDigest: configuration.KeyDigest(exchange.request.Key),
+		Runs: exchange.runs, GoesOn: exchange.begun, Counted: exchange.asked,
+	}).encode())
+	call.Cancel = leg.ender.set
+	call.Admit = func() error {
+		if leg.ender.over() {
+			return errGivenUp
+		}
+		return nil
+	}
+	forwarder.Counts.DetoursSent.Add(1)
+	reply, err := forwarder.DetourPool.Send(call)
+	if err == nil {
+		leg.Reply = reply
+		return leg
+	}
+	exchange.cause = "node " + peer.Address + ": " + err.Error()
+	if !exchange.gone() {
+		forwarder.Detours.Failed(peer.Address)
+		forwarder.DetourPool.Drop(peer.Address)
+	}
+	if leg.unsent = errors.Is(err, backendserver.ErrNotSent); !leg.unsent {
+		exchange.arrivals++
+		exchange.ran()
+	}
+	return leg
+}
+
+// peerPatience is how long another node is waited for: as long as it waits for two servers where the call may run
+// twice.
+func (exchange *exchange) peerPatience() time.Duration {
+	if exchange.route.Kind == configuration.Idempotent {
+		return min(exchange.left(), 2*exchange.patience())
+	}
+	return exchange.left()
+}
+
+// takeReply takes the answer of another node.
+func (exchange *exchange) takeReply(leg *leg, serve func(leg *leg) bool) (ended, sent bool) {
+	before := exchange.arrivals
+	told, err := url.ParseQuery(leg.Header.Get(headerDetour))
+	if err != nil {
+		told = url.Values{}
+	}
+	leg.Header.Del(headerDetour)
+	exchange.takeTold(leg, told)
+	outcome := Outcome(told.Get(fieldOutcome))
+	exchange.cause = "node " + leg.peer.Address + ": " + told.Get(fieldCause)
+	switch result(told.Get(fieldResult)) {
+	case resultServer:
+		return serve(leg), true
+	case resultNotRun:
+		again := leg.Header.Get("Retry-After")
+		exchange.discard(leg)
+		if exchange.begun || exchange.mayHaveRun || elsewhere(outcome) {
+			return false, exchange.arrivals > before
+		}
+		exchange.outcome = outcome
+		exchange.refuseAsTold(again)
+		return true, false
+	case resultDenied:
+		status := leg.Status
+		exchange.discard(leg)
+		if exchange.begun || exchange.mayHaveRun {
+			return false, false
+		}
+		exchange.deny(status, outcome, exchange.cause)
+		return true, false
+	}
+	leg.end()
+	exchange.outcome = outcome
+	exchange.mayHaveRun = true
+	return false, true
+}
+
+// elsewhere says whether another node may take a request that one refused for a reason.
+func elsewhere(outcome Outcome) bool {
+	switch outcome {
+	case Behind, Busy, Unreached, NoConfiguration, OutOfMemory:
+		return true
+	}
+	return false
+}
+
+// discard reads what is left of a short answer, so that its connection can be used again.
+func (exchange *exchange) discard(leg *leg) {
+	_, _ = io.Copy(io.Discard, io.LimitReader(leg, copyBuffer))
+	leg.end()
+}
+
+// refuseAsTold refuses the request with the time to return that the other node named.
+func (exchange *exchange) refuseAsTold(again string) {
+	seconds, err := strconv.ParseFloat(again, 64)
+	if err != nil {
+		exchange.refuse(exchange.outcome, retryNone, exchange.cause)
+		return
+	}
+	exchange.notBefore = time.Duration(seconds * float64(time.Second))
+	exchange.refuse(exchange.outcome, 0, exchange.cause)
+}
+
+// takeTold takes what the other node told of the request and of itself.
+func (exchange *exchange) takeTold(leg *leg, told url.Values) {
+	version, err := strconv.ParseInt(told.Get(fieldVersion), 10, 64)
+	if err == nil && version > exchange.snapshot.Configuration.Version {
+		exchange.forwarder.NewerAt(leg.peer.Peer, version)
+	}
+	if runs, err := strconv.Atoi(told.Get(fieldRuns)); err == nil {
+		exchange.runs = max(exchange.runs, runs)
+	}
+	if arrivals, err := strconv.Atoi(told.Get(fieldArrivals)); err == nil {
+		exchange.arrivals += max(0, arrivals)
+	}
+}
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -63,6 +63,15 @@
 	again time.Duration
 	// notBefore is before which time coming again is of no use, 0 if that isn't known.
 	notBefore time.Duration
+	// inward is set where another node sent the request, whose caller is there. excludePeers are the nodes
+	// that this one sent it through in vain, via the last.
+	inward       *inward
+	excludePeers []string
+	via          string
+	// straight says that no other node took the request, so that servers are called that seem out of reach.
+	straight bool
+	// asked says that the stream was counted as demand.
+	asked bool
 }
 
 // pace is how the events of a stream came, for the log.
@@ -113,7 +122,9 @@
 	exchange.late = route.Timeout > 0 && exchange.request.Left > 0 && route.Timeout-exchange.request.Left > route.Target
 	exchange.service = pickService(route.Services, rand.Float64())
 	exchange.budget = exchange.forwarder.Budget(exchange.service)
-	exchange.budget.Request()
+	if exchange.inward == nil {
+		exchange.budget.Request()
+	}
 	exchange.deadline = exchange.timeLimit()
 	return true
 }
@@ -157,7 +168,7 @@
 	if exchange.route.Anonymous || len(exchange.snapshot.Configuration.Workspaces) == 0 {
 		return true
 	}
-	workspace, ok := exchange.snapshot.Workspace(exchange.request.Key)
+	workspace, ok := exchange.holder()
 	if !ok {
 		exchange.deny(http.StatusUnauthorized, UnknownKey, "the key is not known")
 		return false
@@ -293,7 +304,7 @@
 func (exchange *exchange) urgency() int {
 	rank := rankFresh
 	switch {
-	case exchange.begun:
+	case exchange.goesOn():
 		rank = rankBegun
 	case exchange.late:
 		rank = rankLate
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"hazelslip/internal/common/clock"
+	"hazelslip/internal/fleet/detour"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/memory"
@@ -91,6 +92,16 @@
 	Nodes   func() int
 	// Memory is the budget of bytes that are buffered; nil for none.
 	Memory *memory.Budget
+	// Detours are the other nodes that requests go through whose servers this one doesn't reach, nil for
+	// none, DetourPool the connections there. DetourWanted is told that none is known.
+	Detours      *detour.Table
+	DetourPool   *backendserver.Pool
+	DetourWanted func()
+	// Name is this node's, NewerAt is told of a version in force at the node with an address.
+	Name    string
+	NewerAt func(address string, version int64)
+	// Unsure is told of a request under which a server may have ended, while the way there is doubted.
+	Unsure func(target *dispatch.Target, fingerprint quarantine.Fingerprint)
 	// Failed is told of a server that refused or broke a call of a group.
 	Failed func(target *dispatch.Target, culprit string)
 	Logger *slog.Logger
@@ -113,6 +124,9 @@
 	// others go first, Unanswered the calls whose connection was closed before any answer.
 	Shed       atomic.Uint64
 	Unanswered atomic.Uint64
+	// DetoursSent are the requests that were sent through other nodes, DetoursTaken those of other
+	// nodes, DetoursRefused those of them that were not taken.
+	DetoursSent, DetoursTaken, DetoursRefused atomic.Uint64
 }
 
 // Forwarder is an http.Handler.
@@ -121,6 +135,8 @@
 	Counts Counts
 
 	buffers sync.Pool
+	// inwards counts the requests of other nodes that are under way.
+	inwards atomic.Int64
 }
 
 // New returns a forwarder.
@@ -128,6 +144,9 @@
 	if parts.Memory == nil {
 		parts.Memory = memory.New(0)
 	}
+	if parts.Unsure == nil {
+		parts.Unsure = func(*dispatch.Target, quarantine.Fingerprint) {}
+	}
 	return &Forwarder{Parts: parts, buffers: sync.Pool{New: func() any { return new([copyBuffer]byte) }}}
 }
 
@@ -145,11 +164,19 @@
 
 // ServeHTTP serves one request.
 func (forwarder *Forwarder) ServeHTTP(writer http.ResponseWriter, inbound *http.Request) {
+	forwarder.Counts.Requests.Add(1)
+	forwarder.serve(writer, inbound, nil)
+}
+
+// serve serves a request of a caller, or one that another node sent.
+func (forwarder *Forwarder) serve(writer http.ResponseWriter, inbound *http.Request, from *inward) {
 	exchange := &exchange{
-		forwarder: forwarder, writer: writer, inbound: inbound,
+		forwarder: forwarder, writer: writer, inbound: inbound, inward: from,
 		request: forwarder.Decode(inbound), arrived: forwarder.Now(),
 	}
-	forwarder.Counts.Requests.Add(1)
+	if from != nil {
+		exchange.runs, exchange.mayHaveRun = from.Runs, from.Runs > 0
+	}
 	defer exchange.held.Release()
 	if forwarder.Stopping() {
 		writer.Header().Set("Connection", "close")
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hazelslip/internal/fleet/detour"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/notice"
@@ -26,8 +27,10 @@
 type leg struct {
 	*backendserver.Reply
 	target *dispatch.Target
-	use    *dispatch.Use
-	ender  *ender
+	// peer is the node that the call goes through, nil where it goes to a server.
+	peer  *detour.Peer
+	use   *dispatch.Use
+	ender *ender
 	// forget takes the ender off the caller's connection, patience ends the call
 	// when it has taken too long.
 	forget   func() bool
@@ -36,8 +39,8 @@
 	sent, admitted time.Duration
 	// overdue says that its time was up while the caller was being written to.
 	overdue atomic.Bool
-	// withheld says that it wasn't, since the server wants no calls.
-	withheld bool
+	// withheld says that it wasn't, since the server wants no calls, unsent that no byte of it left for another node.
+	withheld, unsent bool
 }
 
 // end gives the connection back. The ender lets go of it first: the connection
@@ -113,14 +116,10 @@
 // run.
 func (exchange *exchange) attempt(target *dispatch.Target, within time.Duration) *leg {
 	call := exchange.newCall(target)
-	exchange.attempts++
 	exchange.last = dispatched{server: target.ID, group: target.Group, taken: target.Taken()}
-	leg := &leg{target: target, ender: &ender{}, sent: exchange.forwarder.Now()}
-	leg.use = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), leg.ender.end)
-	leg.patience = time.AfterFunc(within, leg.expire)
-	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
+	leg := exchange.newLeg(target, within)
 	call.Cancel, call.Heard = leg.ender.set, exchange.hear(leg)
-	call.Admit = exchange.admitLeg(leg)
+	call.Admit, call.Opened = exchange.admitLeg(leg), target.Opened
 	reply, err := exchange.forwarder.Pool.Send(call)
 	if err == nil {
 		exchange.arrivals++
@@ -132,6 +131,16 @@
 	return leg
 }
 
+// newLeg begins a call that may take as long as given.
+func (exchange *exchange) newLeg(target *dispatch.Target, within time.Duration) *leg {
+	exchange.attempts++
+	leg := &leg{target: target, ender: &ender{}, sent: exchange.forwarder.Now()}
+	leg.use = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), leg.ender.end)
+	leg.patience = time.AfterFunc(within, leg.expire)
+	leg.forget = context.AfterFunc(exchange.inbound.Context(), leg.ender.end)
+	return leg
+}
+
 // noReply notes a call that brought no answer.
 func (exchange *exchange) noReply(leg *leg, err error) {
 	target := leg.target
@@ -148,6 +157,9 @@
 		return
 	}
 	if errors.Is(err, backendserver.ErrNotSent) {
+		if errors.Is(err, backendserver.ErrNotOpened) && !exchange.gone() {
+			target.Unopened(leg.sent)
+		}
 		target.Avoid(avoidUnreachable)
 		exchange.forwarder.Failed(target, "")
 		return
@@ -171,6 +183,9 @@
 
 // note tells how a call ended, unless that says nothing of its server.
 func (exchange *exchange) note(leg *leg, failed bool) {
+	if leg.peer != nil || (failed && !leg.target.Reached()) {
+		return
+	}
 	if failed && (exchange.gone() || leg.overdue.Load() || leg.use.Moved() || leg.use.Withdrawn()) {
 		return
 	}
@@ -227,4 +242,6 @@
 	for name, values := range from {
 		header[name] = values
 	}
+	header.Del(headerDetour)
+	exchange.tellSender(resultServer)
 }
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -23,7 +23,9 @@
 	// serve. Full: all have as many calls as they may.
 	// Limited: only servers could take it that name a limit, which is used up.
 	// BackedOff: only servers could take it that asked for a backoff.
+	// Unreached: this node reaches none that could take it, and no other node did.
 	NoServer  Outcome = "NoServer"
+	Unreached Outcome = "Unreached"
 	Limited   Outcome = "Limited"
 	BackedOff Outcome = "BackedOff"
 	Full      Outcome = "Full"
@@ -77,6 +79,7 @@
 		slog.String("Outcome", string(exchange.outcome)), slog.String("Cause", exchange.cause),
 		slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Attempts", exchange.attempts), slog.Bool("MayHaveRun", exchange.mayHaveRun),
+		slog.String("Via", exchange.via), slog.String("For", exchange.inward.sender()),
 		slog.String("Server", exchange.last.server), slog.String("Group", exchange.last.group), slog.Int("Taken", exchange.last.taken),
 		slog.Int64("ConfigurationVersion", exchange.snapshotVersion()),
 		slog.Int64("FirstEventMilliseconds", summary.FirstEvent.Milliseconds()),
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -16,6 +16,8 @@
 	// spare, and most of what a caller's deadline lets it wait. A caller that
 	// returns sooner finds the same full groups and is refused for good.
 	retryNone = 1300 * time.Millisecond
+	// retryUnreached is for a node that reaches no server: callers come back to another one.
+	retryUnreached = 150 * time.Millisecond
 	// retryMemory is for a body that doesn't fit at this node: bodies are held for as long as
 	// calls take, and the balancer may choose another node.
 	retryMemory = 400 * time.Millisecond
@@ -45,6 +47,7 @@
 // once.
 func (exchange *exchange) refuse(outcome Outcome, again time.Duration, cause string) {
 	exchange.outcome, exchange.cause = outcome, cause
+	exchange.tellSender(resultNotRun)
 	spread := max(exchange.notBefore, time.Duration(float64(again)*(0.75+rand.Float64()/2)))
 	exchange.writer.Header().Set("Retry-After", strconv.FormatFloat(spread.Seconds(), 'f', 3, 64))
 	exchange.finish(http.StatusServiceUnavailable)
@@ -53,11 +56,13 @@
 // deny answers a request that is wrong in itself.
 func (exchange *exchange) deny(status int, outcome Outcome, cause string) {
 	exchange.outcome, exchange.cause = outcome, cause
+	exchange.tellSender(resultDenied)
 	exchange.finish(status)
 }
 
 // fail answers that the request may have run.
 func (exchange *exchange) fail(status int) {
+	exchange.tellSender(resultMayHaveRun)
 	exchange.finish(status)
 }
 
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -48,11 +48,19 @@
 		if exchange.quarantined() {
 			break
 		}
+		if verdict == dispatch.Unreached && exchange.mayDetour() {
+			if ended, sent := exchange.detour(exchange.streamOne); ended {
+				return
+			} else if sent {
+				continue
+			}
+			target, verdict = exchange.pick(beyond)
+		}
 		if verdict != dispatch.Chosen {
 			exchange.noSlot(target, verdict)
 			break
 		}
-		if exchange.streamOne(target) {
+		if exchange.streamOne(exchange.attempt(target, exchange.left())) {
 			return
 		}
 	}
@@ -62,7 +70,7 @@
 // noSlot notes why the stream was given no group, and counts it as demand that its pool has no slot for.
 func (exchange *exchange) noSlot(target *dispatch.Target, verdict dispatch.Verdict) {
 	exchange.noTarget(target, verdict)
-	if exchange.configured() && (exchange.outcome == Full || exchange.outcome == NoServer) {
+	if exchange.configured() && !exchange.inward.counted() && (exchange.outcome == Full || exchange.outcome == NoServer) {
 		exchange.forwarder.Board.Refused(exchange.pool())
 	}
 }
@@ -71,11 +79,14 @@
 // other streams go first. Only an operator who gives streams different priorities says which are refused so that
 // others are in time; elsewhere they wait at the servers. A caller that has a part of its answer isn't refused the rest.
 func (exchange *exchange) sheds() (dispatch.Overload, bool) {
-	if !exchange.configured() {
+	if !exchange.configured() || exchange.inward.counted() {
 		return dispatch.Overload{}, false
 	}
 	board, pool, rank := exchange.forwarder.Board, exchange.pool(), exchange.urgency()
-	defer board.Asked(pool, rank)
+	if !exchange.asked {
+		exchange.asked = true
+		defer board.Asked(pool, rank)
+	}
 	if !exchange.snapshot.Ranked(exchange.service) || exchange.request.Continues {
 		return dispatch.Overload{}, false
 	}
@@ -108,11 +119,11 @@
 // pick chooses a group, and waits a little for a place if all are full.
 func (exchange *exchange) pick(beyond int) (*dispatch.Target, dispatch.Verdict) {
 	wait := exchange.placeWait()
-	if exchange.begun {
+	if exchange.goesOn() {
 		wait = waitResumed
 	}
 	return exchange.pickWithin(wait, beyond, func(verdict dispatch.Verdict) bool {
-		return verdict != dispatch.Chosen && (verdict != dispatch.None || exchange.begun)
+		return verdict != dispatch.Chosen && verdict != dispatch.Unreached && (verdict != dispatch.None || exchange.goesOn())
 	})
 }
 
@@ -129,7 +140,7 @@
 	for {
 		target, verdict := exchange.forwarder.Board.Pick(exchange.pool(), dispatch.Wish{
 			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.exclude, Beyond: beyond, Proven: exchange.mayHaveRun,
-			Urgency: exchange.urgency(), Regions: exchange.regions,
+			Urgency: exchange.urgency(), Regions: exchange.regions, ReachedOnly: exchange.reachedOnly(),
 		})
 		if !worth(verdict) || exchange.opensLater(target, verdict, until) || exchange.forwarder.Now()+waitStep > until || exchange.left() < 2*leastLeft || exchange.gone() || exchange.quarantined() {
 			return target, verdict
@@ -146,13 +157,12 @@
 // opensLater says whether the wait for a place ends before any server's backoff does. The
 // caller is told at once then, unless it has a part of its answer: a group may be formed.
 func (exchange *exchange) opensLater(target *dispatch.Target, verdict dispatch.Verdict, until time.Duration) bool {
-	return verdict == dispatch.BackedOff && !exchange.begun && target.OpensAt() > until
+	return verdict == dispatch.BackedOff && !exchange.goesOn() && target.OpensAt() > until
 }
 
-// streamOne runs the stream, or the rest of it, at one group and says whether
+// streamOne passes on the stream, or the rest of it, that one call brings and says whether
 // the request has ended.
-func (exchange *exchange) streamOne(target *dispatch.Target) bool {
-	leg := exchange.attempt(target, exchange.left())
+func (exchange *exchange) streamOne(leg *leg) bool {
 	defer leg.end()
 	if leg.Reply == nil {
 		return false
@@ -173,11 +183,11 @@
 	}
 	exchange.ran()
 	exchange.noteEnd(leg, err)
-	exchange.cause = "the stream of " + target.ID + " broke off: " + err.Error()
+	exchange.cause = "the stream of " + leg.target.ID + " broke off: " + err.Error()
 	if leg.use.Moved() {
-		exchange.cause = "group " + target.Group + " stood still"
+		exchange.cause = "group " + leg.target.Group + " stood still"
 	}
-	exchange.exclude = append(exchange.exclude, target.ID)
+	exchange.exclude = append(exchange.exclude, leg.target.ID)
 	return false
 }
 
--- a/internal/serve/forward/suspect.go
+++ b/internal/serve/forward/suspect.go
@@ -16,9 +16,12 @@
 
 // noteEnd notes that a server ended while it had the call, if it seems so.
 func (exchange *exchange) noteEnd(leg *leg, err error) {
-	if exchange.gone() || leg.use.Withdrawn() || !serverEnded(leg, err) {
+	if leg.peer != nil || exchange.gone() || leg.use.Withdrawn() || !serverEnded(leg, err) {
 		return
 	}
+	if !leg.use.Moved() {
+		leg.target.Broke()
+	}
 	forwarder := exchange.forwarder
 	forwarder.Counts.ServerEnds.Add(1)
 	ends := exchange.suspect(leg.target, leg.use.Moved())
@@ -33,6 +36,11 @@
 // Of a group that only stood still that is to be confirmed.
 func (exchange *exchange) suspect(target *dispatch.Target, stoodStill bool) int {
 	list := exchange.forwarder.Quarantine
+	if !target.Reached() {
+		// This node may have lost its way there, which ends the calls at all servers at once.
+		exchange.forwarder.Unsure(target, exchange.fingerprint)
+		return 0
+	}
 	if stoodStill && !target.Lost() {
 		list.Doubt(exchange.fingerprint, target.Group, target.Run())
 		return 0
@@ -54,7 +62,7 @@
 // noteServed notes that the request was answered whole, which one of which servers end
 // never is. An answer without a length may have been cut by such an end, and says nothing.
 func (exchange *exchange) noteServed(leg *leg) {
-	if !leg.Framed() || !exchange.forwarder.Quarantine.Served(exchange.fingerprint) {
+	if leg.peer != nil || !leg.Framed() || !exchange.forwarder.Quarantine.Served(exchange.fingerprint) {
 		return
 	}
 	exchange.forwarder.Suspected(exchange.fingerprint)
--- a/internal/state/configuration/table.go
+++ b/internal/state/configuration/table.go
@@ -1,8 +1,11 @@
 package configuration
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 )
 
@@ -13,6 +16,8 @@
 	byHost     map[string][]*Route
 	services   map[string]*Service
 	workspaces map[string]*Workspace
+	// digests are the workspaces by the digests of their keys, worked out when one is first asked for.
+	digests func() map[string]*Workspace
 	// ranked are the services whose streaming routes the operator gave different priorities.
 	ranked map[string]bool
 }
@@ -41,9 +46,31 @@
 			snapshot.workspaces[key] = workspace
 		}
 	}
+	snapshot.digests = sync.OnceValue(snapshot.digest)
 	return snapshot
 }
 
+// digest works out the digests of all keys.
+func (snapshot *Snapshot) digest() map[string]*Workspace {
+	digests := make(map[string]*Workspace, len(snapshot.workspaces))
+	for key, workspace := range snapshot.workspaces {
+		digests[KeyDigest(key)] = workspace
+	}
+	return digests
+}
+
+// KeyDigest is what nodes name a key by to each other: its SHA-256 in hexadecimal.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// WorkspaceByDigest returns the workspace that holds the key with a digest.
+func (snapshot *Snapshot) WorkspaceByDigest(digest string) (*Workspace, bool) {
+	workspace, ok := snapshot.digests()[digest]
+	return workspace, ok
+}
+
 // Known says whether any version was ever taken.
 func (snapshot *Snapshot) Known() bool {
 	return snapshot.Configuration.Version > 0
