fix(dispatch): servers that failed calls a moment ago count as out of reach on a lost way

What callers saw: at a node that had lost its way, requests that had just failed at every server were refused with NoServer, as servers that failed a call are kept off for 0.7 s, and those that are kept off didn't count as out of reach.

--- a/internal/policy/dispatch/admit.go
+++ b/internal/policy/dispatch/admit.go
@@ -11,7 +11,13 @@
 // closed says whether the target gets no new calls, by what this node saw of it, by what its
 // server says, or since its data centre is drained.
 func (target *Target) closed(now time.Duration) bool {
-	return target.drain.Drained() || target.Avoided(now) || !target.record.Takes(now)
+	return target.unwilling(now) || target.Avoided(now)
+}
+
+// unwilling says whether the target gets no new calls from any node: its group is lost, its server wants none, or its
+// data centre is drained.
+func (target *Target) unwilling(now time.Duration) bool {
+	return target.lost.Load() || target.drain.Drained() || !target.record.Takes(now)
 }
 
 // ErrDrained says that a call was withheld since the data centre of its target was drained
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -102,13 +102,16 @@
 	trusted := !wish.broken && trustBreakers(targets, now)
 	for number, target := range targets {
 		costs[number] = never
-		if target.closed(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) {
+		if target.unwilling(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) {
 			continue
 		}
 		if !wish.anywhere && (target.centre.away() || target.way.Blocks(target.ID)) {
 			unreached++
 			continue
 		}
+		if target.Avoided(now) {
+			continue
+		}
 		if trusted && target.breaker.open(now) {
 			broken++
 			continue
--- a/internal/policy/dispatch/way.go
+++ b/internal/policy/dispatch/way.go
@@ -58,6 +58,11 @@
 	return target.way
 }
 
+// Ways are this node's ways to servers.
+func (board *Board) Ways() *reach.Ways {
+	return board.ways
+}
+
 // WatchWays looks for ways of which all calls stand still.
 func (board *Board) WatchWays() {
 	now := board.now()
