--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -42,6 +42,8 @@
 	ErrNotSent = errors.New("the call was not sent")
 	// ErrNotOpened means that it wasn't since no connection was opened.
 	ErrNotOpened = errors.New("no connection was opened")
+	// ErrNotKept means that it should have gone over an open connection, and there is none.
+	ErrNotKept = errors.New("no connection is open")
 	// ErrNoAnswer means that the call was sent, at least in part, and no whole
 	// head of an answer came.
 	ErrNoAnswer = errors.New("the call was sent and got no answer")
@@ -71,6 +73,8 @@
 	// Cancel, when set, is given a function that ends the call at once from
 	// another goroutine. It is called before anything is sent.
 	Cancel func(end func())
+	// Kept sends the call over an open connection or not at all.
+	Kept bool
 	// Opened, when set, is told that a new connection was opened for the call.
 	Opened func()
 	// Admit, when set, is asked just before the call is written, and ends it by an error:
@@ -216,7 +220,7 @@
 
 // Send sends a call and reads the head of its answer.
 func (pool *Pool) Send(call *Call) (*Reply, error) {
-	connection, fresh, err := pool.connection(call.Address, call.dialTime())
+	connection, fresh, err := pool.connection(call)
 	if err != nil {
 		return nil, errors.Mark(errors.Mark(errors.Wrapf(err, "connect to %s", call.Address), ErrNotOpened), ErrNotSent)
 	}
@@ -364,7 +368,8 @@
 }
 
 // connection returns a connection to a server, and whether it is a new one.
-func (pool *Pool) connection(address string, within time.Duration) (connection *conn, fresh bool, err error) {
+func (pool *Pool) connection(call *Call) (connection *conn, fresh bool, err error) {
+	address := call.Address
 	for {
 		connection := pool.take(address)
 		if connection == nil {
@@ -377,8 +382,11 @@
 		pool.Counts.Discarded.Add(1)
 		connection.Close()
 	}
+	if call.Kept {
+		return nil, false, ErrNotKept
+	}
 	pool.Counts.Dialled.Add(1)
-	dialled, err := pool.dial(address, within)
+	dialled, err := pool.dial(address, call.dialTime())
 	if err != nil {
 		pool.Counts.DialFailed.Add(1)
 		return nil, false, err
@@ -410,6 +418,13 @@
 	return nil
 }
 
+// Idle says whether there is an open connection to a server that carries no call.
+func (pool *Pool) Idle(address string) bool {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	return len(pool.idle[address]) > 0
+}
+
 // take returns the connection used last, which is the least likely to have
 // been closed.
 func (pool *Pool) take(address string) *conn {
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -164,7 +164,9 @@
 	now        clock.Now
 	record     func(run ratelimit.Run) *notice.Record
 	ways       *reach.Ways
-	drain      func(dataCentre string) *drain.Mark
+	// idle says whether there is an open connection to an address that carries no call.
+	idle  func(address string) bool
+	drain func(dataCentre string) *drain.Mark
 	// incarnation and nodes decide this node's part of what a cold server bears.
 	incarnation uint64
 	nodes       func() int
@@ -217,6 +219,11 @@
 	return func(board *Board) { board.ways = ways }
 }
 
+// Idle sets what tells of open connections to servers.
+func Idle(idle func(address string) bool) Option {
+	return func(board *Board) { board.idle = idle }
+}
+
 // Lots sets what decides this node's part of what a cold server bears: its incarnation, and
 // how many nodes share that.
 func Lots(incarnation uint64, nodes func() int) Option {
@@ -238,7 +245,7 @@
 func New(options ...Option) *Board {
 	board := &Board{
 		random: rand.IntN, now: clock.Boot, record: notice.New(ratelimit.New()).Record, known: map[string]*Target{}, holdings: map[string]*holding{},
-		drain: drain.New().Mark, nodes: func() int { return 1 }, counted: func() int { return 1 },
+		idle: func(string) bool { return false }, drain: drain.New().Mark, nodes: func() int { return 1 }, counted: func() int { return 1 },
 	}
 	board.layout.Store(&layout{})
 	for _, option := range options {
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -75,7 +75,7 @@
 	if !ok || len(filled.targets) == 0 {
 		return nil, None
 	}
-	costs, usable, broken, unreached := wish.costs(filled.targets, board.now(), board.coldPart)
+	costs, usable, broken, unreached := wish.costs(filled.targets, board)
 	switch {
 	case usable == 0 && broken > 0:
 		wish.broken = true
@@ -97,7 +97,8 @@
 
 // costs returns what each target costs, never for those that can't be chosen, and how many
 // could be if they had a place. Those whose breakers are open are counted apart, and those that are not reached.
-func (wish *Wish) costs(targets []*Target, now time.Duration, part func(target *Target) int) (costs []time.Duration, usable, broken, unreached int) {
+func (wish *Wish) costs(targets []*Target, board *Board) (costs []time.Duration, usable, broken, unreached int) {
+	now := board.now()
 	costs = make([]time.Duration, len(targets))
 	trusted := !wish.broken && trustBreakers(targets, now)
 	for number, target := range targets {
@@ -105,7 +106,7 @@
 		if target.unwilling(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) {
 			continue
 		}
-		if !wish.anywhere && (target.centre.away() || target.way.Blocks(target.ID)) {
+		if !wish.anywhere && (target.centre.away() || target.way.Blocks(target.ID)) && !board.LivesOn(target) {
 			unreached++
 			continue
 		}
@@ -117,7 +118,7 @@
 			continue
 		}
 		usable++
-		if target.Taken() >= target.Slots+wish.Beyond || (target.cold(now) && !target.warmup.Open(now, part(target))) {
+		if target.Taken() >= target.Slots+wish.Beyond || (target.cold(now) && !target.warmup.Open(now, board.coldPart(target))) {
 			continue
 		}
 		costs[number] = wish.cost(target) + target.risk(now)
--- a/internal/policy/dispatch/way.go
+++ b/internal/policy/dispatch/way.go
@@ -58,6 +58,26 @@
 	return target.way
 }
 
+// LivesOn says whether a target can only be called over a connection that is open: its way is lost, something has just
+// come from it, and such a connection is there.
+func (board *Board) LivesOn(target *Target) bool {
+	return target.way.Alive(target.ID) && board.idle(target.Address)
+}
+
+// WayLost says whether a pool has servers that this node doesn't reach beyond doubt, and none that it may reach.
+func (board *Board) WayLost(name string) bool {
+	filled, ok := board.pool(name)
+	if !ok || len(filled.targets) == 0 {
+		return false
+	}
+	for _, target := range filled.targets {
+		if target.way.Standing() != reach.Lost {
+			return false
+		}
+	}
+	return true
+}
+
 // Ways are this node's ways to servers.
 func (board *Board) Ways() *reach.Ways {
 	return board.ways
--- a/internal/policy/reach/probe.go
+++ b/internal/policy/reach/probe.go
@@ -160,7 +160,8 @@
 		way.ways.unsettled.Add(-1)
 	}
 	way.standing.Store(int32(Open))
-	way.reached, way.proving, way.wholeAt, way.heard, way.opened = nil, false, now, now, now
+	way.reached, way.alive = nil, nil
+	way.proving, way.wholeAt, way.heard, way.opened = false, now, now, now
 	clear(way.broken)
 	clear(way.unopened)
 	way.countLocked()
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -52,6 +52,9 @@
 	provenSample = 8
 	// reachedKept is how long a server of a lost way counts as reached after it was.
 	reachedKept = 2 * time.Second
+	// aliveFor is how long an open connection to a server counts as one that serves after something came
+	// from there.
+	aliveFor = 500 * time.Millisecond
 	// failuresMost bounds the servers that are remembered.
 	failuresMost = 64
 )
@@ -149,6 +152,8 @@
 	// unopened are the servers that could not be connected to since one was, broken those whose
 	// connections broke or fell silent since anything came.
 	unopened, broken map[string]struct{}
+	// alive are the servers from which something came since the way is lost, and when.
+	alive map[string]time.Duration
 	// servers are all of the way, as they were last listed.
 	servers []string
 	// reached are the servers of a lost way that were connected to, and when.
@@ -205,9 +210,23 @@
 	if _, known := way.reached[server]; known {
 		way.reached[server] = now
 	}
+	if way.alive != nil {
+		way.alive[server] = now
+	}
 	way.countLocked()
 }
 
+// Alive says whether something has just come from a server of a lost way: connections to it live on.
+func (way *Way) Alive(server string) bool {
+	if way.Standing() != Lost {
+		return false
+	}
+	way.mu.Lock()
+	defer way.mu.Unlock()
+	at, known := way.alive[server]
+	return known && way.ways.now()-at <= aliveFor
+}
+
 // Opened notes that a server was connected to for a call.
 func (way *Way) Opened(server string) {
 	if way == nil {
@@ -299,7 +318,8 @@
 	}
 	way.standing.Store(int32(Doubted))
 	way.ways.unsettled.Add(1)
-	way.since, way.triedAt, way.quiet, way.reached = now, 0, false, map[string]time.Duration{}
+	way.since, way.triedAt, way.quiet = now, 0, false
+	way.reached, way.alive = map[string]time.Duration{}, map[string]time.Duration{}
 }
 
 // Silent notes that calls have waited for as long as given while nothing came of any call. The way
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -193,6 +193,7 @@
 	node.demand = demand.New(demand.Clock(node.now))
 	node.detours = newDetours(node)
 	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices), dispatch.Demands(node.demand), dispatch.Ways(node.detours.ways),
+		dispatch.Idle(func(address string) bool { return node.pool.Idle(address) }),
 		dispatch.Drains(node.drained.Mark), dispatch.Lots(node.Incarnation, func() int { return node.peers.nodes() }),
 		dispatch.Counted(func() int { return int(node.peers.counted.Load()) }))
 	node.pool = backendserver.New(platform.Codec, node.poolOptions()...)
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -55,7 +55,9 @@
 			} else if sent {
 				continue
 			}
-			target, verdict = exchange.pickPlain()
+			if !exchange.forwarder.Board.WayLost(exchange.pool()) {
+				target, verdict = exchange.pickPlain()
+			}
 		}
 		if verdict != dispatch.Chosen {
 			exchange.noTarget(target, verdict)
--- a/internal/serve/forward/leg.go
+++ b/internal/serve/forward/leg.go
@@ -120,6 +120,7 @@
 	leg := exchange.newLeg(target, within)
 	call.Cancel, call.Heard = leg.ender.set, exchange.hear(leg)
 	call.Admit, call.Opened = exchange.admitLeg(leg), target.Opened
+	call.Kept = !exchange.straight && exchange.forwarder.Board.LivesOn(target)
 	reply, err := exchange.forwarder.Pool.Send(call)
 	if err == nil {
 		exchange.arrivals++
@@ -146,7 +147,7 @@
 	target := leg.target
 	exchange.cause = err.Error()
 	exchange.exclude = append(exchange.exclude, target.ID)
-	if leg.withheld = errors.Is(err, notice.ErrWithheld); leg.withheld {
+	if leg.withheld = errors.Is(err, notice.ErrWithheld) || errors.Is(err, backendserver.ErrNotKept); leg.withheld {
 		return
 	}
 	givenUp := errors.Is(err, errGivenUp)
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -54,7 +54,9 @@
 			} else if sent {
 				continue
 			}
-			target, verdict = exchange.pick(beyond)
+			if !exchange.forwarder.Board.WayLost(exchange.pool()) {
+				target, verdict = exchange.pick(beyond)
+			}
 		}
 		if verdict != dispatch.Chosen {
 			exchange.noSlot(target, verdict)
