fix(detour): a request goes through a node that reaches servers which this one doesn't

What callers saw: where a data centre is cut off and the own servers are full, requests went through the next node of the same data centre, which reaches no more, or waited 0.3 s for a node that nobody can be reached to become known.

Cause: nodes told for which services they reach no server at all, and a full pool beside lost ways looks the same as a lost one. A node that has just started and knows no servers took requests of others.

Change: nodes tell which ways they have lost; a node is chosen if it has kept one that is lost here. Nobody is waited for once those that answer have answered. Only ready nodes take requests of others, and 'no server' of one isn't the last word.

--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -1,8 +1,8 @@
 // Package detour chooses through which other node a request goes on that this node can't bring to its
 // servers.
 //
-// A Table holds the nodes that said lately that they take requests of others, with the services whose servers
-// they don't reach and the calls that they have under way. Nodes say so when they are asked, and they are asked
+// A Table holds the nodes that said lately that they take requests of others, with the ways to servers
+// that they have lost and the calls that they have under way. Nodes say so when they are asked, and they are asked
 // while some way of this node isn't open, so that a fleet of which all ways are open spends nothing on it.
 //
 // Nodes of the own data centre come first. Among those that could take a request two are drawn, and
@@ -13,7 +13,7 @@
 //
 //	table := detour.New("east", detour.Clock(now))
 //	table.Heard(detour.Node{Address: "10.0.0.7:7341", DataCentre: "east", Calls: 3})
-//	peer, found := table.Choose("drafts", nil)
+//	peer, found := table.Choose("drafts", ways.Lost(true), nil)
 //	use := peer.Begin(0, 0, cancel)
 package detour
 
@@ -26,6 +26,7 @@
 
 	"hazelslip/internal/common/clock"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/reach"
 )
 
 const (
@@ -43,8 +44,8 @@
 	Address    string
 	Peer       string
 	DataCentre string
-	// Unreached are the services of which it reaches no server.
-	Unreached []string
+	// Lost are the ways to servers that it has lost.
+	Lost []reach.Place
 	// Calls are those that it has under way.
 	Calls int
 }
@@ -66,6 +67,8 @@
 
 	mu    sync.Mutex
 	peers map[string]*Peer
+	// askedAt is when other nodes were last asked.
+	askedAt time.Duration
 }
 
 // Option changes how a Table is built.
@@ -121,15 +124,16 @@
 	return all
 }
 
-// Choose returns a node that reaches a service and is none of those that are excluded, by their addresses.
-func (table *Table) Choose(service string, exclude []string) (*Peer, bool) {
+// Choose returns a node that reaches servers of a service which this one doesn't, by the ways that this one has lost. It
+// is none of those that are excluded, by their addresses.
+func (table *Table) Choose(service string, lost []reach.Place, exclude []string) (*Peer, bool) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	now := table.now()
 	near, far := []*Peer{}, []*Peer{}
 	for _, peer := range table.allLocked() {
 		switch {
-		case now-peer.heardAt > freshFor, now < peer.avoidUntil, slices.Contains(exclude, peer.Address), slices.Contains(peer.Unreached, service):
+		case now-peer.heardAt > freshFor, now < peer.avoidUntil, slices.Contains(exclude, peer.Address), !peer.adds(service, lost):
 		case peer.DataCentre == table.dataCentre:
 			near = append(near, peer)
 		default:
@@ -149,6 +153,27 @@
 	return one, true
 }
 
+// adds says whether the node reaches servers of a service in a place that is lost here.
+func (peer *Peer) adds(service string, lost []reach.Place) bool {
+	return slices.ContainsFunc(lost, func(place reach.Place) bool {
+		return place.Service == service && !slices.Contains(peer.Node.Lost, place)
+	})
+}
+
+// Asked notes that other nodes were asked, and that those which answer have answered.
+func (table *Table) Asked() {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	table.askedAt = table.now()
+}
+
+// Knows says whether other nodes were asked lately, so that none will be known in a moment that isn't yet.
+func (table *Table) Knows() bool {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return table.askedAt != 0 && table.now()-table.askedAt <= freshFor
+}
+
 // load is the calls that the node said it has, and those that this node has sent there.
 func (peer *Peer) load() int {
 	return peer.Calls + peer.Taken()
@@ -180,7 +205,7 @@
 // State is a node of the table in the state dump.
 type State struct {
 	Address, DataCentre string
-	Unreached           []string
+	Lost                []reach.Place
 	// Calls are those that it said it has, Mine those that this node has sent through it.
 	Calls, Mine     int
 	AgeMilliseconds int64
@@ -194,7 +219,7 @@
 	for _, peer := range table.allLocked() {
 		if age := table.now() - peer.heardAt; age <= freshFor {
 			states = append(states, State{
-				Address: peer.Address, DataCentre: peer.DataCentre, Unreached: peer.Unreached, Calls: peer.Calls,
+				Address: peer.Address, DataCentre: peer.DataCentre, Lost: peer.Node.Lost, Calls: peer.Calls,
 				Mine: peer.Taken(), AgeMilliseconds: age.Milliseconds(),
 			})
 		}
--- a/internal/fleet/detour/detour_test.go
+++ b/internal/fleet/detour/detour_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"hazelslip/internal/fleet/detour"
+	"hazelslip/internal/policy/reach"
 )
 
 // Guards against requests that go through a node that doesn't reach the service, that was not heard of lately,
@@ -17,17 +18,18 @@
 	expect := gomega.NewWithT(t)
 	at := time.Hour
 	table := detour.New("east", detour.Clock(func() time.Duration { return at }))
+	lost := []reach.Place{{Service: "drafts", DataCentre: "east"}, {Service: "drafts", DataCentre: "west"}}
 	choose := func(exclude ...string) string {
-		peer, found := table.Choose("drafts", exclude)
+		peer, found := table.Choose("drafts", lost, exclude)
 		if !found {
 			return ""
 		}
 		return peer.Address
 	}
 	expect.Expect(choose()).To(gomega.BeEmpty())
-	table.Heard(detour.Node{Address: "a", DataCentre: "east", Unreached: []string{"drafts"}})
+	table.Heard(detour.Node{Address: "a", DataCentre: "east", Lost: lost})
 	expect.Expect(choose()).To(gomega.BeEmpty())
-	table.Heard(detour.Node{Address: "b", DataCentre: "west"})
+	table.Heard(detour.Node{Address: "b", DataCentre: "west", Lost: lost[:1]})
 	expect.Expect(choose()).To(gomega.Equal("b"))
 	table.Heard(detour.Node{Address: "c", DataCentre: "east", Calls: 50})
 	expect.Expect(choose()).To(gomega.Equal("c"), "the own data centre first")
@@ -54,7 +56,7 @@
 				table.Heard(detour.Node{Address: fmt.Sprint(node), DataCentre: "east", Calls: taken[node]})
 			}
 			for range 20 {
-				peer, found := table.Choose("drafts", nil)
+				peer, found := table.Choose("drafts", []reach.Place{{Service: "drafts"}}, nil)
 				expect.Expect(found).To(gomega.BeTrue())
 				peer.Begin(0, 0, func() {})
 				node := 0
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -21,6 +21,7 @@
 package reach
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -373,38 +374,46 @@
 	return count
 }
 
-// Unreached returns the services of which all ways are lost and no server is reached.
-func (ways *Ways) Unreached() []string {
-	return ways.without(func(way *Way) bool { return way.Standing() != Lost })
-}
-
-// Doubtful returns the services of which no way is open and no server is reached.
-func (ways *Ways) Doubtful() []string {
-	return ways.without(func(way *Way) bool { return way.Standing() == Open })
-}
-
-// without returns the services of which no way counts as whole and no server is reached.
-func (ways *Ways) without(whole func(way *Way) bool) []string {
+// Lost returns the places of which no server is reached, in a fixed order; with doubts, also those whose ways are
+// doubted.
+func (ways *Ways) Lost(doubts bool) []Place {
 	if !ways.Unsettled() {
 		return nil
 	}
-	reached := map[string]bool{}
+	lost := []Place{}
 	for _, way := range ways.All() {
 		way.mu.Lock()
-		if len(way.servers) > 0 {
-			service := way.Place.Service
-			reached[service] = reached[service] || whole(way) || way.reachedLocked(ways.now()) > 0
+		standing := way.Standing()
+		if len(way.servers) > 0 && (standing == Lost || (doubts && standing == Doubted)) && way.reachedLocked(ways.now()) == 0 {
+			lost = append(lost, way.Place)
 		}
 		way.mu.Unlock()
 	}
-	unreached := []string{}
-	for service, is := range reached {
-		if !is {
-			unreached = append(unreached, service)
+	slices.SortFunc(lost, func(one, other Place) int {
+		return cmp.Or(cmp.Compare(one.Service, other.Service), cmp.Compare(one.DataCentre, other.DataCentre))
+	})
+	return lost
+}
+
+// Without says whether a node that has lost the ways to some places reaches no server of a service.
+func (ways *Ways) Without(service string, lost []Place) bool {
+	if len(lost) == 0 {
+		return false
+	}
+	known := false
+	for _, way := range ways.All() {
+		way.mu.Lock()
+		servers := len(way.servers)
+		way.mu.Unlock()
+		if way.Place.Service != service || servers == 0 {
+			continue
+		}
+		known = true
+		if !slices.Contains(lost, way.Place) {
+			return false
 		}
 	}
-	slices.Sort(unreached)
-	return unreached
+	return known
 }
 
 // New returns Ways of which nothing is known.
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -74,7 +74,9 @@
 		rig.probe(0)
 		expect.Expect(rig.way.Standing()).To(gomega.Equal(reach.Lost))
 		expect.Expect(rig.probed).To(gomega.BeNumerically("<=", 4))
-		expect.Expect(rig.ways.Unreached()).To(gomega.Equal([]string{"drafts"}))
+		expect.Expect(rig.ways.Lost(false)).To(gomega.Equal([]reach.Place{rig.way.Place}))
+		expect.Expect(rig.ways.Without("drafts", rig.ways.Lost(false))).To(gomega.BeTrue())
+		expect.Expect(rig.ways.Without("bookings", rig.ways.Lost(false))).To(gomega.BeFalse())
 		expect.Expect(rig.way.Blocks(name(0))).To(gomega.BeTrue())
 	}
 }
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -82,7 +82,7 @@
 		Drains: drainsToWire(node.drained.Records()),
 	}
 	channel.news, channel.silences = nil, nil
-	told.Unreached = peers.unreachedFor(link)
+	told.Lost = waysToWire(peers.lostFor(link))
 	peers.addPermits(told, channel)
 	peers.addPaces(told, channel)
 	if held := peers.holder; held.term != 0 {
@@ -121,8 +121,8 @@
 	permits := peers.addPermits(told, channel)
 	paces := peers.addPaces(told, channel)
 	asked := peers.node.demand.Own()
-	unreached := peers.unreachedFor(channel.link)
-	same = same && slices.Equal(unreached, channel.toldUnreached)
+	lost := peers.lostFor(channel.link)
+	same = same && slices.Equal(lost, channel.toldLost)
 	news := len(channel.silences)+len(channel.suspects)+len(channel.notices) > 0 || asked.News(channel.demands.reported)
 	if optional && same && !permits && !paces && !news {
 		return nil
@@ -131,7 +131,7 @@
 	told.Sequence, told.Nodes, told.Loads, told.SilentHeads = channel.reports.Add(own), 1, loadsOf(own), channel.silences
 	told.ConfigurationVersion, told.Suspects, told.Notices = version, peers.suspectsFor(channel), peers.noticesFor(channel)
 	channel.silences = nil
-	told.Unreached, channel.toldUnreached = unreached, unreached
+	told.Lost, channel.toldLost = waysToWire(lost), lost
 	if !channel.toldDetour {
 		channel.toldDetour, told.DetourAddress = true, peers.node.settings.Listen.Detour
 	}
--- a/internal/run/gateway/detours.go
+++ b/internal/run/gateway/detours.go
@@ -23,6 +23,9 @@
 	// open; askDetoursMost how many at once.
 	askDetoursEvery = 400 * time.Millisecond
 	askDetoursMost  = 6
+	// askDetoursMostTime is how long the first of them may take to answer, askDetoursGrace how long the others may after it.
+	askDetoursMostTime = 250 * time.Millisecond
+	askDetoursGrace    = 20 * time.Millisecond
 	// detoursTold is how many nodes that hear from it a relay names.
 	detoursTold = 4
 	// detourConnect bounds connecting to another node, another one is tried after that.
@@ -121,19 +124,33 @@
 		others[askDetoursMost-1] = others[askDetoursMost-1+rand.IntN(len(others)-askDetoursMost+1)]
 		others = others[:askDetoursMost]
 	}
-	answers := make(chan struct{}, len(others))
+	answers := make(chan bool, len(others))
 	for _, address := range others {
 		detours.node.GoAs("detours", func() {
-			for _, told := range detours.node.peers.overlay.AskDetours(address) {
+			found := detours.node.peers.overlay.AskDetours(address)
+			for _, told := range found {
 				detours.heard(told)
 			}
-			answers <- struct{}{}
+			answers <- len(found) > 0
 		})
 	}
-	select {
-	case <-answers:
-	case <-detours.node.Stopping:
+	// Those that live answer within some milliseconds of each other.
+	timer := time.NewTimer(askDetoursMostTime)
+	defer timer.Stop()
+	for range others {
+		select {
+		case told := <-answers:
+			if told {
+				timer.Reset(askDetoursGrace)
+			}
+		case <-timer.C:
+			detours.table.Asked()
+			return
+		case <-detours.node.Stopping:
+			return
+		}
 	}
+	detours.table.Asked()
 }
 
 func (detours *detours) heard(told *frame.Detour) {
@@ -141,19 +158,20 @@
 		return
 	}
 	detours.table.Heard(detour.Node{
-		Address: told.Address, Peer: told.Peer, DataCentre: told.DataCentre, Unreached: told.Unreached, Calls: int(told.Calls),
+		Address: told.Address, Peer: told.Peer, DataCentre: told.DataCentre, Lost: waysFromWire(told.Lost), Calls: int(told.Calls),
 	})
 }
 
-// told are the nodes that take requests of others: this one, and some that hear from it and reach what it reaches.
+// told are the nodes that take requests of others: this one, and some that hear from it, those first that have lost the
+// fewest ways.
 func (detours *detours) told() []*frame.Detour {
 	settings := &detours.node.settings
-	if !detours.enabled() || detours.node.stopping.Load() {
+	if !detours.enabled() || detours.node.Ready() != nil {
 		return nil
 	}
 	told := []*frame.Detour{{
 		Address: settings.Listen.Detour, Peer: settings.Listen.advertised(), DataCentre: settings.DataCentre,
-		Unreached: detours.ways.Doubtful(), Calls: uint32(max(0, detours.node.board.Calls())),
+		Lost: waysToWire(detours.ways.Lost(true)), Calls: uint32(max(0, detours.node.board.Calls())),
 	}}
 	return append(told, detours.node.peers.leavesTaking(detoursTold)...)
 }
@@ -170,12 +188,12 @@
 				calls += share.Calls
 			}
 			found = append(found, &frame.Detour{
-				Address: channel.detour, Peer: link.Remote.Address, DataCentre: link.Remote.DataCentre, Unreached: channel.unreached, Calls: uint32(max(0, calls)),
+				Address: channel.detour, Peer: link.Remote.Address, DataCentre: link.Remote.DataCentre, Lost: waysToWire(channel.lost), Calls: uint32(max(0, calls)),
 			})
 		}
 	}
 	rand.Shuffle(len(found), func(one, other int) { found[one], found[other] = found[other], found[one] })
-	slices.SortStableFunc(found, func(one, other *frame.Detour) int { return len(one.Unreached) - len(other.Unreached) })
+	slices.SortStableFunc(found, func(one, other *frame.Detour) int { return len(one.Lost) - len(other.Lost) })
 	return found[:min(most, len(found))]
 }
 
@@ -270,18 +288,21 @@
 // withoutEngines says whether this node reaches no server of any service whose servers form groups: it can't give
 // orders.
 func (node *Node) withoutEngines() bool {
-	return lacksEngines(node, node.detours.ways.Unreached())
+	return node.detours.lacksEngines(node.detours.ways.Lost(false))
 }
 
-// lacksEngines says whether all services whose servers form groups are among those that are not reached.
-func lacksEngines(node *Node, unreached []string) bool {
-	services := node.engineServices()
+// lacksEngines says whether a node that has lost some ways reaches no server of any service whose servers form groups.
+func (detours *detours) lacksEngines(lost []reach.Place) bool {
+	if len(lost) == 0 {
+		return false
+	}
+	services := detours.node.engineServices()
 	for number := range services {
-		if !slices.Contains(unreached, services[number].Name) {
+		if !detours.ways.Without(services[number].Name, lost) {
 			return false
 		}
 	}
-	return len(services) > 0 && len(unreached) > 0
+	return len(services) > 0
 }
 
 // orderTerm is the term under which this node gives orders now, 0 for none.
@@ -303,12 +324,28 @@
 	node.keeper.Outdated(term)
 }
 
-// unreachedFor returns what is told of the services that this node doesn't reach.
-func (peers *peers) unreachedFor(link *overlay.Link) []string {
+// lostFor returns the ways that the other side of a link is told that this node has lost.
+func (peers *peers) lostFor(link *overlay.Link) []reach.Place {
 	if downstream(link) {
 		return nil
 	}
-	return peers.node.detours.ways.Unreached()
+	return peers.node.detours.ways.Lost(false)
+}
+
+func waysToWire(places []reach.Place) []*frame.Way {
+	told := make([]*frame.Way, 0, len(places))
+	for _, place := range places {
+		told = append(told, &frame.Way{Service: place.Service, DataCentre: place.DataCentre})
+	}
+	return told
+}
+
+func waysFromWire(told []*frame.Way) []reach.Place {
+	places := make([]reach.Place, 0, len(told))
+	for _, way := range told {
+		places = append(places, reach.Place{Service: way.Service, DataCentre: way.DataCentre})
+	}
+	return places
 }
 
 // newerAt fetches a version of the configuration that another node has in force.
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -18,6 +18,7 @@
 	"hazelslip/internal/policy/demand"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
+	"hazelslip/internal/policy/reach"
 	"hazelslip/internal/state/storelog"
 	"hazelslip/internal/wire/frame"
 )
@@ -50,10 +51,10 @@
 	sequence  uint64
 	fit       bool
 	storeAway bool
-	// unreached are the services of which the other side reaches no server, detour where it takes
+	// lost are the ways to servers that the other side has lost, detour where it takes
 	// requests of others.
-	unreached []string
-	detour    string
+	lost   []reach.Place
+	detour string
 	// telling and told are the two sides of a sum of which only the changes are sent.
 	telling tally.Changes
 	told    tally.Copy
@@ -72,7 +73,7 @@
 	copied        *catalogue.Copy
 	// reported and reportedVersion are what this node reported last as a leaf, leafNews
 	// is a hash of what a leaf was told last.
-	toldUnreached   []string
+	toldLost        []reach.Place
 	toldDetour      bool
 	reported        tally.Shares
 	reportedVersion int64
@@ -356,7 +357,7 @@
 	}
 	for link, channel := range peers.channels {
 		if link.Purpose == frame.Purpose_Root {
-			found = append(found, tenure.Peer{Incarnation: link.Incarnation, Fit: channel.fit && !lacksEngines(peers.node, channel.unreached)})
+			found = append(found, tenure.Peer{Incarnation: link.Incarnation, Fit: channel.fit && !peers.node.detours.lacksEngines(channel.lost)})
 		}
 	}
 	return found
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -30,7 +30,7 @@
 	default:
 		peers.takeReport(link, received)
 	}
-	peers.takeUnreached(link, received)
+	peers.takeLost(link, received)
 	peers.takeSilences(link, received.SilentHeads)
 	peers.takeSuspects(link, received.Suspects)
 	peers.takePermits(link, received)
@@ -38,15 +38,15 @@
 	peers.takePaces(link, received.Paces)
 }
 
-// takeUnreached takes what the other side says of its ways to servers.
-func (peers *peers) takeUnreached(link *overlay.Link, received *frame.Frame) {
+// takeLost takes what the other side says of its ways to servers.
+func (peers *peers) takeLost(link *overlay.Link, received *frame.Frame) {
 	if link.Upstream() {
 		return
 	}
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
 	channel := peers.channel(link)
-	channel.unreached = received.Unreached
+	channel.lost = waysFromWire(received.Lost)
 	if received.DetourAddress != "" {
 		channel.detour = received.DetourAddress
 	}
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -248,8 +248,9 @@
 func (exchange *exchange) choosePeer() (*detour.Peer, bool) {
 	until := exchange.forwarder.Now() + min(detourWait, exchange.left()/detourPart)
 	for {
-		peer, found := exchange.forwarder.Detours.Choose(exchange.service, exchange.excludePeers)
-		if found || len(exchange.excludePeers) > 0 || exchange.forwarder.Now() >= until || exchange.gone() {
+		lost := exchange.forwarder.Board.Ways().Lost(true)
+		peer, found := exchange.forwarder.Detours.Choose(exchange.service, lost, exchange.excludePeers)
+		if found || len(exchange.excludePeers) > 0 || len(lost) == 0 || exchange.forwarder.Detours.Knows() || exchange.forwarder.Now() >= until || exchange.gone() {
 			return peer, found
 		}
 		exchange.forwarder.DetourWanted()
@@ -347,7 +348,7 @@
 // elsewhere says whether another node may take a request that one refused for a reason.
 func elsewhere(outcome Outcome) bool {
 	switch outcome {
-	case Behind, Busy, Unreached, NoConfiguration, OutOfMemory:
+	case Behind, Busy, Unreached, NoServer, NoConfiguration, OutOfMemory:
 		return true
 	}
 	return false
