fix(gateway): a root that starts again while the store is away is told the servers

What callers saw: a node that speaks for its data centre and starts again in an outage of the store refuses all requests with NoServer until the store is back, and so did requests of other nodes that went through it.

Cause: roots are told the list of servers by the one that reads it; while the store is away nobody does.

Change: a root whose list is unknown is told it by any other one while the store is away.

--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -232,7 +232,9 @@
 	told := listingOf(servers.End, age)
 	theirs := channel.listAge + peers.node.now() - channel.listAt
 	reader := peers.node.follower.ReadsList()
-	if !channel.heardList || (!downstream(channel.link) && (!reader || theirs < age+follower.ListTick)) {
+	// While the store is away nobody reads the list, and a root that starts again is told it by others.
+	lacking := channel.listAge >= listUnknown && peers.node.storeCalls.Away()
+	if !channel.heardList || (!downstream(channel.link) && !lacking && (!reader || theirs < age+follower.ListTick)) {
 		return told
 	}
 	told.Follows = true
@@ -242,6 +244,9 @@
 	return told
 }
 
+// listUnknown is the age of a list of which nothing is known.
+const listUnknown = time.Hour
+
 // lackedRecords returns what the other side lacks of the list of servers, and notes
 // that it is told.
 func (peers *peers) lackedRecords(channel *channel) []roster.Record {
--- a/internal/run/gateway/take.go
+++ b/internal/run/gateway/take.go
@@ -95,7 +95,7 @@
 	age := time.Duration(told.AgeMs) * time.Millisecond
 	peers.mu.Lock()
 	if told.End < 0 {
-		age = time.Hour
+		age = listUnknown
 	}
 	channel.listAge, channel.listAt = age, now
 	if !channel.heardList {
