fix(forward): streams that another node refused count as demand where their callers are

Cause: a stream that went through another node and was refused there counted as refused at that node only, and where its caller's node had counted it as asked for, at neither. Callers' connections of other nodes are bounded as callers' are. Not measured: it shows in groups planned by demand, while ways are lost.

--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -272,6 +272,9 @@
 	}
 	if node.memory.Bounded() {
 		node.listeners[0] = boundCallers(node.listeners[0])
+		if node.detours.enabled() {
+			node.detours.listener = boundCallers(node.detours.listener)
+		}
 	}
 	node.peers = newPeers(node, node.listeners[2])
 	node.caller = &http.Server{Handler: node.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: silent()}
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -328,6 +328,9 @@
 			return false, exchange.arrivals > before
 		}
 		exchange.outcome = outcome
+		if exchange.route.Kind == configuration.Streaming {
+			exchange.countRefused()
+		}
 		exchange.refuseAsTold(again)
 		return true, false
 	case resultDenied:
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -72,7 +72,13 @@
 // noSlot notes why the stream was given no group, and counts it as demand that its pool has no slot for.
 func (exchange *exchange) noSlot(target *dispatch.Target, verdict dispatch.Verdict) {
 	exchange.noTarget(target, verdict)
-	if exchange.configured() && !exchange.inward.counted() && (exchange.outcome == Full || exchange.outcome == NoServer) {
+	exchange.countRefused()
+}
+
+// countRefused counts a stream that was refused since its pool has no slot for it. One of another node's caller is counted
+// there.
+func (exchange *exchange) countRefused() {
+	if exchange.inward == nil && exchange.configured() && (exchange.outcome == Full || exchange.outcome == NoServer) {
 		exchange.forwarder.Board.Refused(exchange.pool())
 	}
 }
