perf(gateway): nodes that have lost their ways ask few others again

Cause: each asked six nodes every 0.4 s for as long as it had lost a way, and in a large fleet those are the first nodes of each data centre, which all others know: with 900 of 984 nodes cut, some 13,500 questions a second to 25 nodes, by arithmetic.

Change: those that were found to be of use are asked again first, and one more beside three of them: 2,250 questions a second to the 25, the rest to leaves.

--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -124,6 +124,20 @@
 	return all
 }
 
+// Useful returns where the nodes take frames that said lately that they have kept some of the ways that are lost here.
+func (table *Table) Useful(lost []reach.Place) []string {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	useful := []string{}
+	for _, peer := range table.allLocked() {
+		keeps := slices.ContainsFunc(lost, func(place reach.Place) bool { return !slices.Contains(peer.Node.Lost, place) })
+		if keeps && peer.Peer != "" && table.now()-peer.heardAt <= freshFor {
+			useful = append(useful, peer.Peer)
+		}
+	}
+	return useful
+}
+
 // Choose returns a node that reaches servers of a service which this one doesn't, by the ways that this one has lost. It
 // is none of those that are excluded, by their addresses.
 func (table *Table) Choose(service string, lost []reach.Place, exclude []string) (*Peer, bool) {
--- a/internal/run/gateway/detours.go
+++ b/internal/run/gateway/detours.go
@@ -23,6 +23,8 @@
 	// open; askDetoursMost how many at once.
 	askDetoursEvery = 400 * time.Millisecond
 	askDetoursMost  = 6
+	// askDetoursAgain is how many of those that are of use are asked again.
+	askDetoursAgain = 3
 	// askDetoursMostTime is how long the first of them may take to answer, askDetoursGrace how long the others may after it.
 	askDetoursMostTime = 250 * time.Millisecond
 	askDetoursGrace    = 20 * time.Millisecond
@@ -117,13 +119,26 @@
 	}
 }
 
-// ask asks some nodes, those of the own data centre first, and one of another if there is one.
-func (detours *detours) ask() {
-	others := detours.node.peers.overlay.Others()
-	if len(others) > askDetoursMost {
-		others[askDetoursMost-1] = others[askDetoursMost-1+rand.IntN(len(others)-askDetoursMost+1)]
-		others = others[:askDetoursMost]
+// asked are the nodes to ask: those again that are of use, then others, those of the own data centre first, and one of
+// another if there is one. Once enough are of use only one more is asked: the first nodes of each data centre are those that
+// all others know.
+func (detours *detours) asked() []string {
+	most, useful := askDetoursMost, detours.table.Useful(detours.ways.Lost(true))
+	rand.Shuffle(len(useful), func(one, other int) { useful[one], useful[other] = useful[other], useful[one] })
+	if len(useful) >= askDetoursAgain {
+		useful, most = useful[:askDetoursAgain], askDetoursAgain+1
+	}
+	others := append(useful, slices.DeleteFunc(detours.node.peers.overlay.Others(), func(address string) bool { return slices.Contains(useful, address) })...)
+	if len(others) > most {
+		others[most-1] = others[most-1+rand.IntN(len(others)-most+1)]
+		others = others[:most]
 	}
+	return others
+}
+
+// ask asks some nodes whether they take requests.
+func (detours *detours) ask() {
+	others := detours.asked()
 	answers := make(chan bool, len(others))
 	for _, address := range others {
 		detours.node.GoAs("detours", func() {
