--- a/internal/run/gateway/detours.go
+++ b/internal/run/gateway/detours.go
@@ -128,7 +128,7 @@
 	if len(useful) >= askDetoursAgain {
 		useful, most = useful[:askDetoursAgain], askDetoursAgain+1
 	}
-	others := append(useful, slices.DeleteFunc(detours.node.peers.overlay.Others(), func(address string) bool { return slices.Contains(useful, address) })...)
+	others := slices.Concat(useful, slices.DeleteFunc(detours.node.peers.overlay.Others(), func(address string) bool { return slices.Contains(useful, address) }))
 	if len(others) > most {
 		others[most-1] = others[most-1+rand.IntN(len(others)-most+1)]
 		others = others[:most]
