fix(detour): a node that refused a request since it reaches no server is passed by

Cause: nodes that have lost their way and don't know it yet said up to 0.4 s ago that they have it. Three of those were asked, those of the own data centre first, by each request anew.

Change: a node that refuses with Unreached or NoServer counts as one that has lost the ways that are lost here, until it says otherwise; five nodes are tried.

--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -216,6 +216,24 @@
 	return stalled
 }
 
+// Lacks notes that a node said, refusing a request, that it reaches no server of a service either.
+func (table *Table) Lacks(address, service string, lost []reach.Place) {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	held, known := table.peers[address]
+	if !known {
+		return
+	}
+	changed := *held
+	changed.Node.Lost = slices.Clone(held.Node.Lost)
+	for _, place := range lost {
+		if place.Service == service && !slices.Contains(changed.Node.Lost, place) {
+			changed.Node.Lost = append(changed.Node.Lost, place)
+		}
+	}
+	table.peers[address] = &changed
+}
+
 // State is a node of the table in the state dump.
 type State struct {
 	Address, DataCentre string
--- a/internal/fleet/detour/detour_test.go
+++ b/internal/fleet/detour/detour_test.go
@@ -34,6 +34,9 @@
 	table.Heard(detour.Node{Address: "c", DataCentre: "east", Calls: 50})
 	expect.Expect(choose()).To(gomega.Equal("c"), "the own data centre first")
 	expect.Expect(choose("c")).To(gomega.Equal("b"))
+	table.Lacks("c", "drafts", lost)
+	expect.Expect(choose()).To(gomega.Equal("b"), "it refused a request since it reaches none either")
+	table.Heard(detour.Node{Address: "c", DataCentre: "east", Calls: 50})
 	table.Failed("c")
 	expect.Expect(choose()).To(gomega.Equal("b"))
 	at += time.Second
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -116,7 +116,7 @@
 	detourWait = 300 * time.Millisecond
 	detourPart = 4
 	// detourTries is through how many nodes a request is sent that none has taken.
-	detourTries = 3
+	detourTries = 5
 )
 
 // Why a request of another node isn't taken, beside what callers are refused for.
@@ -324,6 +324,9 @@
 	case resultNotRun:
 		again := leg.Header.Get("Retry-After")
 		exchange.discard(leg)
+		if outcome == Unreached || outcome == NoServer {
+			exchange.forwarder.Detours.Lacks(leg.peer.Address, exchange.service, exchange.forwarder.Board.Ways().Lost(true))
+		}
 		if exchange.begun || exchange.mayHaveRun || elsewhere(outcome) {
 			return false, exchange.arrivals > before
 		}
