fix(reach): a way that is lost but for a few servers counts as lost

Cause: a way of which any server was reached counted as kept, so no other node was chosen for it, and others were told that this node keeps it.

Change: what counts is whether the way is lost. The few servers are called directly as before.

--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -374,8 +374,8 @@
 	return count
 }
 
-// Lost returns the places of which no server is reached, in a fixed order; with doubts, also those whose ways are
-// doubted.
+// Lost returns the places whose ways are lost, in a fixed order; with doubts, also those whose ways are doubted. A few
+// servers of a lost way may be reached: too few for what is asked of it.
 func (ways *Ways) Lost(doubts bool) []Place {
 	if !ways.Unsettled() {
 		return nil
@@ -384,7 +384,7 @@
 	for _, way := range ways.All() {
 		way.mu.Lock()
 		standing := way.Standing()
-		if len(way.servers) > 0 && (standing == Lost || (doubts && standing == Doubted)) && way.reachedLocked(ways.now()) == 0 {
+		if len(way.servers) > 0 && (standing == Lost || (doubts && standing == Doubted)) {
 			lost = append(lost, way.Place)
 		}
 		way.mu.Unlock()
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -144,6 +144,7 @@
 	expect.Expect(rig.probed).To(gomega.BeNumerically("<", 400*4))
 	rig.way.Opened(name(0))
 	expect.Expect(rig.way.Blocks(name(0))).To(gomega.BeFalse())
+	expect.Expect(rig.ways.Lost(false)).To(gomega.Equal([]reach.Place{rig.way.Place}), "other nodes are asked for what these can't take")
 	expect.Expect(rig.way.Blocks(name(20))).To(gomega.BeTrue())
 	rig.way.Unopened(name(0), rig.at)
 	expect.Expect(rig.way.Blocks(name(0))).To(gomega.BeTrue())
