fix(forward): full servers beside a lost way are full, not out of reach

Cause: once no other node took a request, each refusal counted as Unreached; and the short time to return was named though no other node had been found.

Change: Unreached only where all ways of the pool are lost; the short time only where another node was tried.

--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -82,7 +82,7 @@
 func (exchange *exchange) noTarget(target *dispatch.Target, verdict dispatch.Verdict) {
 	occupancy := exchange.forwarder.Board.Occupancy(exchange.pool())
 	reason := fmt.Sprintf("pool %s has %d of %d places taken at %d targets", exchange.pool(), occupancy.Taken, occupancy.Places, occupancy.Targets)
-	if exchange.straight && (verdict == dispatch.None || verdict == dispatch.Full) {
+	if exchange.straight && (verdict == dispatch.None || verdict == dispatch.Full) && exchange.forwarder.Board.WayLost(exchange.pool()) {
 		verdict = dispatch.Unreached
 	}
 	switch verdict {
@@ -101,7 +101,9 @@
 		reason += fmt.Sprintf(", and all that could take it asked for a backoff, %s for %v more", target.ID, opens.Round(time.Millisecond))
 	case dispatch.Unreached:
 		exchange.outcome = Unreached
-		exchange.again = retryUnreached
+		if len(exchange.excludePeers) > 0 {
+			exchange.again = retryUnreached
+		}
 		reason += ", and no server of it is reached from here"
 	default:
 		exchange.outcome = NoServer
--- a/internal/serve/forward/detour_test.go
+++ b/internal/serve/forward/detour_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -29,7 +30,10 @@
 // pair is two nodes: callers come to the first, which reaches no server; the second may.
 type pair struct {
 	*rig
-	ways  *reach.Ways
+	ways *reach.Ways
+	// own is the first node's board, ended how its requests ended.
+	own   *dispatch.Board
+	ended []forward.Outcome
 	table *configuration.Table
 	peers *detour.Table
 	// newer are the versions that the first node heard of.
@@ -52,8 +56,8 @@
 	made.table.Offer(rigConfiguration())
 	second := made.handler.(*forward.Forwarder)
 	made.serve(t, inwardAddress, second.Inward())
-	board := dispatch.New(dispatch.Clock(now), dispatch.Ways(made.ways))
-	board.Update(map[string][]dispatch.Spec{
+	made.own = dispatch.New(dispatch.Clock(now), dispatch.Ways(made.ways))
+	made.own.Update(map[string][]dispatch.Spec{
 		forward.PoolName("ledger", ""):   {{ID: "s", Service: "ledger", Address: "nowhere:1", Slots: 1000}},
 		forward.PoolName("writers", "m"): {{ID: "s", Service: "writers", Group: "g", Address: "nowhere:1", Slots: 1000, Pass: 40 * time.Millisecond}},
 	})
@@ -71,11 +75,11 @@
 	}))
 	made.window = retry.NewWindow(retry.Allowance{Ratio: 0.2, Least: 1000, Span: 10 * time.Second}, func() int { return 1 }, now)
 	first := forward.New(forward.Parts{
-		Configuration: made.table, Board: board, Pool: pool, Decode: decode, Now: now, Name: "first",
+		Configuration: made.table, Board: made.own, Pool: pool, Decode: decode, Now: now, Name: "first",
 		Detours: made.peers, DetourPool: pool, DetourWanted: func() {}, NewerAt: func(_ string, version int64) { made.newer = append(made.newer, version) },
 		Budget: func(string) *retry.Window { return made.window }, Stopping: func() bool { return false },
 		Returns: ratelimit.NewReturns(now), Quarantine: quarantine.New(quarantine.Clock(now)), Suspected: func(quarantine.Fingerprint) {},
-		Heard: func(forward.Heard) {}, Failed: func(*dispatch.Target, string) {}, Ended: func(forward.Summary) {}, Nodes: func() int { return 1 },
+		Heard: func(forward.Heard) {}, Failed: func(*dispatch.Target, string) {}, Ended: func(summary forward.Summary) { made.ended = append(made.ended, summary.Outcome) }, Nodes: func() int { return 1 },
 		AskPermits: func() {}, Logger: slog.New(slog.DiscardHandler),
 	})
 	made.serve(t, firstAddress, first)
@@ -218,6 +222,29 @@
 	})
 }
 
+// Guards against callers who are told that no server is reached, and to come again at once, where the servers that are
+// reached are full and no other node reaches more.
+func TestFullServersBesideALostWayAreFull(t *testing.T) {
+	inPair(t, func(http.ResponseWriter, *http.Request) { panic("not asked") }, func(expect *gomega.WithT, pair *pair) {
+		pair.own.Update(map[string][]dispatch.Spec{forward.PoolName("ledger", ""): {
+			{ID: "s", Service: "ledger", Address: "nowhere:1", Slots: 9}, {ID: "near", Service: "ledger", DataCentre: "near", Address: serverAddress},
+		}})
+		pair.own.PeerLoads(map[string]dispatch.Share{"near": {Calls: 100}})
+		pair.peers.Heard(detour.Node{Address: inwardAddress, Lost: []reach.Place{{Service: "ledger"}}})
+		pair.peers.Asked()
+		request := pair.request(0, "/book/1", strings.NewReader("body"))
+		request.URL.Host = firstAddress
+		began := time.Now()
+		found := pair.ask(request)
+		expect.Expect(found.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		expect.Expect(time.Since(began)).To(gomega.BeNumerically("<", 200*time.Millisecond))
+		again, err := strconv.ParseFloat(found.header.Get("Retry-After"), 64)
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		expect.Expect(again).To(gomega.BeNumerically(">", 0.9), "a place comes free in a while")
+		expect.Expect(pair.ended).To(gomega.Equal([]forward.Outcome{forward.Full}))
+	})
+}
+
 // loseSecond makes the second node's way to a service count as lost.
 func (pair *pair) loseSecond(service string) {
 	ways := pair.board.Ways()
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -16,7 +16,7 @@
 	// spare, and most of what a caller's deadline lets it wait. A caller that
 	// returns sooner finds the same full groups and is refused for good.
 	retryNone = 1300 * time.Millisecond
-	// retryUnreached is for a node that reaches no server: callers come back to another one.
+	// retryUnreached is for a node that reaches no server, while others seem to: callers come back to another one.
 	retryUnreached = 150 * time.Millisecond
 	// retryMemory is for a body that doesn't fit at this node: bodies are held for as long as
 	// calls take, and the balancer may choose another node.
