fix(reach): a way that is only doubted passes by the servers that failed, no others

Cause, suspected: two servers that can't be connected to make a node doubt its way, and it passed by all servers there until the slowest of four tries had ended, 40 to 160 ms, while places were scarce.

Change: in doubt only servers that failed calls themselves are passed by; two of four that are reached end the doubt. A server that failed this very request counts as out of reach on such a way, so that the request goes through another node in place of being refused.

--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -103,14 +103,14 @@
 	trusted := !wish.broken && trustBreakers(targets, now)
 	for number, target := range targets {
 		costs[number] = never
-		if target.unwilling(now) || slices.Contains(wish.Exclude, target.ID) || !wish.allows(target) {
+		if target.unwilling(now) || !wish.allows(target) {
 			continue
 		}
 		if !wish.anywhere && (target.centre.away() || target.way.Blocks(target.ID)) && !board.LivesOn(target) {
 			unreached++
 			continue
 		}
-		if target.Avoided(now) {
+		if target.Avoided(now) || slices.Contains(wish.Exclude, target.ID) {
 			continue
 		}
 		if trusted && target.breaker.open(now) {
--- a/internal/policy/reach/probe.go
+++ b/internal/policy/reach/probe.go
@@ -71,6 +71,12 @@
 	return drawn
 }
 
+// Whole says whether so many servers that were reached show that a way which is only doubted isn't lost, whatever
+// becomes of the others.
+func (probe *Probe) Whole(reached int) bool {
+	return probe.Way.Standing() == Doubted && reached > 0 && (len(probe.Servers)-reached)*lostOf < lostParts*len(probe.Servers)
+}
+
 // Result is what a probe changed.
 type Result struct {
 	Before, After Standing
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -126,6 +126,18 @@
 	}
 }
 
+// Guards against calls that avoid all servers of a way for as long as it is only doubted.
+func TestOnlyServersThatFailedAreBlockedInDoubt(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	rig := newRig(60)
+	rig.way.Unopened(name(0), rig.at)
+	rig.way.Broke(name(1), rig.at)
+	expect.Expect(rig.way.Standing()).To(gomega.Equal(reach.Doubted))
+	expect.Expect([]bool{rig.way.Blocks(name(0)), rig.way.Blocks(name(1)), rig.way.Blocks(name(2))}).To(gomega.Equal([]bool{true, true, false}))
+	due := rig.ways.Due()
+	expect.Expect([]bool{due[0].Whole(0), due[0].Whole(1), due[0].Whole(2)}).To(gomega.Equal([]bool{false, false, true}))
+}
+
 // Guards against a way that is lost in part: the servers that are reached get calls.
 func TestServersThatAreReachedAreCalledOverALostWay(t *testing.T) {
 	expect := gomega.NewWithT(t)
--- a/internal/policy/reach/way.go
+++ b/internal/policy/reach/way.go
@@ -45,14 +45,19 @@
 	return Standing(way.standing.Load())
 }
 
-// Blocks says whether a server is not to be called: its way is doubted or lost, and nothing shows that
-// it is reached.
+// Blocks says whether a server is not to be called: its way is lost, and nothing shows that it is reached; or its way is
+// doubted, and it failed a call itself.
 func (way *Way) Blocks(server string) bool {
 	if way.Standing() == Open {
 		return false
 	}
 	way.mu.Lock()
 	defer way.mu.Unlock()
+	if way.Standing() == Doubted {
+		_, unopened := way.unopened[server]
+		_, broken := way.broken[server]
+		return unopened || broken
+	}
 	at, known := way.reached[server]
 	return !known || way.ways.now()-at > reachedKept
 }
--- a/internal/run/gateway/ways.go
+++ b/internal/run/gateway/ways.go
@@ -37,6 +37,10 @@
 		if server := <-answers; server != "" {
 			reached = append(reached, server)
 		}
+		if probe.Whole(len(reached)) {
+			// One that isn't reached takes long to show.
+			break
+		}
 	}
 	if result := probe.Done(reached); result.Changed() {
 		detours.changed(probe.Way, &result)
