test(network): a connection that was reset takes no writes

Cause, traced by a failing run's line (AttemptsSpent, 'read memory: connection reset by peer', twice): idle connections that hung while the way was lost were reset at its return; the network in memory let writes on them vanish first, as on one that hangs, so the call seemed to have left. TCP refuses such a write, and the call provably did not leave.

No product code changed.

--- a/internal/testlib/network/network.go
+++ b/internal/testlib/network/network.go
@@ -260,6 +260,9 @@
 
 // Write passes data on, or loses it where a cut goes through the connection.
 func (conn *conn) Write(buffer []byte) (int, error) {
+	if conn.reset.Load() {
+		return 0, &net.OpError{Op: "write", Net: "memory", Err: syscall.ECONNRESET}
+	}
 	if conn.lost.Load() || conn.peer.lost.Load() {
 		return len(buffer), nil
 	}
