refactor(reach, detour, gateway): one piece for what was written twice

What Heard and Opened begin with is one function, and so is the bound at which a probe shows a way to be lost. - A probe of a way and one of a data centre connect to servers by one function of the node. - The table of other nodes decides in one place who spoke lately, who has kept a way, and which ways are of a service. - Dead: when a probe began. The package's usage named a method that doesn't exist.

--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -124,14 +124,19 @@
 	return all
 }
 
+// freshLocked returns the nodes that said something lately.
+func (table *Table) freshLocked() []*Peer {
+	now := table.now()
+	return slices.DeleteFunc(table.allLocked(), func(peer *Peer) bool { return now-peer.heardAt > freshFor })
+}
+
 // Useful returns where the nodes take frames that said lately that they have kept some of the ways that are lost here.
 func (table *Table) Useful(lost []reach.Place) []string {
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	useful := []string{}
-	for _, peer := range table.allLocked() {
-		keeps := slices.ContainsFunc(lost, func(place reach.Place) bool { return !slices.Contains(peer.Node.Lost, place) })
-		if keeps && peer.Peer != "" && table.now()-peer.heardAt <= freshFor {
+	for _, peer := range table.freshLocked() {
+		if peer.Peer != "" && peer.keeps(lost) {
 			useful = append(useful, peer.Peer)
 		}
 	}
@@ -143,11 +148,11 @@
 func (table *Table) Choose(service string, lost []reach.Place, exclude []string) (*Peer, bool) {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	now := table.now()
+	now, lost := table.now(), placesOf(service, lost)
 	near, far := []*Peer{}, []*Peer{}
-	for _, peer := range table.allLocked() {
+	for _, peer := range table.freshLocked() {
 		switch {
-		case now-peer.heardAt > freshFor, now < peer.avoidUntil, slices.Contains(exclude, peer.Address), !peer.adds(service, lost):
+		case now < peer.avoidUntil, slices.Contains(exclude, peer.Address), !peer.keeps(lost):
 		case peer.DataCentre == table.dataCentre:
 			near = append(near, peer)
 		default:
@@ -167,11 +172,14 @@
 	return one, true
 }
 
-// adds says whether the node reaches servers of a service in a place that is lost here.
-func (peer *Peer) adds(service string, lost []reach.Place) bool {
-	return slices.ContainsFunc(lost, func(place reach.Place) bool {
-		return place.Service == service && !slices.Contains(peer.Node.Lost, place)
-	})
+// keeps says whether the node has kept the way to any of some places.
+func (peer *Peer) keeps(places []reach.Place) bool {
+	return slices.ContainsFunc(places, func(place reach.Place) bool { return !slices.Contains(peer.Node.Lost, place) })
+}
+
+// placesOf returns those of some places that are of a service.
+func placesOf(service string, places []reach.Place) []reach.Place {
+	return slices.DeleteFunc(slices.Clone(places), func(place reach.Place) bool { return place.Service != service })
 }
 
 // Asked notes that other nodes were asked, and that those which answer have answered.
@@ -226,8 +234,8 @@
 	}
 	changed := *held
 	changed.Node.Lost = slices.Clone(held.Node.Lost)
-	for _, place := range lost {
-		if place.Service == service && !slices.Contains(changed.Node.Lost, place) {
+	for _, place := range placesOf(service, lost) {
+		if !slices.Contains(changed.Node.Lost, place) {
 			changed.Node.Lost = append(changed.Node.Lost, place)
 		}
 	}
@@ -248,13 +256,11 @@
 	table.mu.Lock()
 	defer table.mu.Unlock()
 	states := []State{}
-	for _, peer := range table.allLocked() {
-		if age := table.now() - peer.heardAt; age <= freshFor {
-			states = append(states, State{
-				Address: peer.Address, DataCentre: peer.DataCentre, Lost: peer.Node.Lost, Calls: peer.Calls,
-				Mine: peer.Taken(), AgeMilliseconds: age.Milliseconds(),
-			})
-		}
+	for _, peer := range table.freshLocked() {
+		states = append(states, State{
+			Address: peer.Address, DataCentre: peer.DataCentre, Lost: peer.Node.Lost, Calls: peer.Calls,
+			Mine: peer.Taken(), AgeMilliseconds: (table.now() - peer.heardAt).Milliseconds(),
+		})
 	}
 	return states
 }
--- a/internal/policy/reach/probe.go
+++ b/internal/policy/reach/probe.go
@@ -1,20 +1,11 @@
 package reach
 
-import (
-	"math/rand/v2"
-	"time"
-)
-
-func randomBelow(n int) int {
-	return rand.IntN(n)
-}
+import "time"
 
 // Probe is servers of a way that are to be connected to.
 type Probe struct {
 	Way     *Way
 	Servers []string
-
-	began time.Duration
 }
 
 // Due returns what is to be tried now.
@@ -25,7 +16,7 @@
 	due := []Probe{}
 	for _, way := range ways.All() {
 		if servers := way.due(); len(servers) > 0 {
-			due = append(due, Probe{Way: way, Servers: servers, began: ways.now()})
+			due = append(due, Probe{Way: way, Servers: servers})
 		}
 	}
 	return due
@@ -74,7 +65,12 @@
 // Whole says whether so many servers that were reached show that a way which is only doubted isn't lost, whatever
 // becomes of the others.
 func (probe *Probe) Whole(reached int) bool {
-	return probe.Way.Standing() == Doubted && reached > 0 && (len(probe.Servers)-reached)*lostOf < lostParts*len(probe.Servers)
+	return probe.Way.Standing() == Doubted && reached > 0 && !probe.lost(reached)
+}
+
+// lost says whether the way is lost if so many of the servers are reached.
+func (probe *Probe) lost(reached int) bool {
+	return (len(probe.Servers)-reached)*lostOf >= lostParts*len(probe.Servers)
 }
 
 // Result is what a probe changed.
@@ -137,14 +133,13 @@
 			way.reached[server] = now
 		}
 	}
-	lost := (len(probe.Servers)-len(reached))*lostOf >= lostParts*len(probe.Servers)
 	switch result.Before {
 	case Doubted:
 		switch {
-		case !lost:
+		case !probe.lost(len(reached)):
 			way.openLocked(now)
 		case way.quiet && len(way.servers) > len(probe.Servers):
-			way.quiet, way.triedAt = false, 0
+			way.triedAt = 0
 		default:
 			way.standing.Store(int32(Lost))
 		}
@@ -167,7 +162,8 @@
 	}
 	way.standing.Store(int32(Open))
 	way.reached, way.alive = nil, nil
-	way.proving, way.wholeAt, way.heard, way.opened = false, now, now, now
+	way.proving, way.wholeAt, way.opened = false, now, now
+	way.heardAt.Store(int64(now))
 	clear(way.broken)
 	clear(way.unopened)
 	way.countLocked()
--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -15,13 +15,14 @@
 //
 //	ways := reach.New(reach.Clock(now))
 //	way := ways.Of(reach.Place{Service: "drafts", DataCentre: "east"})
-//	way.Failed("i-1", sentAt)
+//	way.Unopened("i-1", begunAt)
 //	for _, probe := range ways.Due() { ... probe.Done(reached) }
 //	way.Blocks("i-1")
 package reach
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -110,7 +111,7 @@
 
 // New returns Ways of which nothing is known.
 func New(options ...Option) *Ways {
-	ways := &Ways{now: clock.Boot, random: randomBelow, ways: map[Place]*Way{}}
+	ways := &Ways{now: clock.Boot, random: rand.IntN, ways: map[Place]*Way{}}
 	for _, option := range options {
 		option(ways)
 	}
@@ -123,7 +124,8 @@
 	defer ways.mu.Unlock()
 	way, known := ways.ways[place]
 	if !known {
-		way = &Way{Place: place, ways: ways, heard: ways.now()}
+		way = &Way{Place: place, ways: ways}
+		way.heardAt.Store(int64(ways.now()))
 		ways.ways[place] = way
 	}
 	return way
--- a/internal/policy/reach/way.go
+++ b/internal/policy/reach/way.go
@@ -18,8 +18,8 @@
 	heardAt atomic.Int64
 
 	mu sync.Mutex
-	// heard is heardAt as failures are compared with it, opened when a connection was last opened.
-	heard, opened time.Duration
+	// opened is when a connection was last opened.
+	opened time.Duration
 	// unopened are the servers that could not be connected to since one was, broken those whose
 	// connections broke or fell silent since anything came.
 	unopened, broken map[string]struct{}
@@ -69,19 +69,29 @@
 	way.servers = servers
 }
 
+// heardNow notes that something came, and says whether there is anything to note beside: not where nothing speaks against
+// the way.
+func (way *Way) heardNow(now time.Duration) bool {
+	way.heardAt.Store(int64(now))
+	return way.evidence.Load() != 0 || way.Standing() != Open
+}
+
+// silentFor is for how long nothing has come from any server.
+func (way *Way) silentFor(now time.Duration) time.Duration {
+	return now - time.Duration(way.heardAt.Load())
+}
+
 // Heard notes that something came from a server over an open connection.
 func (way *Way) Heard(server string) {
 	if way == nil {
 		return
 	}
 	now := way.ways.now()
-	way.heardAt.Store(int64(now))
-	if way.evidence.Load() == 0 && way.Standing() == Open {
+	if !way.heardNow(now) {
 		return
 	}
 	way.mu.Lock()
 	defer way.mu.Unlock()
-	way.heard = now
 	clear(way.broken)
 	if _, known := way.reached[server]; known {
 		way.reached[server] = now
@@ -109,17 +119,12 @@
 		return
 	}
 	now := way.ways.now()
-	way.heardAt.Store(int64(now))
-	if way.evidence.Load() == 0 && way.Standing() == Open {
+	if !way.heardNow(now) {
 		return
 	}
 	way.mu.Lock()
 	defer way.mu.Unlock()
-	way.openedLocked(server, now)
-}
-
-func (way *Way) openedLocked(server string, now time.Duration) {
-	way.heard, way.opened = now, now
+	way.opened = now
 	clear(way.broken)
 	clear(way.unopened)
 	if way.reached != nil {
@@ -152,7 +157,7 @@
 	way.mu.Lock()
 	defer way.mu.Unlock()
 	delete(way.reached, server)
-	if max(way.heard, time.Duration(way.heardAt.Load())) > since {
+	if time.Duration(way.heardAt.Load()) > since {
 		return
 	}
 	way.broken = noteServer(way.broken, server)
@@ -207,7 +212,7 @@
 	now := way.ways.now()
 	way.mu.Lock()
 	defer way.mu.Unlock()
-	if now-max(way.heard, time.Duration(way.heardAt.Load())) >= span && (way.wholeAt == 0 || now-way.wholeAt >= silentAgain) {
+	if way.silentFor(now) >= span && (way.wholeAt == 0 || now-way.wholeAt >= silentAgain) {
 		way.doubtLocked(now)
 		way.quiet = true
 	}
--- a/internal/run/gateway/ways.go
+++ b/internal/run/gateway/ways.go
@@ -22,26 +22,8 @@
 
 // probe connects to servers of a way.
 func (detours *detours) probe(probe *dispatch.WayProbe) {
-	node := detours.node
-	answers := make(chan string, len(probe.Servers))
-	for _, server := range probe.Servers {
-		node.GoAs("probe", func() {
-			if !node.pool.Opens(probe.Addresses[server], probeTime) {
-				server = ""
-			}
-			answers <- server
-		})
-	}
-	reached := []string{}
-	for range probe.Servers {
-		if server := <-answers; server != "" {
-			reached = append(reached, server)
-		}
-		if probe.Whole(len(reached)) {
-			// One that isn't reached takes long to show.
-			break
-		}
-	}
+	opens := func(server string) bool { return detours.node.pool.Opens(probe.Addresses[server], probeTime) }
+	reached := detours.node.tryAll(probe.Servers, opens, probe.Whole)
 	if result := probe.Done(reached); result.Changed() {
 		detours.changed(probe.Way, &result)
 	}
--- a/internal/run/gateway/work.go
+++ b/internal/run/gateway/work.go
@@ -257,17 +257,35 @@
 // times what it takes where it isn't.
 const probeTime = 150 * time.Millisecond
 
-// probe connects to servers of a data centre.
-func (node *Node) probe(probe *dispatch.Probe) {
-	answers := make(chan bool, len(probe.Addresses))
-	for _, address := range probe.Addresses {
-		node.GoAs("probe", func() { answers <- node.pool.Reaches(address, probeTime) })
+// tryAll tries all servers that are named at once, and returns those that were reached. It doesn't wait for the others once
+// enough were: one that isn't reached takes long to show.
+func (node *Node) tryAll(names []string, try func(name string) bool, enough func(reached int) bool) []string {
+	answers := make(chan string, len(names))
+	for _, name := range names {
+		node.GoAs("probe", func() {
+			if !try(name) {
+				name = ""
+			}
+			answers <- name
+		})
 	}
-	answered := false
-	for range probe.Addresses {
-		answered = <-answers || answered
+	reached := []string{}
+	for range names {
+		if name := <-answers; name != "" {
+			reached = append(reached, name)
+		}
+		if enough(len(reached)) {
+			break
+		}
 	}
-	if moved, news := probe.Done(answered); news {
+	return reached
+}
+
+// probe connects to servers of a data centre.
+func (node *Node) probe(probe *dispatch.Probe) {
+	reaches := func(address string) bool { return node.pool.Reaches(address, probeTime) }
+	reached := node.tryAll(probe.Addresses, reaches, func(int) bool { return false })
+	if moved, news := probe.Done(len(reached) > 0); news {
 		node.logger.Warn("gateway: a data centre is not reached.", "DataCentre", probe.DataCentre, "Tried", len(probe.Addresses), "CallsMoved", moved)
 	}
 }
