fix(pace): a pace measured without prompts is compared with such paces

Callers saw nothing; nodes passed by a group that was as fast as the others. Cause, traced in a failing run: how long prompts take is guessed high, so a group with prompts at nearly every pass measures 1.1 where one without measures 1.88, both with passes of 40 ms for 21 configured. The second was compared with the median of all, 1.14, and counted as slow by 1.63, decayed to 1.5 at the last check. Ruled out: a pace told late by another node (none was told in that run), the decay (a fresh measurement each time).

Change: a meter remembers passes without prompts apart. A pace that such a pass decided is compared with what is usual in such passes; of a group that has had fewer than three, its pace counts as before.

--- a/internal/policy/dispatch/pace.go
+++ b/internal/policy/dispatch/pace.go
@@ -102,7 +102,8 @@
 	}
 	expected := target.Pass - time.Duration(max(0, target.Slots-target.Taken()))*target.PerCall
 	events = max(1, events)
-	target.paced.meter.Note((now-before)/time.Duration(events), max(expected, target.Pass/4)+max(reading, readBefore)/time.Duration(events), now)
+	several := time.Duration(events)
+	target.paced.meter.Note(pace.Gap{Took: (now - before) / several, Pass: max(expected, target.Pass/4), Reading: max(reading, readBefore) / several}, now)
 }
 
 // PassedOn tells how long passing the last event on to the caller took.
@@ -153,10 +154,10 @@
 		return nil
 	}
 	learnt, factors := make([]pace.Learnt, len(filled.targets)), make([]float64, len(filled.targets))
-	measured := []float64{}
+	measured := []pace.Measurement{}
 	for _, target := range filled.targets {
-		if factor, known := target.paced.meter.Measured(now); known {
-			measured = append(measured, factor)
+		if one, known := target.paced.meter.Measured(now); known {
+			measured = append(measured, one)
 		}
 	}
 	usual := pace.Usual(measured)
--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -7,6 +7,9 @@
 // between the group and this node; nothing shortens them. So the shortest of some dozens of gaps
 // count. Events that come together are of one pass and count once.
 //
+// How long reading prompts takes is a guess, and a high one. So a pace that was measured while none
+// were read is compared with paces of other groups that were measured so.
+//
 // A group that is known to be slow gets few calls, and then nothing is learnt of it. So what is
 // known decays towards 1 within some seconds, and the group is tried again.
 //
@@ -16,7 +19,7 @@
 // # Usage
 //
 //	meter := &pace.Meter{}
-//	meter.Note(gap, expected, now) // for each event of each stream
+//	meter.Note(pace.Gap{Took: gap, Pass: expected, Reading: prompts}, now) // for each event of each stream
 //	measured, known := meter.Measured(now)     // of each group of a pool
 //	usual := pace.Usual(allMeasured)
 //	if learnt := meter.Look(usual, now); learnt.News { tell(learnt.Factor) }
@@ -24,6 +27,7 @@
 package pace
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -41,6 +45,8 @@
 	// passesNeeded is from how many passes a pace is learnt, passesKept how many are remembered.
 	passesNeeded = 8
 	passesKept   = 24
+	// plainNeeded is how many passes without a prompt show what is usual in them.
+	plainNeeded = 3
 	// passLife is for how long passes are remembered: longer than a slow group is passed by.
 	passLife = 15 * time.Second
 	// pause is after how long without a pass a group counts as tried again, and passesBefore is how many
@@ -96,91 +102,158 @@
 type round struct {
 	ratio float64
 	at    time.Duration
+	// plain says that no prompt was read in that gap.
+	plain bool
+}
+
+// rounds are the newest passes of a group.
+type rounds struct {
+	kept [passesKept]round
+	// last is the place of the newest pass, count how many there are.
+	last, count int
+}
+
+// note takes a gap of a pass that should take so long.
+func (rounds *rounds) note(noted round, expected time.Duration) {
+	newest := &rounds.kept[rounds.last]
+	if rounds.count > 0 {
+		since := noted.at - newest.at
+		if since < expected/2 {
+			if noted.ratio < newest.ratio {
+				newest.ratio, newest.plain = noted.ratio, noted.plain
+			}
+			return
+		}
+		if since > pause {
+			rounds.count = min(rounds.count, passesBefore)
+		}
+	}
+	rounds.last = (rounds.last + 1) % passesKept
+	rounds.kept[rounds.last] = noted
+	rounds.count = min(rounds.count+1, passesKept)
+}
+
+// latest returns the passes that count, the newest first, in the array.
+func (rounds *rounds) latest(now time.Duration, held *[passesKept]round) []round {
+	found := held[:0]
+	for number := range rounds.count {
+		one := rounds.kept[(rounds.last-number+passesKept)%passesKept]
+		if now-one.at > passLife {
+			break
+		}
+		found = append(found, one)
+	}
+	return found
+}
+
+func byRatio(one, other round) int { return cmp.Compare(one.ratio, other.ratio) }
+
+// quarter returns the pass that a quarter of them are not longer than.
+func quarter(passes []round) round {
+	slices.SortFunc(passes, byRatio)
+	return passes[(len(passes)-1)/4]
+}
+
+// Gap is the time between two events of a stream: how long it took, how long a pass that reads nothing
+// should take, and how long the prompts should that may have been read meanwhile.
+type Gap struct {
+	Took, Pass, Reading time.Duration
+}
+
+// Measurement is a group's pace by the events that came at this node.
+type Measurement struct {
+	// Factor is the pace; Plain is it by passes that read no prompt, or Factor if those were too few.
+	Factor, Plain float64
 }
 
 // Meter learns the pace of one run of a server in one group.
 type Meter struct {
-	mu     sync.Mutex
-	rounds [passesKept]round
-	// last is the place of the newest round, count how many there are.
-	last, count int
+	mu sync.Mutex
+	// all are the newest passes, plain the newest that read no prompt.
+	all, plain rounds
 	// fresh says that there were events since the last measurement, anew that there was a measurement
 	// since the last look.
 	fresh, anew bool
 	// measured is the last measurement, newest what is known, compared with what is usual, and told what
 	// the other nodes know.
 	measured, newest, told finding
+	// usualPlain is the last measurement by plain passes, 0 for none; measuredPlain says that the last
+	// measurement is by such a pass.
+	usualPlain    float64
+	measuredPlain bool
 }
 
-// Note takes the time between two events of a stream, and how long that should be.
-func (meter *Meter) Note(gap, expected, now time.Duration) {
-	if expected <= 0 {
+// Note takes a gap that ended now.
+func (meter *Meter) Note(gap Gap, now time.Duration) {
+	expected := gap.Pass + gap.Reading
+	if gap.Pass <= 0 {
 		return
 	}
-	ratio := float64(gap) / float64(expected)
+	noted := round{ratio: float64(gap.Took) / float64(expected), at: now, plain: gap.Reading <= 0}
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
 	meter.fresh = true
-	newest := &meter.rounds[meter.last]
-	if meter.count > 0 {
-		since := now - newest.at
-		if since < expected/2 {
-			newest.ratio = min(newest.ratio, ratio)
-			return
-		}
-		if since > pause {
-			meter.count = min(meter.count, passesBefore)
-		}
+	meter.all.note(noted, expected)
+	if noted.plain {
+		meter.plain.note(noted, expected)
 	}
-	meter.last = (meter.last + 1) % passesKept
-	meter.rounds[meter.last] = round{ratio: ratio, at: now}
-	meter.count = min(meter.count+1, passesKept)
 }
 
-// measureLocked returns the pace by the passes that are remembered, and when the last of them was.
-func (meter *Meter) measureLocked(now time.Duration) (found finding, enough bool) {
-	var held [passesKept]float64
-	ratios := held[:0]
-	for number := range meter.count {
-		one := &meter.rounds[(meter.last-number+passesKept)%passesKept]
-		if now-one.at > passLife {
-			break
-		}
-		ratios = append(ratios, one.ratio)
-	}
-	if len(ratios) < passesNeeded {
-		return finding{}, false
+// measureLocked measures the pace by the passes that are remembered.
+func (meter *Meter) measureLocked(now time.Duration) {
+	held := [passesKept]round{}
+	passes := meter.all.latest(now, &held)
+	if len(passes) < passesNeeded {
+		return
 	}
+	at := passes[0].at
 	// A group that becomes slow shows it in its last passes long before it does in most of those
 	// that are remembered.
-	latest := slices.Min(ratios[:passesNeeded])
-	slices.Sort(ratios)
-	return finding{factor: min(max(1, latest, ratios[(len(ratios)-1)/4]), highest), at: meter.rounds[meter.last].at}, true
+	found := slices.MinFunc(passes[:passesNeeded], byRatio)
+	if usual := quarter(passes); usual.ratio > found.ratio {
+		found = usual
+	}
+	meter.measured = finding{factor: min(max(1, found.ratio), highest), at: at}
+	meter.measuredPlain, meter.anew = found.plain, true
+	meter.usualPlain = 0
+	if plain := meter.plain.latest(now, &held); len(plain) >= plainNeeded {
+		meter.usualPlain = min(max(1, quarter(plain).ratio), highest)
+	}
 }
 
-// Measured returns the last measurement by events that came at this node, if there is one that counts.
-func (meter *Meter) Measured(now time.Duration) (factor float64, known bool) {
+// Measured returns the last measurement, if there is one that counts.
+func (meter *Meter) Measured(now time.Duration) (measured Measurement, known bool) {
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
 	if meter.fresh {
 		meter.fresh = false
-		if measured, enough := meter.measureLocked(now); enough {
-			meter.measured, meter.anew = measured, true
-		}
+		meter.measureLocked(now)
 	}
-	return meter.measured.factor, meter.measured.factor > 0 && now-meter.measured.at < measuredKept
+	measured = Measurement{Factor: meter.measured.factor, Plain: meter.usualPlain}
+	if measured.Plain <= 0 {
+		measured.Plain = measured.Factor
+	}
+	return measured, measured.Factor > 0 && now-meter.measured.at < measuredKept
 }
 
-// Usual is the pace of a pool as a whole, by what was measured of its groups. It is above 1 where passes are
+// Usual returns what is usual in a pool, by what was measured of its groups. It is above 1 where passes are
 // longer than configured, or this node or its network lengthens all gaps; that makes no group slow. So a
 // group is found slow only by a node that has measured another one.
-func Usual(measured []float64) float64 {
-	if len(measured) == 0 {
+func Usual(measured []Measurement) Measurement {
+	factors, plain := make([]float64, 0, len(measured)), make([]float64, 0, len(measured))
+	for _, one := range measured {
+		factors, plain = append(factors, one.Factor), append(plain, one.Plain)
+	}
+	return Measurement{Factor: middle(factors), Plain: middle(plain)}
+}
+
+// middle is the lower median of paces, 1 at least.
+func middle(paces []float64) float64 {
+	if len(paces) == 0 {
 		return 1
 	}
-	sorted := slices.Clone(measured)
-	slices.Sort(sorted)
-	return max(1, sorted[(len(sorted)-1)/2])
+	slices.Sort(paces)
+	return max(1, paces[(len(paces)-1)/2])
 }
 
 // Learnt is what a look at a meter shows.
@@ -192,13 +265,17 @@
 }
 
 // Look returns what is known now, where a pace is usual in the pool.
-func (meter *Meter) Look(usual float64, now time.Duration) Learnt {
+func (meter *Meter) Look(usual Measurement, now time.Duration) Learnt {
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
 	learnt := Learnt{}
 	if meter.anew {
 		meter.anew = false
-		learnt.News = meter.learnLocked(finding{factor: max(1, meter.measured.factor/usual), at: meter.measured.at}, now)
+		compared := usual.Factor
+		if meter.measuredPlain {
+			compared = usual.Plain
+		}
+		learnt.News = meter.learnLocked(finding{factor: max(1, meter.measured.factor/compared), at: meter.measured.at}, now)
 	}
 	learnt.Factor = meter.newest.effective(now)
 	return learnt
@@ -239,7 +316,7 @@
 		return false
 	}
 	if differs(told.effective(now), meter.newest.effective(now)) {
-		meter.count, meter.anew = 0, false
+		meter.all.count, meter.plain.count, meter.anew = 0, 0, false
 		meter.newest = told
 	}
 	meter.told = told
--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -1,6 +1,8 @@
 package pace_test
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -22,7 +24,7 @@
 	for range passes {
 		from += gap
 		for range streams {
-			meter.Note(gap, pass, from)
+			meter.Note(pace.Gap{Took: gap, Pass: pass}, from)
 		}
 	}
 	return from
@@ -31,7 +33,7 @@
 // look measures a group of a pool in which nothing else is known.
 func look(meter *pace.Meter, now time.Duration) pace.Learnt {
 	meter.Measured(now)
-	return meter.Look(1, now)
+	return meter.Look(pace.Measurement{Factor: 1, Plain: 1}, now)
 }
 
 // Guards against a slow group that isn't found, or is found by too few passes to know.
@@ -66,7 +68,7 @@
 			gap *= 3
 		}
 		now += gap
-		meter.Note(gap, pass, now)
+		meter.Note(pace.Gap{Took: gap, Pass: pass}, now)
 		if look(meter, now).Factor > 1 {
 			slow++
 		}
@@ -154,7 +156,7 @@
 func TestPaceIsComparedWithWhatIsUsual(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	factors := []float64{1.8, 1.8, 7.2, 1.8}
-	meters, measured, now := []*pace.Meter{}, []float64{}, start
+	meters, measured, now := []*pace.Meter{}, []pace.Measurement{}, start
 	for _, factor := range factors {
 		meter := &pace.Meter{}
 		now = max(now, feed(meter, start, 10, 1, factor))
@@ -170,14 +172,79 @@
 		expect.Expect(learnt.Factor > 1).To(gomega.Equal(number == 2))
 		expect.Expect(learnt.News).To(gomega.Equal(number == 2))
 	}
-	expect.Expect(pace.Usual([]float64{4})).To(gomega.Equal(4.0), "the only one")
-	expect.Expect(pace.Usual([]float64{4, 1})).To(gomega.Equal(1.0))
-	expect.Expect(pace.Usual([]float64{0.5, 0.6, 0.7})).To(gomega.Equal(1.0), "faster than configured")
-	expect.Expect(pace.Usual(nil)).To(gomega.Equal(1.0))
+	expect.Expect(usual(4)).To(gomega.Equal(4.0), "the only one")
+	expect.Expect(usual(4, 1)).To(gomega.Equal(1.0))
+	expect.Expect(usual(0.5, 0.6, 0.7)).To(gomega.Equal(1.0), "faster than configured")
+	expect.Expect(usual()).To(gomega.Equal(1.0))
 	_, known := meters[0].Measured(now + 3*time.Minute)
 	expect.Expect(known).To(gomega.BeFalse(), "long ago")
 }
 
+// usual is the pace that is usual among groups of which each was measured alike with prompts and without.
+func usual(factors ...float64) float64 {
+	measured := []pace.Measurement{}
+	for _, factor := range factors {
+		measured = append(measured, pace.Measurement{Factor: factor, Plain: factor})
+	}
+	found := pace.Usual(measured)
+	if found.Factor != found.Plain {
+		return math.NaN()
+	}
+	return found.Factor
+}
+
+// Guards against a group without prompts that looks slow among groups that nearly always have some, since
+// these take less time than was expected; and against a slow one of either kind that doesn't look slow.
+func TestGroupThatReadsNoPromptIsComparedWithSuchPasses(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	for _, slow := range []int{-1, 0, 3} {
+		meters, measured, end := []*pace.Meter{}, []pace.Measurement{}, start
+		for number := range 6 {
+			meter, now := &pace.Meter{}, start
+			took := pass * 9 / 5
+			if number == slow {
+				took *= 4
+			}
+			for round := range 24 {
+				now += took
+				gap := pace.Gap{Took: took, Pass: pass}
+				if number > 0 && round%6 > 0 {
+					gap.Reading = pass * 3 / 5
+				}
+				meter.Note(gap, now)
+			}
+			meters, end = append(meters, meter), max(end, now)
+		}
+		for _, meter := range meters {
+			one, known := meter.Measured(end)
+			expect.Expect(known).To(gomega.BeTrue())
+			measured = append(measured, one)
+		}
+		for number, meter := range meters {
+			learnt := meter.Look(pace.Usual(measured), end)
+			expect.Expect(learnt.Factor > 1).To(gomega.Equal(number == slow), fmt.Sprintf("group %d by %.2f, slow is %d", number, learnt.Factor, slow))
+		}
+	}
+}
+
+// Guards against a slow group without prompts that doesn't look slow while all others read some all the time.
+func TestGroupThatReadsNoPromptIsSlowAmongThoseThatAlwaysDo(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	busy, idle, now := &pace.Meter{}, &pace.Meter{}, start
+	for range 24 {
+		now += 2 * pass
+		busy.Note(pace.Gap{Took: 2 * pass, Pass: pass, Reading: pass}, now)
+		idle.Note(pace.Gap{Took: 8 * pass, Pass: pass}, now)
+	}
+	of := []pace.Measurement{}
+	for _, meter := range []*pace.Meter{busy, idle} {
+		one, _ := meter.Measured(now)
+		of = append(of, one)
+	}
+	expect.Expect(idle.Look(pace.Usual(of), now).Factor).To(gomega.BeNumerically("~", 8, 0.01))
+	expect.Expect(busy.Look(pace.Usual(of), now).Factor).To(gomega.Equal(1.0))
+}
+
 // Guards against a pool that is closed since its configured passes are too short, and against a
 // third that is exceeded.
 func TestAtMostAThirdOfAPoolIsSlow(t *testing.T) {
@@ -196,6 +263,6 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now += pass
-		meter.Note(pass, pass, now)
+		meter.Note(pace.Gap{Took: pass, Pass: pass}, now)
 	}
 }
