fix(follower): a leaf whose relay ends waits to be told again before it reads the registry

What operators saw: nothing yet; at a relay's end its leaves each may read the whole registry, which hundreds of nodes must not. Cause, traced in a failing run of TestRelayThatStartsAgainIsToldTheRegistry with logs: it wasn't the relay. A leaf whose relay was killed counted as fed by nobody until another node took it in the same millisecond, knows no servers, and had had its role for long, so a tick of its list in between (one each 100 ms) read all of it.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -72,8 +72,9 @@
 	Parts
 
 	startedAt time.Duration
-	// roleAt is when the node got its role.
+	// roleAt is when the node got its role, fedAt when it was last seen that a node above told it of servers.
 	roleAt  atomic.Int64
+	fedAt   atomic.Int64
 	looking chan struct{}
 	// hinted says that another node has told that the store answers it.
 	hinted atomic.Bool
@@ -131,12 +132,12 @@
 	follower.Look()
 }
 
-// awaitsFirst says whether a node that knows no servers yet is about to be told of them: one that
-// has just attached to another is. If all relays of a fleet read the registry at a start, that
-// is one whole reading each.
+// awaitsFirst says whether a node that knows no servers is about to be told of them: one that has just
+// attached to another is, or has just lost it and looks for the next. If all relays of a fleet read the
+// registry at a start, or all leaves of a relay when it ends, that is one whole reading each.
 func (follower *Follower) awaitsFirst(role overlay.Role) bool {
 	attached := role == overlay.Relay || role == overlay.Leaf
-	return attached && follower.Now()-time.Duration(follower.roleAt.Load()) < firstPatience
+	return attached && follower.Now()-time.Duration(max(follower.roleAt.Load(), follower.fedAt.Load())) < firstPatience
 }
 
 // Hint is told by another node that the store answers it. A node that goes on to take it
--- a/internal/fleet/follower/registry.go
+++ b/internal/fleet/follower/registry.go
@@ -42,6 +42,9 @@
 // listDue says whether this node is to read the registry.
 func (follower *Follower) listDue() bool {
 	standing := follower.Standing()
+	if standing.Fed {
+		follower.fedAt.Store(int64(follower.Now()))
+	}
 	if !follower.Servers.Load().Known() && follower.awaitsFirst(standing.Role) {
 		return false
 	}
--- a/internal/fleet/follower/standing_test.go
+++ b/internal/fleet/follower/standing_test.go
@@ -52,3 +52,24 @@
 	expect.Expect(limit(overlay.Leaf, 3, true)).To(gomega.BeNumerically("==", never))
 	expect.Expect(limit(overlay.Starting, 0, false)).To(gomega.BeNumerically("==", never))
 }
+
+// Guards against leaves that read the whole registry at the moment in which their relay ends, though another takes
+// them at once.
+func TestLeafThatLosesItsRelayWaitsToBeToldAgain(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	follower := idleFollower()
+	now, fed := time.Hour, true
+	follower.Now = func() time.Duration { return now }
+	follower.Standing = func() Standing { return Standing{Role: overlay.Leaf, Fed: fed, Rank: func() int { return 0 }} }
+	for range 20 {
+		now += ListTick
+		expect.Expect(follower.listDue()).To(gomega.BeFalse(), "told by its relay")
+	}
+	fed = false
+	now += ListTick
+	expect.Expect(follower.listDue()).To(gomega.BeFalse(), "its relay has just ended")
+	now += ListTick
+	expect.Expect(follower.listDue()).To(gomega.BeFalse(), "it looks for another")
+	now += firstPatience
+	expect.Expect(follower.listDue()).To(gomega.BeTrue(), "nobody takes it")
+}
