--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -133,7 +133,7 @@
 	rounds.count = min(rounds.count+1, passesKept)
 }
 
-// latest returns the passes that count, the newest first, in the array.
+// latest returns the passes that aren't older than passLife, the newest first. They are in the array.
 func (rounds *rounds) latest(now time.Duration, held *[passesKept]round) []round {
 	found := held[:0]
 	for number := range rounds.count {
@@ -148,7 +148,7 @@
 
 func byRatio(one, other round) int { return cmp.Compare(one.ratio, other.ratio) }
 
-// quarter returns the pass that a quarter of them are not longer than.
+// quarter returns the lower quartile by ratio, and sorts the passes.
 func quarter(passes []round) round {
 	slices.SortFunc(passes, byRatio)
 	return passes[(len(passes)-1)/4]
@@ -162,7 +162,7 @@
 
 // Measurement is a group's pace by the events that came at this node.
 type Measurement struct {
-	// Factor is the pace; Plain is it by passes that read no prompt, or Factor if those were too few.
+	// Factor is the pace by all passes, Plain that by passes that read no prompt, or Factor if those were too few.
 	Factor, Plain float64
 }
 
