refactor(dispatch): one piece tells for how long nothing came of a target's calls

Cause: Stalled, for nodes that requests go through, worked out again what silence does for groups, and WatchWays the time after which running streams stand still. Change: stillFor and stillAfter serve all three; the limits stay where they were. Measured: the tests of policy/dispatch and fleet/detour pass as before; no test was changed.

--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -352,11 +352,27 @@
 	if target.Group == "" || target.mine.Load() == 0 {
 		return 0, time.Hour, time.Hour
 	}
+	span, running := target.stillFor(now)
+	if running {
+		avoid = target.stillAfter(silentLeast)
+		return span, avoid, avoid + movePatience
+	}
+	return span, unansweredLeast, unansweredMost
+}
+
+// stillFor returns for how long nothing came of this node's calls at the target, and whether any of them has had
+// an event.
+func (target *Target) stillFor(now time.Duration) (span time.Duration, running bool) {
+	progress := time.Duration(target.progress.Load())
 	if target.active() > 0 {
-		avoid = max(silentLeast, silentPasses*target.Pass, slowPasses*target.learntPass())
-		return now - time.Duration(target.progress.Load()), avoid, avoid + movePatience
+		return now - progress, true
 	}
-	return now - max(target.oldest(now), time.Duration(target.progress.Load())), unansweredLeast, unansweredMost
+	return now - max(target.oldest(now), progress), false
+}
+
+// stillAfter is after how long without an event running streams stand still, the least that is given or longer.
+func (target *Target) stillAfter(least time.Duration) time.Duration {
+	return max(least, silentPasses*target.Pass, slowPasses*target.learntPass())
 }
 
 // oldest returns when the call was sent that has waited longest for its first event.
--- a/internal/policy/dispatch/way.go
+++ b/internal/policy/dispatch/way.go
@@ -90,7 +90,7 @@
 		if target.mine.Load() == 0 {
 			continue
 		}
-		if span := max(waySilence, silentPasses*target.Pass, slowPasses*target.learntPass()); target.active() > 0 || now-target.oldest(now) >= span {
+		if span := target.stillAfter(waySilence); target.active() > 0 || now-target.oldest(now) >= span {
 			target.way.Silent(span)
 		}
 	}
@@ -143,13 +143,15 @@
 // Stalled ends the calls of a target that is apart, where nothing has come of them for too long: of those that have
 // had an event, or of one that hasn't. It says whether it did.
 func (target *Target) Stalled(still, unanswered time.Duration) bool {
-	now := target.now()
-	switch {
-	case target.mine.Load() == 0:
+	if target.mine.Load() == 0 {
 		return false
-	case target.active() > 0 && now-time.Duration(target.progress.Load()) < still:
-		return false
-	case target.active() == 0 && now-max(target.oldest(now), time.Duration(target.progress.Load())) < unanswered:
+	}
+	most := unanswered
+	span, running := target.stillFor(target.now())
+	if running {
+		most = still
+	}
+	if span < most {
 		return false
 	}
 	target.move()
