--- a/internal/fleet/overlay/directory.go
+++ b/internal/fleet/overlay/directory.go
@@ -337,13 +337,13 @@
 // takes none.
 func (overlay *Overlay) AskDetours(address string) []*frame.Detour {
 	conn, answer, err := overlay.open(address, frame.Purpose_Ask)
-	if err != nil || answer.Stopping {
-		if err == nil {
-			conn.Close()
-		}
+	if err != nil {
 		return nil
 	}
 	conn.Close()
+	if answer.Stopping {
+		return nil
+	}
 	return answer.Detours
 }
 
