refactor(pace): what stands in for too few plain passes is settled where it is measured

Cause: the stand-in was put in at each reading of a meter, the bounds of a pace stood in three places, and three tests measured the groups of a pool each for itself. Change: one place each. The third test now also asserts that both groups were measured.

--- a/internal/policy/pace/pace.go
+++ b/internal/policy/pace/pace.go
@@ -154,6 +154,9 @@
 	return passes[(len(passes)-1)/4]
 }
 
+// bounded keeps a pace within what is believed.
+func bounded(factor float64) float64 { return min(max(1, factor), highest) }
+
 // Gap is the time between two events of a stream: how long it took, how long a pass that reads nothing
 // should take, and how long the prompts should that may have been read meanwhile.
 type Gap struct {
@@ -177,10 +180,10 @@
 	// measured is the last measurement, newest what is known, compared with what is usual, and told what
 	// the other nodes know.
 	measured, newest, told finding
-	// usualPlain is the last measurement by plain passes, 0 for none; measuredPlain says that the last
-	// measurement is by such a pass.
-	usualPlain    float64
-	measuredPlain bool
+	// plainFactor is the last measurement by plain passes, or by all where those were too few. isPlain says
+	// that a plain pass decided measured.
+	plainFactor float64
+	isPlain     bool
 }
 
 // Note takes a gap that ended now.
@@ -213,11 +216,10 @@
 	if usual := quarter(passes); usual.ratio > found.ratio {
 		found = usual
 	}
-	meter.measured = finding{factor: min(max(1, found.ratio), highest), at: at}
-	meter.measuredPlain, meter.anew = found.plain, true
-	meter.usualPlain = 0
+	meter.measured = finding{factor: bounded(found.ratio), at: at}
+	meter.plainFactor, meter.isPlain, meter.anew = meter.measured.factor, found.plain, true
 	if plain := meter.plain.latest(now, &held); len(plain) >= plainNeeded {
-		meter.usualPlain = min(max(1, quarter(plain).ratio), highest)
+		meter.plainFactor = bounded(quarter(plain).ratio)
 	}
 }
 
@@ -229,10 +231,7 @@
 		meter.fresh = false
 		meter.measureLocked(now)
 	}
-	measured = Measurement{Factor: meter.measured.factor, Plain: meter.usualPlain}
-	if measured.Plain <= 0 {
-		measured.Plain = measured.Factor
-	}
+	measured = Measurement{Factor: meter.measured.factor, Plain: meter.plainFactor}
 	return measured, measured.Factor > 0 && now-meter.measured.at < measuredKept
 }
 
@@ -272,7 +271,7 @@
 	if meter.anew {
 		meter.anew = false
 		compared := usual.Factor
-		if meter.measuredPlain {
+		if meter.isPlain {
 			compared = usual.Plain
 		}
 		learnt.News = meter.learnLocked(finding{factor: max(1, meter.measured.factor/compared), at: meter.measured.at}, now)
@@ -311,7 +310,7 @@
 func (meter *Meter) Take(factor float64, at, now time.Duration) bool {
 	meter.mu.Lock()
 	defer meter.mu.Unlock()
-	told := finding{factor: min(max(1, factor), highest), at: min(at, now)}
+	told := finding{factor: bounded(factor), at: min(at, now)}
 	if told.at <= meter.told.at || !differs(told.effective(now), meter.told.effective(now)) {
 		return false
 	}
--- a/internal/policy/pace/pace_test.go
+++ b/internal/policy/pace/pace_test.go
@@ -30,6 +30,17 @@
 	return from
 }
 
+// measureAll measures the groups of a pool, each of which has had passes enough.
+func measureAll(expect *gomega.WithT, meters []*pace.Meter, now time.Duration) []pace.Measurement {
+	measured := []pace.Measurement{}
+	for _, meter := range meters {
+		one, known := meter.Measured(now)
+		expect.Expect(known).To(gomega.BeTrue())
+		measured = append(measured, one)
+	}
+	return measured
+}
+
 // look measures a group of a pool in which nothing else is known.
 func look(meter *pace.Meter, now time.Duration) pace.Learnt {
 	meter.Measured(now)
@@ -156,17 +167,13 @@
 func TestPaceIsComparedWithWhatIsUsual(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	factors := []float64{1.8, 1.8, 7.2, 1.8}
-	meters, measured, now := []*pace.Meter{}, []pace.Measurement{}, start
+	meters, now := []*pace.Meter{}, start
 	for _, factor := range factors {
 		meter := &pace.Meter{}
 		now = max(now, feed(meter, start, 10, 1, factor))
 		meters = append(meters, meter)
 	}
-	for _, meter := range meters {
-		one, known := meter.Measured(now)
-		expect.Expect(known).To(gomega.BeTrue())
-		measured = append(measured, one)
-	}
+	measured := measureAll(expect, meters, now)
 	for number, meter := range meters {
 		learnt := meter.Look(pace.Usual(measured), now)
 		expect.Expect(learnt.Factor > 1).To(gomega.Equal(number == 2))
@@ -198,7 +205,7 @@
 func TestGroupThatReadsNoPromptIsComparedWithSuchPasses(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	for _, slow := range []int{-1, 0, 3} {
-		meters, measured, end := []*pace.Meter{}, []pace.Measurement{}, start
+		meters, end := []*pace.Meter{}, start
 		for number := range 6 {
 			meter, now := &pace.Meter{}, start
 			took := pass * 9 / 5
@@ -215,11 +222,7 @@
 			}
 			meters, end = append(meters, meter), max(end, now)
 		}
-		for _, meter := range meters {
-			one, known := meter.Measured(end)
-			expect.Expect(known).To(gomega.BeTrue())
-			measured = append(measured, one)
-		}
+		measured := measureAll(expect, meters, end)
 		for number, meter := range meters {
 			learnt := meter.Look(pace.Usual(measured), end)
 			expect.Expect(learnt.Factor > 1).To(gomega.Equal(number == slow), fmt.Sprintf("group %d by %.2f, slow is %d", number, learnt.Factor, slow))
@@ -236,13 +239,9 @@
 		busy.Note(pace.Gap{Took: 2 * pass, Pass: pass, Reading: pass}, now)
 		idle.Note(pace.Gap{Took: 8 * pass, Pass: pass}, now)
 	}
-	of := []pace.Measurement{}
-	for _, meter := range []*pace.Meter{busy, idle} {
-		one, _ := meter.Measured(now)
-		of = append(of, one)
-	}
-	expect.Expect(idle.Look(pace.Usual(of), now).Factor).To(gomega.BeNumerically("~", 8, 0.01))
-	expect.Expect(busy.Look(pace.Usual(of), now).Factor).To(gomega.Equal(1.0))
+	measured := measureAll(expect, []*pace.Meter{busy, idle}, now)
+	expect.Expect(idle.Look(pace.Usual(measured), now).Factor).To(gomega.BeNumerically("~", 8, 0.01))
+	expect.Expect(busy.Look(pace.Usual(measured), now).Factor).To(gomega.Equal(1.0))
 }
 
 // Guards against a pool that is closed since its configured passes are too short, and against a
