refactor(gateway): a newer version is fetched by one function, whatever told of it

Cause: a method of the peers that only looked for an empty address stood among the detours. Change: heardVersionAt does it. Measured: the tests of run/gateway pass as before; no test was changed.

--- a/internal/run/gateway/detours.go
+++ b/internal/run/gateway/detours.go
@@ -218,10 +218,3 @@
 		detours.node.GoAs("probe", func() { detours.probe(probe) })
 	}
 }
-
-// newerAt fetches a version of the configuration that another node has in force.
-func (peers *peers) newerAt(address string, version int64) {
-	if address != "" {
-		peers.heardVersionAt(address, version)
-	}
-}
--- a/internal/run/gateway/fetch.go
+++ b/internal/run/gateway/fetch.go
@@ -63,8 +63,9 @@
 	peers.heardVersionAt(link.Remote.Address, version)
 }
 
+// heardVersionAt is the same for a node that there may be no link with, and whose address may not be known.
 func (peers *peers) heardVersionAt(address string, version int64) {
-	if version <= peers.node.configuration.Load().Configuration.Version {
+	if address == "" || version <= peers.node.configuration.Load().Configuration.Version {
 		return
 	}
 	if held := peers.newer.Load(); held == nil || held.version < version {
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -242,7 +242,7 @@
 		Quarantine: node.quarantine, Suspected: node.suspected, Heard: node.heard,
 		AskPermits: node.refreshPermits, Returns: ratelimit.NewReturns(node.now), Nodes: func() int { return node.peers.nodes() },
 		Detours: node.detours.tableOrNil(), DetourPool: node.detours.pool, DetourWanted: node.detours.want, Unsure: node.detours.unsureOf,
-		Name: node.settings.Name, NewerAt: func(address string, version int64) { node.peers.newerAt(address, version) },
+		Name: node.settings.Name, NewerAt: func(address string, version int64) { node.peers.heardVersionAt(address, version) },
 		Memory: node.memory, Failed: node.callFailed, Ended: node.measures.ended, Logger: node.logger, Now: node.now,
 	}
 }
