feat(retry): show the window of a retry budget in logs and state

Cause: a request that ended as BudgetSpent could not be told from its log why: the state had totals since the start only, and no line had the window.

Change: one line a second and service with requests, repeats, allowance, number of nodes and age of the count; the same in the state dump.

No decision is changed.

--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -42,10 +42,15 @@
 	now            clock.Now
 	roundingOffset float64
 
+	startedAt time.Duration
+
 	mu      sync.Mutex
 	slots   [slotsPerWindow + 1]slot
 	granted uint64
 	refused uint64
+	// loggedRefused is the value of refused at loggedAt, when refusals were last logged.
+	loggedRefused uint64
+	loggedAt      time.Duration
 }
 
 type slot struct {
@@ -65,7 +70,7 @@
 
 // NewWindowBudget returns a WindowBudget with empty counts.
 func NewWindowBudget(allowance Allowance, nodes func() int, now clock.Now, options ...WindowBudgetOption) *WindowBudget {
-	budget := &WindowBudget{allowance: allowance, nodes: nodes, now: now}
+	budget := &WindowBudget{allowance: allowance, nodes: nodes, now: now, startedAt: now()}
 	for _, option := range options {
 		option(budget)
 	}
@@ -92,35 +97,71 @@
 func (budget *WindowBudget) TryWithdraw() bool {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
+	usage := budget.usageLocked()
+	if float64(usage.Retries+1) > usage.Allowed+budget.roundingOffset {
+		budget.refused++
+		return false
+	}
+	budget.currentSlot().retries++
+	budget.granted++
+	return true
+}
+
+// Usage is what a node sent and may send in the current window.
+type Usage struct {
+	Requests int
+	Retries  int
+	// Allowed is the number of retries that the node may send in the window.
+	Allowed float64
+	// Nodes is the number of nodes that share Base.
+	Nodes int
+	// AgeMilliseconds is the age of the count. A node that has just started knows nothing of the retries that its
+	// predecessor sent.
+	AgeMilliseconds int64
+}
+
+func (budget *WindowBudget) usageLocked() Usage {
 	current := budget.currentSlot()
-	requests, retries := 0, 0
+	usage := Usage{Nodes: budget.nodes(), AgeMilliseconds: (budget.now() - budget.startedAt).Milliseconds()}
 	for _, slot := range budget.slots {
 		if slot.number >= current.number-slotsPerWindow {
-			requests += slot.requests
-			retries += slot.retries
+			usage.Requests += slot.requests
+			usage.Retries += slot.retries
 		}
 	}
-	allowed := usableRatio*budget.allowance.Ratio*float64(requests) +
-		usableBase*budget.allowance.Base/float64(max(1, budget.nodes()))
-	if float64(retries+1) > allowed+budget.roundingOffset {
-		budget.refused++
-		return false
+	usage.Allowed = usableRatio*budget.allowance.Ratio*float64(usage.Requests) +
+		usableBase*budget.allowance.Base/float64(max(1, usage.Nodes))
+	return usage
+}
+
+// refusalLogInterval is the minimum time between two log lines about refused retries.
+const refusalLogInterval = time.Second
+
+// RefusalsToLog returns the number of retries refused since the last log line and the usage of the window. due is
+// false if the last line is too recent.
+func (budget *WindowBudget) RefusalsToLog() (refused uint64, usage Usage, due bool) {
+	budget.mu.Lock()
+	defer budget.mu.Unlock()
+	now := budget.now()
+	if budget.loggedAt > 0 && now-budget.loggedAt < refusalLogInterval {
+		return 0, Usage{}, false
 	}
-	current.retries++
-	budget.granted++
-	return true
+	refused = budget.refused - budget.loggedRefused
+	budget.loggedRefused, budget.loggedAt = budget.refused, now
+	return refused, budget.usageLocked(), true
 }
 
 // WindowState describes a WindowBudget in the state dump: the cumulative numbers of granted and
-// refused retries.
+// refused retries, and the usage of the current window.
 type WindowState struct {
 	Sent     uint64
 	Withheld uint64
+	Window   Usage
 }
 
 // State returns the state of the budget for the state dump.
 func (budget *WindowBudget) State() WindowState {
 	budget.mu.Lock()
 	defer budget.mu.Unlock()
-	return WindowState{Sent: budget.granted, Withheld: budget.refused}
+	return WindowState{Sent: budget.granted, Withheld: budget.refused, Window: budget.usageLocked()}
 }
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"log/slog"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -271,12 +272,25 @@
 	}
 	if !exchange.retryBudget.TryWithdraw() {
 		exchange.outcome = BudgetSpent
+		exchange.logRefusedRetry()
 		return false
 	}
 	exchange.forwarder.Counts.Repeats.Add(1)
 	return true
 }
 
+// logRefusedRetry logs that the retry budget of the service is used up, at most once per second.
+func (exchange *exchange) logRefusedRetry() {
+	refused, usage, due := exchange.retryBudget.RefusalsToLog()
+	if !due {
+		return
+	}
+	exchange.forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: the retry budget of a service is used up.",
+		slog.String("Service", exchange.service), slog.Uint64("Refused", refused), slog.Int("Requests", usage.Requests), slog.Int("Retries", usage.Retries),
+		slog.Float64("Allowed", usage.Allowed), slog.Int("Nodes", usage.Nodes), slog.Int64("AgeMilliseconds", usage.AgeMilliseconds),
+		slog.String("RequestID", exchange.request.ID))
+}
+
 // buildCall builds the call for one server.
 func (exchange *exchange) buildCall(target *dispatch.Target) *backendserver.Call {
 	request := exchange.request
