test(retry,standin): nodes that start again exceed the retry allowance

The stand-in's servers fail a share of their calls, and MaxRetryUse judges the sliding window by what reached servers. A model of the fleet shows the same for 7 to 300 nodes, and that callers who move bring a second allowance with them.

--- /dev/null
+++ b/internal/policy/retry/fleetmodel_test.go
@@ -0,0 +1,263 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/policy/retry"
+	"hazelslip/internal/testlib/suite"
+)
+
+const (
+	modelStep   = 100 * time.Millisecond
+	modelWindow = 10 * time.Second
+	windowSteps = int(modelWindow / modelStep)
+	// modelStart is longer than any window, so that counts from before the start are empty.
+	modelStart = time.Hour
+	// discoveryTime is how long a node that has started does not know the number of nodes.
+	discoveryTime = 300 * time.Millisecond
+	// unknownNodes is the number of nodes that such a node assumes.
+	unknownNodes = 100
+)
+
+// modelledNode is a node of a modelled fleet: the budget of its current process, and its share of the callers.
+type modelledNode struct {
+	budget    *retry.WindowBudget
+	startedAt time.Duration
+	weight    float64
+	// downUntil is when the node takes requests again.
+	downUntil time.Duration
+}
+
+// modelledFleet counts the requests and the retries of a fleet by step.
+type modelledFleet struct {
+	random            *rand.Rand
+	allowed           retry.Allowance
+	now               time.Duration
+	nodes             []*modelledNode
+	requests, retries []int
+	// inRestart holds for each step whether a node had started within the last window.
+	inRestart   []bool
+	restartedAt time.Duration
+}
+
+func newModelledFleet(random *rand.Rand, size int, allowed retry.Allowance) *modelledFleet {
+	fleet := &modelledFleet{random: random, allowed: allowed, now: modelStart, restartedAt: -modelWindow}
+	for range size {
+		node := &modelledNode{weight: 1}
+		fleet.nodes = append(fleet.nodes, node)
+		fleet.start(node, retry.NoPredecessor())
+	}
+	fleet.restartedAt = -modelWindow
+	return fleet
+}
+
+// start replaces the process of a node.
+func (fleet *modelledFleet) start(node *modelledNode, options ...retry.WindowBudgetOption) {
+	node.startedAt, fleet.restartedAt = fleet.now, fleet.now
+	count := func() int {
+		if fleet.now-node.startedAt < discoveryTime {
+			return unknownNodes
+		}
+		return len(fleet.nodes)
+	}
+	node.budget = retry.NewWindowBudget(fleet.allowed, count, func() time.Duration { return fleet.now }, append(options, retry.RoundingOffset(fleet.random.Float64()))...)
+}
+
+// pick returns the node that gets a request, by weight, or nil if none is up.
+func (fleet *modelledFleet) pick() *modelledNode {
+	sum := 0.0
+	for _, node := range fleet.nodes {
+		if node.downUntil <= fleet.now {
+			sum += node.weight
+		}
+	}
+	draw := fleet.random.Float64() * sum
+	for _, node := range fleet.nodes {
+		if node.downUntil > fleet.now {
+			continue
+		}
+		if draw -= node.weight; draw < 0 {
+			return node
+		}
+	}
+	return nil
+}
+
+// step sends the requests of one step. Each fails with the given probability, also when it is retried.
+func (fleet *modelledFleet) step(rate, failureShare float64) {
+	fleet.now += modelStep
+	arrived := int(rate*modelStep.Seconds() + fleet.random.Float64())
+	retried := 0
+	for range arrived {
+		node := fleet.pick()
+		if node == nil {
+			continue
+		}
+		node.budget.RecordRequest()
+		for attempt := 1; attempt < 3 && fleet.random.Float64() < failureShare && node.budget.TryWithdraw(); attempt++ {
+			retried++
+		}
+	}
+	fleet.requests, fleet.retries = append(fleet.requests, arrived), append(fleet.retries, retried)
+	fleet.inRestart = append(fleet.inRestart, fleet.now-fleet.restartedAt < modelWindow)
+}
+
+// restart kills each node with a probability and starts it again after a delay.
+func (fleet *modelledFleet) restart(probability float64, delay time.Duration) {
+	for _, node := range fleet.nodes {
+		if fleet.random.Float64() < probability {
+			node.downUntil = fleet.now + delay
+			fleet.start(node)
+		}
+	}
+}
+
+// use returns the share of the allowance that the window of steps from first on used. The requests that count
+// are those of the window, the one before it, or the one half a window before it, whichever has most.
+func (fleet *modelledFleet) use(first int) float64 {
+	sum := func(counts []int, from int) int {
+		total := 0
+		for number := max(0, from); number < min(len(counts), from+windowSteps); number++ {
+			total += counts[number]
+		}
+		return total
+	}
+	requests := max(sum(fleet.requests, first), sum(fleet.requests, first-windowSteps), sum(fleet.requests, first-windowSteps/2))
+	return float64(sum(fleet.retries, first)) / (fleet.allowed.Ratio*float64(requests) + fleet.allowed.Base)
+}
+
+// maxUse returns the highest use of any window, and the step at which that window begins.
+func (fleet *modelledFleet) maxUse() (highest float64, at int) {
+	for first := range fleet.requests {
+		if use := fleet.use(first); use > highest {
+			highest, at = use, first
+		}
+	}
+	return highest, at
+}
+
+const (
+	// maxAllowedUse is the highest share of the allowance that a fleet may use in any window, minSustainedUse the
+	// share that it must be able to use when no node has started for a window.
+	maxAllowedUse   = 0.95
+	minSustainedUse = 0.8
+)
+
+// fleetShapes are deployments by size, allowance and requests per second of a service.
+func fleetShapes() []struct {
+	nodes      int
+	base, rate float64
+} {
+	return []struct {
+		nodes      int
+		base, rate float64
+	}{
+		{7, 100, 100}, {9, 136, 166}, {9, 136, 18}, {72, 328, 400}, {91, 312, 600}, {300, 600, 900},
+	}
+}
+
+// Guards against nodes that start again within a window and spend once more what their predecessors have spent.
+func TestRestartedNodesStayWithinTheAllowance(t *testing.T) {
+	for _, shape := range fleetShapes() {
+		for _, share := range []float64{0.4, 0.9, 1} {
+			expect := gomega.NewWithT(t)
+			random := rand.New(rand.NewPCG(suite.Seed(), 63))
+			fleet := newModelledFleet(random, shape.nodes, retry.Allowance{Ratio: 0.2, Base: shape.base, Window: modelWindow})
+			for step := range 6 * windowSteps {
+				if step > 2*windowSteps && step%30 == 0 && step < 4*windowSteps {
+					fleet.restart(share, 500*time.Millisecond)
+				}
+				failing := 0.0
+				if step > 2*windowSteps-30 {
+					failing = 0.7
+				}
+				fleet.step(shape.rate, failing)
+			}
+			highest, at := fleet.maxUse()
+			expect.Expect(highest).To(gomega.BeNumerically("<=", maxAllowedUse), "%d nodes, %.0f requests/s, %.1f of them restarted each 3 s: window from %v on", shape.nodes, shape.rate, share, time.Duration(at)*modelStep)
+		}
+	}
+}
+
+// Guards against callers that bring a second allowance to the node that they move to.
+func TestMovingCallersStayWithinTheAllowance(t *testing.T) {
+	for _, shape := range fleetShapes() {
+		expect := gomega.NewWithT(t)
+		random := rand.New(rand.NewPCG(suite.Seed(), 64))
+		fleet := newModelledFleet(random, shape.nodes, retry.Allowance{Ratio: 0.2, Base: shape.base, Window: modelWindow})
+		const firstMove = 2*windowSteps + 10
+		for step := range 6 * windowSteps {
+			preferred := max(0, step-firstMove+windowSteps) / windowSteps
+			for number, node := range fleet.nodes {
+				node.weight = 0.01
+				if number == preferred%len(fleet.nodes) {
+					node.weight = float64(len(fleet.nodes))
+				}
+			}
+			failing := 0.0
+			if step > 2*windowSteps {
+				failing = 0.9
+			}
+			fleet.step(shape.rate, failing)
+		}
+		highest, at := fleet.maxUse()
+		expect.Expect(highest).To(gomega.BeNumerically("<=", maxAllowedUse), "%d nodes, %.0f requests/s: window from %v on", shape.nodes, shape.rate, time.Duration(at)*modelStep)
+	}
+}
+
+// Guards against a budget that keeps the rule by leaving most of the allowance unused.
+func TestSustainedFailuresUseTheAllowance(t *testing.T) {
+	for _, shape := range fleetShapes() {
+		expect := gomega.NewWithT(t)
+		random := rand.New(rand.NewPCG(suite.Seed(), 65))
+		fleet := newModelledFleet(random, shape.nodes, retry.Allowance{Ratio: 0.2, Base: shape.base, Window: modelWindow})
+		for step := range 8 * windowSteps {
+			failing := 0.0
+			if step > 2*windowSteps {
+				failing = 0.9
+			}
+			fleet.step(shape.rate, failing)
+		}
+		for first := 2*windowSteps + 1; first+windowSteps <= len(fleet.requests); first++ {
+			expect.Expect(fleet.use(first)).To(gomega.BeNumerically(">=", minSustainedUse), "%d nodes, %.0f requests/s: window from %v on", shape.nodes, shape.rate, time.Duration(first)*modelStep)
+		}
+		highest, _ := fleet.maxUse()
+		expect.Expect(highest).To(gomega.BeNumerically("<=", maxAllowedUse))
+	}
+}
+
+// Restarts nodes, moves callers and changes load and failures at random. Guards against any window in which the
+// fleet sends more retries than it may.
+func TestRandomFleetsStayWithinTheAllowance(t *testing.T) {
+	shapes := fleetShapes()
+	for round := range suite.Rounds(20) {
+		seed := suite.Seed()*1000 + uint64(round)
+		random := rand.New(rand.NewPCG(seed, 66))
+		shape := shapes[random.IntN(len(shapes))]
+		fleet := newModelledFleet(random, shape.nodes, retry.Allowance{Ratio: 0.2, Base: shape.base, Window: modelWindow})
+		rate, failing := shape.rate, 0.0
+		for range 6 * windowSteps {
+			switch random.IntN(60) {
+			case 0, 1:
+				fleet.restart(random.Float64(), time.Duration(random.IntN(3000))*time.Millisecond)
+			case 2:
+				for _, node := range fleet.nodes {
+					node.weight = random.ExpFloat64() * random.ExpFloat64()
+				}
+			case 3:
+				rate = shape.rate * (0.2 + 3*random.Float64())
+			case 4, 5:
+				failing = random.Float64()
+			}
+			fleet.step(rate, failing)
+		}
+		highest, at := fleet.maxUse()
+		if highest > maxAllowedUse {
+			t.Errorf("seed %d, %d nodes, %.0f requests/s: %.3f of the allowance used in the window from %v on", seed, shape.nodes, shape.rate, highest, time.Duration(at)*modelStep)
+		}
+	}
+}
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -68,6 +68,12 @@
 	return func(budget *WindowBudget) { budget.roundingOffset = offset }
 }
 
+// NoPredecessor states that no earlier process of this node has sent retries, because the whole deployment
+// starts for the first time.
+func NoPredecessor() WindowBudgetOption {
+	return func(*WindowBudget) {}
+}
+
 // NewWindowBudget returns a WindowBudget with empty counts.
 func NewWindowBudget(allowance Allowance, nodes func() int, now clock.Now, options ...WindowBudgetOption) *WindowBudget {
 	budget := &WindowBudget{allowance: allowance, nodes: nodes, now: now, startedAt: now()}
