feat(forward): name the parts of the prompt in the line of a server failure

Cause: the line of a server that fails during a request had the fingerprint of the whole request only. Where no two requests are alike, nothing in the logs said what those under which servers crash have in common.

No decision is changed.

--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -38,6 +38,8 @@
 	startedAt, admittedAt time.Duration
 	// timedOutWriting is set if the call timed out during a write to the caller.
 	timedOutWriting atomic.Bool
+	// events is the number of events of the response that were relayed.
+	events int
 	// withheld is set if the call was not sent because the server accepts no calls or the path to the server has
 	// no open connection.
 	withheld bool
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -28,6 +28,7 @@
 	forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server failed during a request.",
 		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Ends", failures), slog.String("Server", attempt.target.ID), slog.String("Group", attempt.target.Group),
+		slog.Any("Parts", exchange.request.PromptParts), slog.Int("EventsOfRun", attempt.events),
 		slog.Int("Attempt", exchange.attempts), slog.Bool("StoodStill", attempt.call.Moved()), slog.Int64("EventsUpTo", exchange.request.LastEventID),
 		slog.Int64("SentMillisecondsAgo", (forwarder.Now()-attempt.startedAt).Milliseconds()), slog.String("Cause", err.Error()))
 }
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -50,6 +50,8 @@
 	// PromptTokens and AnswerTokens are the sizes that the caller declares.
 	PromptTokens int
 	AnswerTokens int
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, in order.
+	PromptParts []string
 	// LastEventID is the last event that the caller received of an earlier response. It is valid if Resumes is
 	// set.
 	LastEventID int64
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -285,7 +285,9 @@
 	if err != nil {
 		return err
 	}
-	attempt.call.RecordEvents(bytes.Count(events, eventSeparator))
+	count := bytes.Count(events, eventSeparator)
+	attempt.events += count
+	attempt.call.RecordEvents(count)
 	receivedAt := exchange.forwarder.Now()
 	exchange.timing.record(receivedAt - exchange.arrived)
 	if !exchange.responseStarted {
