fix(quarantine): parts of prompts are suspects of their own

What callers of the platform saw: requests of one kind, no two alike, crashed server after server; after five crashes some sixty more were sent to servers.

Cause: evidence was gathered by whole request, and no request came twice.

Change: the parts of a prompt, without the last, are suspects beside whole requests, in the same list, frames and store records. A server that fails before the first event of a request is evidence against its parts; a complete answer clears them. The suspect with the most failures explains those of others in the same server runs, so that shared parts and moved requests aren't quarantined with it; a part that had been answered before needs six failures. A request whose server failed is not sent again while one more failure would quarantine a part of it.

--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -86,7 +86,10 @@
 type Suspect struct {
 	Fingerprint string `json:"-"`
 	// Deleted tells the store to delete the suspect.
-	Deleted  bool `json:"-"`
+	Deleted bool `json:"-"`
+	// Part is set for a part of prompts.
+	Part     bool `json:",omitempty"`
+	Answered bool `json:",omitempty"`
 	Ends     []SuspectFailure
 	LiftedAt time.Time
 }
--- a/internal/policy/dispatch/call.go
+++ b/internal/policy/dispatch/call.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -12,7 +13,9 @@
 	promptTokens int64
 	// fingerprint identifies the content of the request.
 	fingerprint uint64
-	started     atomic.Bool
+	// parts identify the parts of the prompt that other requests share.
+	parts   []uint64
+	started atomic.Bool
 	// paused reports that the stream isn't read because the caller is being written to.
 	paused atomic.Bool
 	// ended reports that the call is no longer counted.
@@ -29,10 +32,10 @@
 	cancel func()
 }
 
-// Begin counts a call with the given number of prompt tokens and the fingerprint of its request. Other
-// goroutines end the call through cancel.
-func (target *Target) Begin(promptTokens int, fingerprint uint64, cancel func()) *Call {
-	call := &Call{target: target, sentAt: target.now(), promptTokens: int64(promptTokens), fingerprint: fingerprint, cancel: cancel}
+// Begin counts a call with the given number of prompt tokens and the fingerprints of its request and of the parts of
+// its prompt. Other goroutines end the call through cancel.
+func (target *Target) Begin(promptTokens int, fingerprint uint64, cancel func(), parts ...uint64) *Call {
+	call := &Call{target: target, sentAt: target.now(), promptTokens: int64(promptTokens), fingerprint: fingerprint, parts: parts, cancel: cancel}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.ownCalls.Add(1)
@@ -124,7 +127,7 @@
 	return call.quarantined.Load()
 }
 
-// CancelUnanswered cancels the calls with the given fingerprint that have had no event, and returns their
+// CancelUnanswered cancels the calls with the given fingerprint of their request or of a part that have had no event, and returns their
 // number. They may still be queued at their servers, which then never run them.
 func (board *Board) CancelUnanswered(fingerprint uint64) int {
 	canceled := 0
@@ -139,7 +142,7 @@
 	defer localState.mu.Unlock()
 	canceled := 0
 	for call := range localState.calls {
-		if call.fingerprint == fingerprint && !call.started.Load() {
+		if (call.fingerprint == fingerprint || slices.Contains(call.parts, fingerprint)) && !call.started.Load() {
 			call.quarantined.Store(true)
 			call.cancel()
 			canceled++
--- a/internal/policy/quarantine/fingerprint.go
+++ b/internal/policy/quarantine/fingerprint.go
@@ -40,6 +40,14 @@
 	return Fingerprint(hash.Sum64())
 }
 
+// NewPartFingerprint computes the fingerprint of a part that prompts share.
+func NewPartFingerprint(id string) Fingerprint {
+	hash := xxhash.New()
+	_, _ = hash.WriteString("part of a prompt\x00")
+	_, _ = hash.WriteString(id)
+	return Fingerprint(hash.Sum64())
+}
+
 // String returns the sixteen hexadecimal digits that logs and the operator API use.
 func (fingerprint Fingerprint) String() string {
 	return fmt.Sprintf("%016x", uint64(fingerprint))
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -1,5 +1,5 @@
 // Package quarantine decides which requests are no longer sent to any server, because servers fail
-// while they run them.
+// while they run them. A suspect is a whole request, or a part that the prompts of many requests share.
 //
 // A server fails under a request if the request is in progress on the server at the time of the
 // failure. A request that makes each server fail returns again and again: the node retries it, and
@@ -13,6 +13,11 @@
 // suspicion. This also protects identical requests of many callers, such as status queries: some of
 // them are always answered.
 //
+// A part is suspected if a server failed before it sent the first event of a request with that part: a server that
+// fails under a part fails when it begins to answer. A failure is explained by the suspect with the most failures. Other
+// suspects of the same server runs are quarantined only for failures that it does not explain, so that a part
+// takes no other parts and no requests with it, once it has failed one more server than they.
+//
 // Nodes exchange the contents of their lists. Failures accumulate and may be announced any number
 // of times: the count is the number of server runs that failed, not the number of calls that broke
 // off.
@@ -58,14 +63,21 @@
 	// When many servers fail at once, some hundred harmless requests are added. Most of them are
 	// answered within seconds.
 	maxEntries = 2048
-	// maxFailuresKept is the maximum number of failures kept per request.
-	maxFailuresKept = 8
+	// answeredPartThreshold is the number of failures after which a part is quarantined that had been answered before.
+	// When several parts make servers fail, all parts that their requests share fail with them, and none is answered.
+	answeredPartThreshold = 6
+	// maxFailuresKept is the maximum number of failures kept per suspect. The failures of a part explain those of
+	// other suspects, so it covers what happens until all nodes know of the part.
+	maxFailuresKept = 16
+	// partSuccessTTL is how long an answered part is known as harmless. Requests with shared parts are answered more
+	// often than that, and a part that turns harmful is found out soon after.
+	partSuccessTTL = 2 * time.Second
 	// successTTL is how long an answered request is known as harmless. successSlots is the number of
 	// slots for such requests, at sixteen bytes each. A request's slot is given by the last bits of its
 	// fingerprint. Without these records harmless requests would be quarantined when all callers of a
 	// fleet send the same body and several groups lose their head server at once.
 	successTTL   = 30 * time.Second
-	successSlots = 1024
+	successSlots = 4096
 )
 
 // Failure records that a server failed while a request was in progress on it.
@@ -75,9 +87,12 @@
 	At  time.Duration
 }
 
-// Suspect is what a node knows about one request.
+// Suspect is what a node knows about one request, or about one part of prompts.
 type Suspect struct {
 	Fingerprint Fingerprint
+	Part        bool
+	// Answered is set for a part if a request with it had been answered within successTTL before a failure.
+	Answered bool
 	// Failures holds the failures that count, oldest first.
 	Failures []Failure
 	// LiftedAt is when suspicion was last lifted, 0 for never. Failures up to this time do not count.
@@ -127,6 +142,8 @@
 	mu      sync.Mutex
 	entries map[Fingerprint]*suspectEntry
 	version uint64
+	// quarantined holds the suspects with enough failures that no other suspect explains.
+	quarantined map[Fingerprint]struct{}
 }
 
 // success is a request that was answered completely.
@@ -167,16 +184,38 @@
 // this node within successTTL.
 func (list *List) RecordFailure(fingerprint Fingerprint, run string) (failures int, changed bool) {
 	now := list.now()
-	if list.succeededRecently(fingerprint, now) {
+	if list.succeededWithin(fingerprint, now, successTTL) {
 		return 0, false
 	}
 	changed = list.Merge(Suspect{Fingerprint: fingerprint, Failures: []Failure{{Run: run, At: now}}})
+	return list.failureCount(fingerprint), changed
+}
+
+// RecordPartFailure records that a server run failed before it sent an event of a request whose prompt has the part.
+// It reports whether this failure is new. The failure is ignored if a request with the part was answered on this node
+// within partSuccessTTL.
+func (list *List) RecordPartFailure(part Fingerprint, run string) bool {
+	now := list.now()
+	if list.succeededWithin(part, now, partSuccessTTL) {
+		return false
+	}
+	return list.Merge(Suspect{
+		Fingerprint: part, Part: true, Answered: list.succeededWithin(part, now, successTTL), Failures: []Failure{{Run: run, At: now}},
+	})
+}
+
+func (list *List) failureCount(fingerprint Fingerprint) int {
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	if entry, known := list.entries[fingerprint]; known {
-		failures = len(entry.Failures)
+		return len(entry.Failures)
 	}
-	return failures, changed
+	return 0
+}
+
+// NearlyQuarantined reports whether one more failure would quarantine a suspect.
+func (list *List) NearlyQuarantined(fingerprint Fingerprint) bool {
+	return list.entryCount.Load() > 0 && list.failureCount(fingerprint) >= list.failureThreshold-1
 }
 
 // RecordSuccess records that a request was answered completely, which lifts suspicion. It reports
@@ -195,11 +234,11 @@
 	return suspected && list.Lift(fingerprint)
 }
 
-func (list *List) succeededRecently(fingerprint Fingerprint, now time.Duration) bool {
+func (list *List) succeededWithin(fingerprint Fingerprint, now, ttl time.Duration) bool {
 	list.successesMu.Lock()
 	defer list.successesMu.Unlock()
 	latest := list.successes[fingerprint%successSlots]
-	return latest.fingerprint == fingerprint && latest.at > 0 && now-latest.at < successTTL
+	return latest.fingerprint == fingerprint && latest.at > 0 && now-latest.at < ttl
 }
 
 // Lift lifts all suspicion from a request and reports whether that changed the list.
@@ -233,10 +272,10 @@
 	}
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	entry, known := list.entries[fingerprint]
-	if !known || len(entry.Failures) < list.failureThreshold {
+	if _, quarantined := list.quarantined[fingerprint]; !quarantined {
 		return Verdict{}, false
 	}
+	entry := list.entries[fingerprint]
 	remaining := entry.lastFailureAt() + list.failureTTL - list.now()
 	return Verdict{Failures: slices.Clone(entry.Failures), Remaining: remaining}, remaining > 0
 }
@@ -250,12 +289,17 @@
 	if !known {
 		entry = &suspectEntry{Suspect: Suspect{Fingerprint: suspect.Fingerprint}}
 	}
+	entry.Part, entry.Answered = entry.Part || suspect.Part, entry.Answered || suspect.Answered || (suspect.Part && list.succeededWithin(suspect.Fingerprint, list.now(), successTTL))
 	changed := suspect.LiftedAt > entry.LiftedAt+sameLiftTolerance || (suspect.LiftedAt > 0 && entry.LiftedAt == 0)
 	entry.LiftedAt = max(entry.LiftedAt, suspect.LiftedAt)
 	for _, failure := range suspect.Failures {
 		changed = list.addFailure(entry, failure) || changed
 	}
 	entry.Peak = max(entry.Peak, len(entry.Failures))
+	if now := list.now(); changed && entry.Part && !slices.ContainsFunc(entry.Failures, byOperator) && list.succeededWithin(entry.Fingerprint, now, partSuccessTTL) {
+		// Another node reports a failure under a part that this node knows as harmless.
+		entry.LiftedAt = now
+	}
 	before := len(entry.Failures)
 	entry.Failures = slices.DeleteFunc(entry.Failures, func(failure Failure) bool { return failure.At <= entry.LiftedAt })
 	if !changed && len(entry.Failures) == before {
@@ -302,14 +346,57 @@
 }
 
 func (list *List) updateCountsLocked() {
-	quarantined := int32(0)
+	candidates := []*suspectEntry{}
 	for _, entry := range list.entries {
 		if len(entry.Failures) >= list.failureThreshold {
-			quarantined++
+			candidates = append(candidates, entry)
 		}
 	}
+	list.quarantined = list.unexplained(candidates)
 	list.entryCount.Store(int32(len(list.entries)))
-	list.quarantinedCount.Store(quarantined)
+	list.quarantinedCount.Store(int32(len(list.quarantined)))
+}
+
+// unexplained returns the suspects with enough failures that no suspect with more failures explains. Of a request and
+// a part with equally many failures the request is the explanation: a harmful part fails under several requests. Parts
+// that had been answered before come last.
+func (list *List) unexplained(candidates []*suspectEntry) map[Fingerprint]struct{} {
+	if len(candidates) == 0 {
+		return nil
+	}
+	rank := func(entry *suspectEntry) int {
+		switch {
+		case entry.Part && entry.Answered:
+			return 1
+		case entry.Part:
+			return 2 * len(entry.Failures)
+		}
+		return 2*len(entry.Failures) + 1
+	}
+	slices.SortFunc(candidates, func(a, b *suspectEntry) int {
+		return cmp.Or(cmp.Compare(rank(b), rank(a)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	found, explainedBy := map[Fingerprint]struct{}{}, map[string]int{}
+	for _, entry := range candidates {
+		remaining := 0
+		for _, failure := range entry.Failures {
+			if explainedBy[failure.Run] <= rank(entry) || byOperator(failure) {
+				remaining++
+			}
+		}
+		threshold := list.failureThreshold
+		if entry.Part && entry.Answered && !slices.ContainsFunc(entry.Failures, byOperator) {
+			threshold = answeredPartThreshold
+		}
+		if remaining < threshold {
+			continue
+		}
+		found[entry.Fingerprint] = struct{}{}
+		for _, failure := range entry.Failures {
+			explainedBy[failure.Run] = max(explainedBy[failure.Run], rank(entry))
+		}
+	}
+	return found
 }
 
 // Sweep removes expired failures, and entries without failures whose lift is older than liftTTL.
--- a/internal/policy/quarantine/state.go
+++ b/internal/policy/quarantine/state.go
@@ -17,8 +17,16 @@
 	return entry.snapshot(), true
 }
 
+// IsPart reports whether a suspect is a part of prompts.
+func (list *List) IsPart(fingerprint Fingerprint) bool {
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	entry, known := list.entries[fingerprint]
+	return known && entry.Part
+}
+
 func (entry *suspectEntry) snapshot() Suspect {
-	return Suspect{Fingerprint: entry.Fingerprint, Failures: slices.Clone(entry.Failures), LiftedAt: entry.LiftedAt, Peak: entry.Peak}
+	return Suspect{Fingerprint: entry.Fingerprint, Part: entry.Part, Answered: entry.Answered, Failures: slices.Clone(entry.Failures), LiftedAt: entry.LiftedAt, Peak: entry.Peak}
 }
 
 // Suspects returns the requests that changed after the given version of the list and whose peak is
@@ -60,7 +68,9 @@
 // State describes a suspected request in the state dump.
 type State struct {
 	Fingerprint string
-	// Refused is set if the request is quarantined.
+	// Part is set for a part of prompts.
+	Part bool
+	// Refused is set if the suspect is quarantined.
 	Refused bool
 	// Ends holds the runs of the servers that failed under the request.
 	Ends []string
@@ -78,8 +88,9 @@
 		if len(entry.Failures) == 0 {
 			continue
 		}
+		_, quarantined := list.quarantined[entry.Fingerprint]
 		state := State{
-			Fingerprint: entry.Fingerprint.String(), Refused: len(entry.Failures) >= list.failureThreshold,
+			Fingerprint: entry.Fingerprint.String(), Part: entry.Part, Refused: quarantined,
 			LastEndMilliseconds: (list.now() - entry.lastFailureAt()).Milliseconds(),
 		}
 		for _, failure := range entry.Failures {
--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -18,6 +18,7 @@
 // server.
 type uncertainFailure struct {
 	fingerprint quarantine.Fingerprint
+	part        bool
 	run         string
 }
 
@@ -46,7 +47,13 @@
 			"CallsMoved", node.board.MoveCallsOff(path), "EndsNotBelieved", len(failures), "ReportsWithheld", suppressed)
 	case pathhealth.Healthy:
 		for _, failure := range failures {
-			if _, isNew := node.quarantine.RecordFailure(failure.fingerprint, failure.run); isNew {
+			isNew := false
+			if failure.part {
+				isNew = node.quarantine.RecordPartFailure(failure.fingerprint, failure.run)
+			} else {
+				_, isNew = node.quarantine.RecordFailure(failure.fingerprint, failure.run)
+			}
+			if isNew {
 				node.suspectChanged(failure.fingerprint)
 			}
 		}
@@ -59,12 +66,12 @@
 
 // deferFailure keeps a possible server failure during a request until the state of the path to the server is
 // known.
-func (detours *detours) deferFailure(target *dispatch.Target, fingerprint quarantine.Fingerprint) {
+func (detours *detours) deferFailure(target *dispatch.Target, fingerprint quarantine.Fingerprint, part bool) {
 	path := target.Path()
 	detours.mu.Lock()
 	defer detours.mu.Unlock()
 	if path.Status() == pathhealth.Suspected && len(detours.uncertainFailures[path]) < maxUncertainFailures {
-		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{fingerprint: fingerprint, run: target.Key()})
+		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{fingerprint: fingerprint, part: part, run: target.Key()})
 	}
 }
 
--- a/internal/run/gateway/suspects.go
+++ b/internal/run/gateway/suspects.go
@@ -79,7 +79,7 @@
 	if !refused {
 		return
 	}
-	node.logger.Warn("gateway: a request is quarantined.", "Fingerprint", fingerprint.String(),
+	node.logger.Warn("gateway: a request is quarantined.", "Fingerprint", fingerprint.String(), "Part", node.quarantine.IsPart(fingerprint),
 		"Ends", len(verdict.Failures), "LastRun", verdict.Failures[len(verdict.Failures)-1].Run, "ForMilliseconds", verdict.Remaining.Milliseconds(),
 		"CallsEnded", node.board.CancelUnanswered(uint64(fingerprint)))
 }
@@ -146,7 +146,7 @@
 }
 
 func suspectToWire(suspect quarantine.Suspect, now time.Duration) *frame.Suspect {
-	encoded := &frame.Suspect{Fingerprint: uint64(suspect.Fingerprint)}
+	encoded := &frame.Suspect{Fingerprint: uint64(suspect.Fingerprint), Part: suspect.Part, Answered: suspect.Answered}
 	for _, failure := range suspect.Failures {
 		encoded.Ends = append(encoded.Ends, &frame.ServerEnd{Run: failure.Run, AgeMs: cappedMilliseconds(now - failure.At)})
 	}
@@ -157,7 +157,7 @@
 }
 
 func suspectFromWire(encoded *frame.Suspect, now time.Duration) quarantine.Suspect {
-	suspect := quarantine.Suspect{Fingerprint: quarantine.Fingerprint(encoded.Fingerprint)}
+	suspect := quarantine.Suspect{Fingerprint: quarantine.Fingerprint(encoded.Fingerprint), Part: encoded.Part, Answered: encoded.Answered}
 	for _, failure := range encoded.Ends {
 		suspect.Failures = append(suspect.Failures, quarantine.Failure{Run: failure.Run, At: now - time.Duration(failure.AgeMs)*time.Millisecond})
 	}
@@ -268,7 +268,7 @@
 }
 
 func suspectToStore(suspect quarantine.Suspect, now time.Duration, wallClock time.Time) store.Suspect {
-	stored := store.Suspect{Fingerprint: suspect.Fingerprint.String()}
+	stored := store.Suspect{Fingerprint: suspect.Fingerprint.String(), Part: suspect.Part, Answered: suspect.Answered}
 	for _, failure := range suspect.Failures {
 		stored.Ends = append(stored.Ends, store.SuspectFailure{Run: failure.Run, At: wallClock.Add(failure.At - now)})
 	}
@@ -285,7 +285,7 @@
 	}
 	// Wall clocks differ by seconds, so a time in the future counts as now.
 	local := func(at time.Time) time.Duration { return now - max(0, wallClock.Sub(at)) }
-	suspect := quarantine.Suspect{Fingerprint: fingerprint}
+	suspect := quarantine.Suspect{Fingerprint: fingerprint, Part: stored.Part, Answered: stored.Answered}
 	for _, failure := range stored.Ends {
 		suspect.Failures = append(suspect.Failures, quarantine.Failure{Run: failure.Run, At: local(failure.At)})
 	}
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -134,12 +134,21 @@
 func (exchange *exchange) newAttempt(target *dispatch.Target, timeout time.Duration) *attempt {
 	exchange.attempts++
 	attempt := &attempt{target: target, canceler: &canceler{}, startedAt: exchange.forwarder.Now()}
-	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel)
+	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel, exchange.partKeys()...)
 	attempt.timeout = time.AfterFunc(timeout, attempt.expire)
 	attempt.detachCaller = context.AfterFunc(exchange.inbound.Context(), attempt.canceler.cancel)
 	return attempt
 }
 
+// partKeys returns the parts of the prompt as dispatch counts them.
+func (exchange *exchange) partKeys() []uint64 {
+	keys := make([]uint64, 0, len(exchange.parts))
+	for _, part := range exchange.parts {
+		keys = append(keys, uint64(part))
+	}
+	return keys
+}
+
 // handleSendError records a call that brought no response.
 func (exchange *exchange) handleSendError(attempt *attempt, err error) {
 	target := attempt.target
--- a/internal/serve/forward/body.go
+++ b/internal/serve/forward/body.go
@@ -64,6 +64,9 @@
 		Workspace: exchange.workspace, Method: exchange.request.Method, Host: exchange.request.Host,
 		Target: exchange.request.Target, Body: body,
 	})
+	for _, part := range exchange.request.PromptParts {
+		exchange.parts = append(exchange.parts, quarantine.NewPartFingerprint(part))
+	}
 	return true
 }
 
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -29,6 +29,10 @@
 	regions []string
 	// fingerprint identifies the request's content. It is set once the body has been read.
 	fingerprint quarantine.Fingerprint
+	// parts identify the parts of the prompt that other requests may share.
+	parts []quarantine.Fingerprint
+	// endedUnanswered is set once a server failed before it sent an event of the request.
+	endedUnanswered bool
 	// priority is the priority of the request's route or workspace.
 	priority int
 	// pastTarget is set if the caller has retried and the response can no longer meet the route's target.
@@ -270,6 +274,10 @@
 		exchange.outcome = AttemptsSpent
 		return false
 	}
+	if exchange.endedUnanswered && slices.ContainsFunc(exchange.parts, exchange.forwarder.Quarantine.NearlyQuarantined) {
+		exchange.outcome = Quarantined
+		return false
+	}
 	if !exchange.retryBudget.TryWithdraw() {
 		exchange.outcome = BudgetSpent
 		exchange.logRefusedRetry()
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -25,6 +25,7 @@
 	forwarder := exchange.forwarder
 	forwarder.Counts.ServerEnds.Add(1)
 	failures := exchange.reportFailure(attempt.target, attempt.call.Moved())
+	exchange.reportPartFailures(attempt)
 	forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server failed during a request.",
 		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Ends", failures), slog.String("Server", attempt.target.ID), slog.String("Group", attempt.target.Group),
@@ -40,7 +41,7 @@
 	if !target.PathHealthy() {
 		// This node may have lost the network path to the server, which ends the calls at all servers there at
 		// once.
-		exchange.forwarder.OnUnconfirmedFailure(target, exchange.fingerprint)
+		exchange.forwarder.OnUnconfirmedFailure(target, exchange.fingerprint, false)
 		return 0
 	}
 	if stalled && !target.MemberLost() {
@@ -54,6 +55,23 @@
 	return failures
 }
 
+// reportPartFailures reports that a target's server failed under the parts of the prompt, unless it had sent an event:
+// a server that fails under a part fails when it begins to answer.
+func (exchange *exchange) reportPartFailures(attempt *attempt) {
+	if attempt.events > 0 || attempt.call.Moved() {
+		return
+	}
+	exchange.endedUnanswered = true
+	forwarder, target := exchange.forwarder, attempt.target
+	for _, part := range exchange.parts {
+		if !target.PathHealthy() {
+			forwarder.OnUnconfirmedFailure(target, part, true)
+		} else if forwarder.Quarantine.RecordPartFailure(part, target.Key()) {
+			forwarder.OnQuarantineChange(part)
+		}
+	}
+}
+
 // isServerFailure reports whether a call failed in the way that a failing server causes: the connection was closed
 // or reset, or the group lost a member and stalled. A call that this node canceled, or that timed out, says
 // nothing about its server.
@@ -64,7 +82,15 @@
 // recordSuccess records that the request got a complete response, which a request that makes servers fail never
 // does. A response without a length may have been cut off by such a failure and does not count.
 func (exchange *exchange) recordSuccess(attempt *attempt) {
-	if attempt.peer != nil || !attempt.Framed() || !exchange.forwarder.Quarantine.RecordSuccess(exchange.fingerprint) {
+	if attempt.peer != nil || !attempt.Framed() {
+		return
+	}
+	for _, part := range exchange.parts {
+		if exchange.forwarder.Quarantine.RecordSuccess(part) {
+			exchange.forwarder.OnQuarantineChange(part)
+		}
+	}
+	if !exchange.forwarder.Quarantine.RecordSuccess(exchange.fingerprint) {
 		return
 	}
 	exchange.forwarder.OnQuarantineChange(exchange.fingerprint)
@@ -76,6 +102,11 @@
 // running it that the next one would fail too, together with the calls of other callers there.
 func (exchange *exchange) quarantined() bool {
 	verdict, refused := exchange.forwarder.Quarantine.Quarantined(exchange.fingerprint)
+	part := ""
+	for number := 0; number < len(exchange.parts) && !refused; number++ {
+		verdict, refused = exchange.forwarder.Quarantine.Quarantined(exchange.parts[number])
+		part = exchange.request.PromptParts[number]
+	}
 	if !refused {
 		return false
 	}
@@ -84,6 +115,9 @@
 	}
 	exchange.outcome, exchange.retryAfter = Quarantined, verdict.Remaining
 	exchange.cause = describeVerdict(verdict, exchange.forwarder.Now())
+	if part != "" {
+		exchange.cause = "part " + part + " of the prompt: " + exchange.cause
+	}
 	return true
 }
 
