fix(forward): a stream may end with its connection

What callers saw: a complete stream with neither a length nor chunks was cut off or resumed at another server, since the end of its connection counted as a loss.

Such a stream is complete if its connection ends after an event. If it ends inside an event, or before the run's first one, it has been broken off: it is resumed, and counts as a server failure as a broken chunked stream does.

--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -266,15 +266,16 @@
 
 var eventSeparator = []byte("\n\n")
 
-// checkComplete returns an error unless the stream ended in a way that proves it complete.
+// checkComplete returns an error unless the stream ended as a complete one does. A stream with neither a length nor
+// chunks ends with its connection; one that ends inside an event, or without any, has been broken off.
 func (exchange *exchange) checkComplete(attempt *attempt, pending []byte) error {
 	switch {
+	case !attempt.Framed() && (len(pending) > 0 || attempt.events == 0):
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection of the stream ended inside an event or without one")
 	case len(pending) > 0:
 		return errors.New("stream ended in the middle of an event")
 	case !exchange.responseStarted:
 		return errors.New("stream ended without an event")
-	case !attempt.Framed():
-		return errors.New("response has no length or chunked encoding, so that its end may be a lost connection")
 	}
 	return nil
 }
