fix(retry): a node that is cut off uses its part of the known requests

What callers of the platform would see: nodes that are cut off and killed within one window use more than 0.95 of the allowance.

Until a window has passed, the known requests count by the part of the nodes that are heard.

--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -41,7 +41,10 @@
 	// shift is the difference between the time of the fleet and the node's clock.
 	shift    time.Duration
 	coverage Coverage
-	services map[string]*WindowBudget
+	// lastReached is the number of nodes whose counts last reached this node, droppedAt when it last fell.
+	lastReached int
+	droppedAt   time.Duration
+	services    map[string]*WindowBudget
 }
 
 // Coverage is the span of fleet time over which counts are complete.
@@ -194,6 +197,7 @@
 func (fleet *Fleet) MergeCoverage(received Coverage) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	fleet.noteNodesLocked()
 	known := &fleet.coverage
 	switch {
 	case received.UpTo < known.From:
@@ -234,6 +238,7 @@
 func (fleet *Fleet) Observed() {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	fleet.noteNodesLocked()
 	position := fleet.positionLocked()
 	if position-fleet.coverage.UpTo > fleet.maxStaleness {
 		fleet.coverage.From = position
@@ -241,6 +246,28 @@
 	fleet.coverage.UpTo = position
 }
 
+// noteNodesLocked records when the number of nodes whose counts reach this node falls.
+func (fleet *Fleet) noteNodesLocked() {
+	reached, _ := fleet.nodes()
+	if reached < fleet.lastReached {
+		fleet.droppedAt = fleet.now()
+	}
+	fleet.lastReached = reached
+}
+
+// nodesLocked returns how many nodes share the allowance, those whose counts reach this node and all. requestsPart is
+// the part of the known requests that counts for the nodes that are reached: until a window has passed, the others know
+// the same requests.
+func (fleet *Fleet) nodesLocked() (reached, all int, requestsPart float64) {
+	fleet.noteNodesLocked()
+	reached, all = fleet.nodes()
+	reached, all = max(1, reached), max(1, reached, all)
+	if reached < all && fleet.now()-fleet.droppedAt < fleet.allowance.Window {
+		return reached, all, float64(reached) / float64(all)
+	}
+	return reached, all, 1
+}
+
 // Granted returns the number of retries that this node was granted.
 func (fleet *Fleet) Granted() uint64 {
 	fleet.mu.Lock()
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -104,14 +104,15 @@
 	fleet := budget.fleet
 	age := fleet.now() - fleet.startedAt
 	usage := Usage{RecentStarts: fleet.recentStartsLocked(), AgeMilliseconds: age.Milliseconds()}
-	usage.Reached, usage.Nodes = fleet.nodes()
+	requestsPart := 1.0
+	usage.Reached, usage.Nodes, requestsPart = fleet.nodesLocked()
 	known, stale := fleet.knownLocked()
 	usage.KnownMilliseconds, usage.StaleMilliseconds = known.Milliseconds(), stale.Milliseconds()
 	newest := budget.countWindowLocked(&usage)
-	usage.Allowed = usage.allowed(fleet.allowance, known)
-	share := budget.requestShareLocked(age, int(newest.Requests)*usage.Reached)
+	usage.Allowed = usage.allowed(fleet.allowance, requestsPart, known)
+	share := min(0.5, budget.requestShareLocked(age, int(newest.Requests)*usage.Reached)/requestsPart)
 	if fleet.noPredecessor || age >= settleTime {
-		share += 0.5 / float64(max(1, usage.Nodes))
+		share += 0.5 / float64(usage.Reached)
 	}
 	usage.Left = share*max(0, usage.Allowed-float64(usage.FleetRetries)) - float64(newest.Retries)
 	return usage
@@ -143,11 +144,11 @@
 	return Count{Requests: max(own.Requests, all.Requests), Retries: max(own.Retries, all.Retries)}
 }
 
-// allowed returns the number of retries that all nodes may send in a window, if those sent so far are known for the
-// given span.
-func (usage *Usage) allowed(allowance Allowance, known time.Duration) float64 {
-	nodes := float64(max(1, usage.Nodes))
-	allowed := allowance.Ratio*float64(usage.FleetRequests) + allowance.Base*min(1, float64(usage.Reached)/nodes)
+// allowed returns the number of retries that the reached nodes may send in a window, if those sent so far are known for
+// the given span.
+func (usage *Usage) allowed(allowance Allowance, requestsPart float64, known time.Duration) float64 {
+	nodes := float64(usage.Nodes)
+	allowed := allowance.Ratio*float64(usage.FleetRequests)*requestsPart + allowance.Base*float64(usage.Reached)/nodes
 	if known < allowance.Window {
 		return allowed * blindShare * known.Seconds() / allowance.Window.Seconds()
 	}
