--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -104,8 +104,8 @@
 	fleet := budget.fleet
 	age := fleet.now() - fleet.startedAt
 	usage := Usage{RecentStarts: fleet.recentStartsLocked(), AgeMilliseconds: age.Milliseconds()}
-	requestsPart := 1.0
-	usage.Reached, usage.Nodes, requestsPart = fleet.nodesLocked()
+	reached, nodes, requestsPart := fleet.nodesLocked()
+	usage.Reached, usage.Nodes = reached, nodes
 	known, stale := fleet.knownLocked()
 	usage.KnownMilliseconds, usage.StaleMilliseconds = known.Milliseconds(), stale.Milliseconds()
 	newest := budget.countWindowLocked(&usage)
