fix(retry): requests without a service are no process starts

Cause: starts of processes were counted under the empty service name, which a request on a route without services has too. Such requests would have kept a part of the retries back. Evidence: the first of the new tests fails before.

--- /dev/null
+++ b/internal/policy/retry/fleet_test.go
@@ -0,0 +1,71 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/policy/retry"
+)
+
+// newNode returns the counts of a process with a predecessor, whose clock the test controls.
+func newNode(now *time.Duration, options ...retry.FleetOption) *retry.Fleet {
+	options = append(options, retry.Clock(func() time.Duration { return *now }), retry.Nodes(func() (reached, all int) { return 2, 2 }))
+	return retry.NewFleet(allowance(), options...)
+}
+
+// Guards against a request without a service that counts as the start of a process, which keeps retries back.
+func TestRequestsWithoutServiceAreNoProcessStarts(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Hour
+	fleet := newNode(&now, retry.NoPredecessor())
+	for range 10 {
+		fleet.Service("").RecordRequest()
+	}
+	expect.Expect(fleet.Service("service").State().Window.RecentStarts).To(gomega.BeZero())
+	expect.Expect(newNode(&now).Service("service").State().Window.RecentStarts).To(gomega.Equal(1))
+}
+
+// Guards against a process that was frozen, or hears no other node, and takes its old counts for those of all nodes.
+func TestStaleCountsGrantHardlyAnyRetry(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Hour
+	fleet := newNode(&now, retry.NoPredecessor())
+	budget := fleet.Service("service")
+	for range 100 {
+		now += 100 * time.Millisecond
+		fleet.Observed()
+		budget.RecordRequest()
+	}
+	expect.Expect(budget.State().Window.Left).To(gomega.BeNumerically(">", 10))
+	now += 5 * time.Second
+	expect.Expect(budget.State().Window.Left).To(gomega.BeNumerically("<=", 0.03*120))
+	fleet.Observed()
+	expect.Expect(budget.TryWithdraw()).To(gomega.BeFalse())
+	expect.Expect(budget.State().Window.KnownMilliseconds).To(gomega.BeZero())
+	position, coverage := fleet.Position()
+	fleet.MergeCoverage(retry.Coverage{From: position - 20*time.Second, UpTo: position})
+	expect.Expect(budget.TryWithdraw()).To(gomega.BeTrue(), "another node knows what was sent, %+v before", coverage)
+}
+
+// Guards against a new process that does not learn what its predecessor sent, since its time begins anew.
+func TestNewProcessLearnsWhatItsPredecessorSent(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Hour
+	other := newNode(&now, retry.NoPredecessor())
+	now += 40 * time.Second
+	sent := retry.Totals{}
+	position, _ := other.Position()
+	sent["service"] = retry.Series{First: int64(position/(500*time.Millisecond)) - 4, Counts: []retry.Count{{Requests: 50, Retries: 30}}}
+	other.Merge(sent)
+	other.Observed()
+	fresh := newNode(&now)
+	position, coverage := other.Position()
+	fresh.Follow(position)
+	fresh.Merge(other.All(false))
+	fresh.MergeCoverage(coverage)
+	usage := fresh.Service("service").State().Window
+	expect.Expect(usage.FleetRetries).To(gomega.Equal(30))
+	expect.Expect(usage.FleetRequests).To(gomega.Equal(50))
+}
--- a/internal/policy/retry/series.go
+++ b/internal/policy/retry/series.go
@@ -6,8 +6,8 @@
 }
 
 // processStarts is the name under which Totals count starts of processes that may have had a predecessor, as
-// Requests. No service has an empty name.
-const processStarts = ""
+// Requests. No service has such a name.
+const processStarts = "\x00process starts"
 
 // Series holds the counts of a service by slot, beginning with the slot with the number First.
 type Series struct {
