--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -2,13 +2,19 @@
 //
 // A Budget gains a fraction of a retry with each success and loses one with each retry. Successes
 // stop in an outage, so retries stop as well and do not multiply the load. A WindowBudget limits
-// the retries of a service in a sliding window.
+// the retries that all nodes together send to a service in a sliding window. A Fleet counts them: nodes
+// exchange their counts, so that a count outlasts the process that made it.
 //
 // # Usage
 //
 //	budget := retry.New()
 //	budget.RecordSuccess()
 //	if budget.TryWithdraw() { ... }
+//
+//	fleet := retry.NewFleet(allowance, retry.Clock(now), retry.Nodes(nodes))
+//	fleet.Merge(retry.Sum(fleet.Own(), countsOfOtherNodes))
+//	fleet.Observed()
+//	if fleet.Service("drafts").TryWithdraw() { ... }
 package retry
 
 import "sync/atomic"
