fix(quarantine): the state keeps Refused beside Fingerprint

Cause: a field between the two broke scripts/platform-path.sh, and would break operators' scripts that read the state as text.

--- a/internal/policy/quarantine/state.go
+++ b/internal/policy/quarantine/state.go
@@ -68,10 +68,10 @@
 // State describes a suspected request in the state dump.
 type State struct {
 	Fingerprint string
-	// Part is set for a part of prompts.
-	Part bool
 	// Refused is set if the suspect is quarantined.
 	Refused bool
+	// Part is set for a part of prompts.
+	Part bool
 	// Ends holds the runs of the servers that failed under the request.
 	Ends []string
 	// LastEndMilliseconds is the time since the latest failure.
