--- a/internal/policy/retry/fleetmodel_test.go
+++ b/internal/policy/retry/fleetmodel_test.go
@@ -283,7 +283,7 @@
 // fleet sends more retries than it may.
 func TestRandomFleetsStayWithinTheAllowance(t *testing.T) {
 	shapes := fleetShapes()
-	for round := range suite.Rounds(8) {
+	for round := range suite.Rounds(20) {
 		seed := suite.Seed()*1000 + uint64(round)
 		random := rand.New(rand.NewPCG(seed, 66))
 		shape := shapes[random.IntN(len(shapes))]
