fix(quarantine): one place decides how many failures quarantine a suspect

What callers would see: a request whose server failed before its first event is not sent again, though a part of it had been answered and needs six failures.

Cause: NearlyQuarantined had a threshold of its own, that of unknown parts. Evidence: TestAnsweredPartIsNearlyQuarantinedLater fails before. Both ask threshold now. The tests of whole nodes pass as before.

--- a/internal/policy/quarantine/part_test.go
+++ b/internal/policy/quarantine/part_test.go
@@ -69,12 +69,28 @@
 		expect.Expect(list.RecordPartFailure(part, fmt.Sprintf("i-%d", number))).To(gomega.BeTrue())
 	}
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeFalse())
+	expect.Expect(list.NearlyQuarantined(part)).To(gomega.BeTrue())
 	list.RecordPartFailure(part, "i-5")
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeTrue())
 	list.RecordSuccess(part)
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeFalse())
 }
 
+// Guards against requests with a sound part that are not sent again although several more failures are needed.
+func TestAnsweredPartIsNearlyQuarantinedLater(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	list, now := partList()
+	answered, unknown := quarantine.NewPartFingerprint("first"), quarantine.NewPartFingerprint("new")
+	list.RecordSuccess(answered)
+	*now += 5 * time.Second
+	for number := range 2 {
+		list.RecordPartFailure(answered, fmt.Sprintf("i-%d", number))
+		list.RecordPartFailure(unknown, fmt.Sprintf("i-%d", number))
+	}
+	expect.Expect(list.NearlyQuarantined(unknown)).To(gomega.BeTrue())
+	expect.Expect(list.NearlyQuarantined(answered)).To(gomega.BeFalse())
+}
+
 // Guards against failures that other nodes report under a part that this node has just seen answered.
 func TestReportedFailureOfAnAnsweredPartIsLifted(t *testing.T) {
 	expect := gomega.NewWithT(t)
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -215,7 +215,21 @@
 
 // NearlyQuarantined reports whether one more failure would quarantine a suspect.
 func (list *List) NearlyQuarantined(fingerprint Fingerprint) bool {
-	return list.entryCount.Load() > 0 && list.failureCount(fingerprint) >= list.failureThreshold-1
+	if list.entryCount.Load() == 0 {
+		return false
+	}
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	entry, known := list.entries[fingerprint]
+	return known && len(entry.Failures) >= list.threshold(entry)-1
+}
+
+// threshold returns the number of failures after which a suspect is quarantined.
+func (list *List) threshold(entry *suspectEntry) int {
+	if entry.Part && entry.Answered && !slices.ContainsFunc(entry.Failures, byOperator) {
+		return answeredPartThreshold
+	}
+	return list.failureThreshold
 }
 
 // RecordSuccess records that a request was answered completely, which lifts suspicion. It reports
@@ -384,11 +398,7 @@
 				remaining++
 			}
 		}
-		threshold := list.failureThreshold
-		if entry.Part && entry.Answered && !slices.ContainsFunc(entry.Failures, byOperator) {
-			threshold = answeredPartThreshold
-		}
-		if remaining < threshold {
+		if remaining < list.threshold(entry) {
 			continue
 		}
 		found[entry.Fingerprint] = struct{}{}
