fix(quarantine): parts are suspected where groups stall, as requests are

What callers of the platform would see: a part of prompts after which a server, or a member of its group, hangs takes group after group.

A Subject is a request or a part; one function reports a failure under either, with one rule for doubted paths and stalls. Existing tests name their subject in place of its fingerprint; what they expect is as before.

--- a/internal/policy/dispatch/call.go
+++ b/internal/policy/dispatch/call.go
@@ -127,8 +127,8 @@
 	return call.quarantined.Load()
 }
 
-// CancelUnanswered cancels the calls with the given fingerprint of their request or of a part that have had no event, and returns their
-// number. They may still be queued at their servers, which then never run them.
+// CancelUnanswered cancels the calls that have had no event and whose request, or a part of its prompt, has the given
+// fingerprint, and returns their number. They may still be queued at their servers, which then never run them.
 func (board *Board) CancelUnanswered(fingerprint uint64) int {
 	canceled := 0
 	for _, target := range board.snapshot.Load().targets {
--- a/internal/policy/quarantine/part_test.go
+++ b/internal/policy/quarantine/part_test.go
@@ -29,15 +29,15 @@
 	part, innocent := quarantine.NewPartFingerprint("bad"), quarantine.Fingerprint(7)
 	for number := range 3 {
 		run := fmt.Sprintf("i-%d", number)
-		list.RecordPartFailure(part, run)
-		list.RecordFailure(innocent, run)
+		list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, run)
+		list.RecordFailure(quarantine.Subject{Fingerprint: innocent}, run)
 	}
 	expect.Expect(isQuarantined(list, innocent)).To(gomega.BeTrue(), "either may be the cause")
-	list.RecordPartFailure(part, "i-3")
+	list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, "i-3")
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeTrue())
 	expect.Expect(isQuarantined(list, innocent)).To(gomega.BeFalse())
 	for number := range 3 {
-		list.RecordFailure(innocent, fmt.Sprintf("j-%d", number))
+		list.RecordFailure(quarantine.Subject{Fingerprint: innocent}, fmt.Sprintf("j-%d", number))
 	}
 	expect.Expect(isQuarantined(list, innocent)).To(gomega.BeTrue(), "the part does not explain these failures")
 }
@@ -49,8 +49,8 @@
 	part, request := quarantine.NewPartFingerprint("shared"), quarantine.Fingerprint(7)
 	for number := range 4 {
 		run := fmt.Sprintf("i-%d", number)
-		list.RecordPartFailure(part, run)
-		list.RecordFailure(request, run)
+		list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, run)
+		list.RecordFailure(quarantine.Subject{Fingerprint: request}, run)
 	}
 	expect.Expect(isQuarantined(list, request)).To(gomega.BeTrue())
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeFalse())
@@ -63,14 +63,16 @@
 	list, now := partList()
 	part := quarantine.NewPartFingerprint("first")
 	list.RecordSuccess(part)
-	expect.Expect(list.RecordPartFailure(part, "i-0")).To(gomega.BeFalse(), "it was answered just now")
+	_, changed := list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, "i-0")
+	expect.Expect(changed).To(gomega.BeFalse(), "it was answered just now")
 	*now += 5 * time.Second
 	for number := range 5 {
-		expect.Expect(list.RecordPartFailure(part, fmt.Sprintf("i-%d", number))).To(gomega.BeTrue())
+		_, changed = list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, fmt.Sprintf("i-%d", number))
+		expect.Expect(changed).To(gomega.BeTrue())
 	}
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeFalse())
 	expect.Expect(list.NearlyQuarantined(part)).To(gomega.BeTrue())
-	list.RecordPartFailure(part, "i-5")
+	list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, "i-5")
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeTrue())
 	list.RecordSuccess(part)
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeFalse())
@@ -84,8 +86,8 @@
 	list.RecordSuccess(answered)
 	*now += 5 * time.Second
 	for number := range 2 {
-		list.RecordPartFailure(answered, fmt.Sprintf("i-%d", number))
-		list.RecordPartFailure(unknown, fmt.Sprintf("i-%d", number))
+		list.RecordFailure(quarantine.Subject{Fingerprint: answered, Part: true}, fmt.Sprintf("i-%d", number))
+		list.RecordFailure(quarantine.Subject{Fingerprint: unknown, Part: true}, fmt.Sprintf("i-%d", number))
 	}
 	expect.Expect(list.NearlyQuarantined(unknown)).To(gomega.BeTrue())
 	expect.Expect(list.NearlyQuarantined(answered)).To(gomega.BeFalse())
@@ -99,7 +101,7 @@
 	list.RecordSuccess(part)
 	*now += time.Second
 	failures := []quarantine.Failure{{Run: "i-1", At: *now}, {Run: "i-2", At: *now}, {Run: "i-3", At: *now}}
-	expect.Expect(list.Merge(quarantine.Suspect{Fingerprint: part, Part: true, Failures: failures})).To(gomega.BeTrue())
+	expect.Expect(list.Merge(quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: part, Part: true}, Failures: failures})).To(gomega.BeTrue())
 	suspect, _ := list.Suspect(part)
 	expect.Expect(suspect.Failures).To(gomega.BeEmpty())
 	expect.Expect(suspect.LiftedAt).To(gomega.Equal(*now))
@@ -111,10 +113,10 @@
 	list, _ := partList()
 	part := quarantine.NewPartFingerprint("bad")
 	for number := range 3 {
-		list.RecordPartFailure(part, fmt.Sprintf("i-%d", number))
+		list.RecordFailure(quarantine.Subject{Fingerprint: part, Part: true}, fmt.Sprintf("i-%d", number))
 	}
 	for number := range 10000 {
-		list.RecordPartFailure(quarantine.NewPartFingerprint(fmt.Sprintf("new %d", number)), "j")
+		list.RecordFailure(quarantine.Subject{Fingerprint: quarantine.NewPartFingerprint(fmt.Sprintf("new %d", number)), Part: true}, "j")
 	}
 	expect.Expect(isQuarantined(list, part)).To(gomega.BeTrue())
 	expect.Expect(len(list.State())).To(gomega.BeNumerically("<=", 2048))
@@ -127,7 +129,7 @@
 			list := quarantine.New()
 			for number := range suspects {
 				for run := range 3 {
-					list.RecordPartFailure(quarantine.NewPartFingerprint(fmt.Sprintf("bad %d", number)), fmt.Sprintf("i-%d-%d", number, run))
+					list.RecordFailure(quarantine.Subject{Fingerprint: quarantine.NewPartFingerprint(fmt.Sprintf("bad %d", number)), Part: true}, fmt.Sprintf("i-%d-%d", number, run))
 				}
 			}
 			parts := []quarantine.Fingerprint{}
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -27,7 +27,7 @@
 //	list := quarantine.New()
 //	fingerprint := quarantine.NewFingerprint(quarantine.Request{Workspace: workspace, Method: method, Target: target, Body: body})
 //	if verdict, quarantined := list.Quarantined(fingerprint); quarantined { ... }
-//	list.RecordFailure(fingerprint, "i-1/g7/0")
+//	list.RecordFailure(quarantine.Subject{Fingerprint: fingerprint}, "i-1/g7/0")
 //	list.RecordSuccess(fingerprint)
 package quarantine
 
@@ -87,10 +87,15 @@
 	At  time.Duration
 }
 
-// Suspect is what a node knows about one request, or about one part of prompts.
-type Suspect struct {
+// Subject is what a failure may be blamed on: a request, or a part of prompts.
+type Subject struct {
 	Fingerprint Fingerprint
 	Part        bool
+}
+
+// Suspect is what a node knows about one request, or about one part of prompts.
+type Suspect struct {
+	Subject
 	// Answered is set for a part if a request with it had been answered within successTTL before a failure.
 	Answered bool
 	// Failures holds the failures that count, oldest first.
@@ -179,38 +184,24 @@
 	return list
 }
 
-// RecordFailure records that a server run failed under a request. It returns the number of failures
-// that count, and whether this one is new. The failure is ignored if the request was answered on
-// this node within successTTL.
-func (list *List) RecordFailure(fingerprint Fingerprint, run string) (failures int, changed bool) {
-	now := list.now()
-	if list.succeededWithin(fingerprint, now, successTTL) {
-		return 0, false
+// RecordFailure records that a server run failed under a subject. It returns the number of failures that count, and
+// whether this one is new. The failure is ignored if the request was answered on this node within successTTL, or a
+// request with the part within partSuccessTTL.
+func (list *List) RecordFailure(subject Subject, run string) (failures int, changed bool) {
+	now, ttl := list.now(), successTTL
+	if subject.Part {
+		ttl = partSuccessTTL
 	}
-	changed = list.Merge(Suspect{Fingerprint: fingerprint, Failures: []Failure{{Run: run, At: now}}})
-	return list.failureCount(fingerprint), changed
-}
-
-// RecordPartFailure records that a server run failed before it sent an event of a request whose prompt has the part.
-// It reports whether this failure is new. The failure is ignored if a request with the part was answered on this node
-// within partSuccessTTL.
-func (list *List) RecordPartFailure(part Fingerprint, run string) bool {
-	now := list.now()
-	if list.succeededWithin(part, now, partSuccessTTL) {
-		return false
+	if list.succeededWithin(subject.Fingerprint, now, ttl) {
+		return 0, false
 	}
-	return list.Merge(Suspect{
-		Fingerprint: part, Part: true, Answered: list.succeededWithin(part, now, successTTL), Failures: []Failure{{Run: run, At: now}},
-	})
-}
-
-func (list *List) failureCount(fingerprint Fingerprint) int {
+	changed = list.Merge(Suspect{Subject: subject, Failures: []Failure{{Run: run, At: now}}})
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	if entry, known := list.entries[fingerprint]; known {
-		return len(entry.Failures)
+	if entry, known := list.entries[subject.Fingerprint]; known {
+		failures = len(entry.Failures)
 	}
-	return 0
+	return failures, changed
 }
 
 // NearlyQuarantined reports whether one more failure would quarantine a suspect.
@@ -257,7 +248,7 @@
 
 // Lift lifts all suspicion from a request and reports whether that changed the list.
 func (list *List) Lift(fingerprint Fingerprint) bool {
-	return list.Merge(Suspect{Fingerprint: fingerprint, LiftedAt: list.now()})
+	return list.Merge(Suspect{Subject: Subject{Fingerprint: fingerprint}, LiftedAt: list.now()})
 }
 
 // operatorRunPrefix starts the run names of failures that stand for an operator's decision. No
@@ -272,7 +263,7 @@
 // Quarantine quarantines a request by an operator's decision and reports whether that changed the
 // list.
 func (list *List) Quarantine(fingerprint Fingerprint) bool {
-	suspect := Suspect{Fingerprint: fingerprint}
+	suspect := Suspect{Subject: Subject{Fingerprint: fingerprint}}
 	for number := range list.failureThreshold {
 		suspect.Failures = append(suspect.Failures, Failure{Run: operatorRunPrefix + strconv.Itoa(number+1), At: list.now()})
 	}
@@ -301,9 +292,10 @@
 	defer list.updateCountsLocked()
 	entry, known := list.entries[suspect.Fingerprint]
 	if !known {
-		entry = &suspectEntry{Suspect: Suspect{Fingerprint: suspect.Fingerprint}}
+		entry = &suspectEntry{Suspect: Suspect{Subject: suspect.Subject}}
 	}
-	entry.Part, entry.Answered = entry.Part || suspect.Part, entry.Answered || suspect.Answered || (suspect.Part && list.succeededWithin(suspect.Fingerprint, list.now(), successTTL))
+	entry.Part = entry.Part || suspect.Part
+	entry.Answered = entry.Answered || suspect.Answered || (suspect.Part && list.succeededWithin(suspect.Fingerprint, list.now(), successTTL))
 	changed := suspect.LiftedAt > entry.LiftedAt+sameLiftTolerance || (suspect.LiftedAt > 0 && entry.LiftedAt == 0)
 	entry.LiftedAt = max(entry.LiftedAt, suspect.LiftedAt)
 	for _, failure := range suspect.Failures {
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -28,7 +28,7 @@
 		for number := range 3 {
 			_, quarantined := list.Quarantined(poison)
 			expect.Expect(quarantined).To(gomega.BeFalse())
-			failures, changed := list.RecordFailure(poison, fmt.Sprint("i-", number))
+			failures, changed := list.RecordFailure(quarantine.Subject{Fingerprint: poison}, fmt.Sprint("i-", number))
 			expect.Expect(failures).To(gomega.Equal(number + 1))
 			expect.Expect(changed).To(gomega.BeTrue())
 		}
@@ -47,10 +47,10 @@
 		expect := gomega.NewWithT(t)
 		list := newList()
 		for range 20 {
-			list.RecordFailure(poison, "i-1/g1/0")
+			list.RecordFailure(quarantine.Subject{Fingerprint: poison}, "i-1/g1/0")
 			time.Sleep(time.Millisecond)
 		}
-		expect.Expect(list.Merge(quarantine.Suspect{Fingerprint: poison, Failures: []quarantine.Failure{{Run: "i-1/g1/0", At: time.Hour}}})).To(gomega.BeFalse())
+		expect.Expect(list.Merge(quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: poison}, Failures: []quarantine.Failure{{Run: "i-1/g1/0", At: time.Hour}}})).To(gomega.BeFalse())
 		_, quarantined := list.Quarantined(poison)
 		expect.Expect(quarantined).To(gomega.BeFalse())
 	})
@@ -63,7 +63,7 @@
 		expect := gomega.NewWithT(t)
 		here, there := newList(), newList()
 		for number := range 3 {
-			here.RecordFailure(poison, fmt.Sprint("i-", number))
+			here.RecordFailure(quarantine.Subject{Fingerprint: poison}, fmt.Sprint("i-", number))
 		}
 		before, _ := here.Suspect(poison)
 		expect.Expect(there.Merge(before)).To(gomega.BeTrue())
@@ -88,7 +88,7 @@
 		expect := gomega.NewWithT(t)
 		list := newList()
 		for _, group := range []string{"g1", "g2", "g3"} {
-			list.RecordStall(poison, group, "i/"+group)
+			list.RecordStall(quarantine.Subject{Fingerprint: poison}, group, "i/"+group)
 		}
 		_, known := list.Suspect(poison)
 		expect.Expect(known).To(gomega.BeFalse())
@@ -122,7 +122,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
 		list := newList(quarantine.FailureTTL(time.Minute), quarantine.FailureThreshold(1))
-		list.RecordFailure(poison, "i-1")
+		list.RecordFailure(quarantine.Subject{Fingerprint: poison}, "i-1")
 		time.Sleep(40 * time.Second)
 		verdict, quarantined := list.Quarantined(poison)
 		expect.Expect(quarantined).To(gomega.BeTrue())
@@ -143,10 +143,10 @@
 		expect := gomega.NewWithT(t)
 		list := newList()
 		for number := range 3 {
-			list.RecordFailure(poison, fmt.Sprint("i-", number))
+			list.RecordFailure(quarantine.Subject{Fingerprint: poison}, fmt.Sprint("i-", number))
 		}
 		for number := range 5000 {
-			list.RecordFailure(quarantine.Fingerprint(1000+number), "i-9")
+			list.RecordFailure(quarantine.Subject{Fingerprint: quarantine.Fingerprint(1000 + number)}, "i-9")
 		}
 		expect.Expect(len(list.State())).To(gomega.BeNumerically("<=", 2048))
 		_, quarantined := list.Quarantined(poison)
@@ -172,7 +172,7 @@
 			node := rapid.IntRange(0, 2).Draw(t, "node")
 			switch rapid.IntRange(0, 5).Draw(t, "what") {
 			case 0, 1:
-				lists[node].RecordFailure(poison, fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "run")))
+				lists[node].RecordFailure(quarantine.Subject{Fingerprint: poison}, fmt.Sprint("i-", rapid.IntRange(0, 4).Draw(t, "run")))
 			case 2:
 				if rapid.IntRange(0, 3).Draw(t, "lift") == 0 {
 					lists[node].Lift(poison)
--- a/internal/policy/quarantine/state.go
+++ b/internal/policy/quarantine/state.go
@@ -26,7 +26,7 @@
 }
 
 func (entry *suspectEntry) snapshot() Suspect {
-	return Suspect{Fingerprint: entry.Fingerprint, Part: entry.Part, Answered: entry.Answered, Failures: slices.Clone(entry.Failures), LiftedAt: entry.LiftedAt, Peak: entry.Peak}
+	return Suspect{Subject: entry.Subject, Answered: entry.Answered, Failures: slices.Clone(entry.Failures), LiftedAt: entry.LiftedAt, Peak: entry.Peak}
 }
 
 // Suspects returns the requests that changed after the given version of the list and whose peak is
--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -17,9 +17,8 @@
 // uncertainFailure is a server failure during a request that may have been a failure of the path to the
 // server.
 type uncertainFailure struct {
-	fingerprint quarantine.Fingerprint
-	part        bool
-	run         string
+	subject quarantine.Subject
+	run     string
 }
 
 // probe connects to servers of a path.
@@ -47,14 +46,8 @@
 			"CallsMoved", node.board.MoveCallsOff(path), "EndsNotBelieved", len(failures), "ReportsWithheld", suppressed)
 	case pathhealth.Healthy:
 		for _, failure := range failures {
-			isNew := false
-			if failure.part {
-				isNew = node.quarantine.RecordPartFailure(failure.fingerprint, failure.run)
-			} else {
-				_, isNew = node.quarantine.RecordFailure(failure.fingerprint, failure.run)
-			}
-			if isNew {
-				node.suspectChanged(failure.fingerprint)
+			if _, isNew := node.quarantine.RecordFailure(failure.subject, failure.run); isNew {
+				node.suspectChanged(failure.subject.Fingerprint)
 			}
 		}
 		if result.Before == pathhealth.Lost {
@@ -66,12 +59,12 @@
 
 // deferFailure keeps a possible server failure during a request until the state of the path to the server is
 // known.
-func (detours *detours) deferFailure(target *dispatch.Target, fingerprint quarantine.Fingerprint, part bool) {
+func (detours *detours) deferFailure(target *dispatch.Target, subject quarantine.Subject) {
 	path := target.Path()
 	detours.mu.Lock()
 	defer detours.mu.Unlock()
 	if path.Status() == pathhealth.Suspected && len(detours.uncertainFailures[path]) < maxUncertainFailures {
-		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{fingerprint: fingerprint, part: part, run: target.Key()})
+		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{subject: subject, run: target.Key()})
 	}
 }
 
--- a/internal/run/gateway/suspects.go
+++ b/internal/run/gateway/suspects.go
@@ -157,7 +157,7 @@
 }
 
 func suspectFromWire(encoded *frame.Suspect, now time.Duration) quarantine.Suspect {
-	suspect := quarantine.Suspect{Fingerprint: quarantine.Fingerprint(encoded.Fingerprint), Part: encoded.Part, Answered: encoded.Answered}
+	suspect := quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: quarantine.Fingerprint(encoded.Fingerprint), Part: encoded.Part}, Answered: encoded.Answered}
 	for _, failure := range encoded.Ends {
 		suspect.Failures = append(suspect.Failures, quarantine.Failure{Run: failure.Run, At: now - time.Duration(failure.AgeMs)*time.Millisecond})
 	}
@@ -285,7 +285,7 @@
 	}
 	// Wall clocks differ by seconds, so a time in the future counts as now.
 	local := func(at time.Time) time.Duration { return now - max(0, wallClock.Sub(at)) }
-	suspect := quarantine.Suspect{Fingerprint: fingerprint, Part: stored.Part, Answered: stored.Answered}
+	suspect := quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: fingerprint, Part: stored.Part}, Answered: stored.Answered}
 	for _, failure := range stored.Ends {
 		suspect.Failures = append(suspect.Failures, quarantine.Failure{Run: failure.Run, At: local(failure.At)})
 	}
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -10,7 +10,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/quarantine"
 )
 
@@ -24,8 +23,7 @@
 	}
 	forwarder := exchange.forwarder
 	forwarder.Counts.ServerEnds.Add(1)
-	failures := exchange.reportFailure(attempt.target, attempt.call.Moved())
-	exchange.reportPartFailures(attempt)
+	failures := exchange.reportFailures(attempt)
 	forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server failed during a request.",
 		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Ends", failures), slog.String("Server", attempt.target.ID), slog.String("Group", attempt.target.Group),
@@ -34,44 +32,42 @@
 		slog.Int64("SentMillisecondsAgo", (forwarder.Now()-attempt.startedAt).Milliseconds()), slog.String("Cause", err.Error()))
 }
 
-// reportFailure reports that a target's server failed during the request, and returns the number of such failures.
-// The failure of a stalled group counts only once it is confirmed.
-func (exchange *exchange) reportFailure(target *dispatch.Target, stalled bool) int {
-	list := exchange.forwarder.Quarantine
+// reportFailures reports that a target's server failed during the request, and returns the number of such failures.
+// The parts of the prompt are suspected as well unless the server had sent an event: a server that fails under a part
+// fails when it begins to answer.
+func (exchange *exchange) reportFailures(attempt *attempt) int {
+	failures := exchange.reportFailure(attempt, quarantine.Subject{Fingerprint: exchange.fingerprint})
+	if attempt.events > 0 {
+		return failures
+	}
+	exchange.endedUnanswered = true
+	for _, part := range exchange.parts {
+		exchange.reportFailure(attempt, quarantine.Subject{Fingerprint: part, Part: true})
+	}
+	return failures
+}
+
+// reportFailure reports that a target's server failed under a subject, and returns the number of such failures. The
+// failure of a stalled group counts only once it is confirmed.
+func (exchange *exchange) reportFailure(attempt *attempt, subject quarantine.Subject) int {
+	list, target := exchange.forwarder.Quarantine, attempt.target
 	if !target.PathHealthy() {
 		// This node may have lost the network path to the server, which ends the calls at all servers there at
 		// once.
-		exchange.forwarder.OnUnconfirmedFailure(target, exchange.fingerprint, false)
+		exchange.forwarder.OnUnconfirmedFailure(target, subject)
 		return 0
 	}
-	if stalled && !target.MemberLost() {
-		list.RecordStall(exchange.fingerprint, target.Group, target.Key())
+	if attempt.call.Moved() && !target.MemberLost() {
+		list.RecordStall(subject, target.Group, target.Key())
 		return 0
 	}
-	failures, changed := list.RecordFailure(exchange.fingerprint, target.Key())
+	failures, changed := list.RecordFailure(subject, target.Key())
 	if changed {
-		exchange.forwarder.OnQuarantineChange(exchange.fingerprint)
+		exchange.forwarder.OnQuarantineChange(subject.Fingerprint)
 	}
 	return failures
 }
 
-// reportPartFailures reports that a target's server failed under the parts of the prompt, unless it had sent an event:
-// a server that fails under a part fails when it begins to answer.
-func (exchange *exchange) reportPartFailures(attempt *attempt) {
-	if attempt.events > 0 || attempt.call.Moved() {
-		return
-	}
-	exchange.endedUnanswered = true
-	forwarder, target := exchange.forwarder, attempt.target
-	for _, part := range exchange.parts {
-		if !target.PathHealthy() {
-			forwarder.OnUnconfirmedFailure(target, part, true)
-		} else if forwarder.Quarantine.RecordPartFailure(part, target.Key()) {
-			forwarder.OnQuarantineChange(part)
-		}
-	}
-}
-
 // isServerFailure reports whether a call failed in the way that a failing server causes: the connection was closed
 // or reset, or the group lost a member and stalled. A call that this node canceled, or that timed out, says
 // nothing about its server.
