fix(forward): events of a stream without framing clear the parts of its prompt

What callers would see: where servers end their streams with the connection, sound parts are never cleared, and three crashes quarantine them.

Cause: an answer without a length or chunks cleared nothing, since its end may be a failure. For parts the events are enough: a server that fails under a part sends none. Evidence: the new spec fails before. Whole requests are cleared by framed answers alone, as before.

--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -76,9 +76,10 @@
 }
 
 // recordSuccess records that the request got a complete response, which a request that makes servers fail never
-// does. A response without a length may have been cut off by such a failure and does not count.
+// does. A response without a length may have been cut off by such a failure and does not count, but its events clear
+// the parts of the prompt.
 func (exchange *exchange) recordSuccess(attempt *attempt) {
-	if attempt.peer != nil || !attempt.Framed() {
+	if attempt.peer != nil || (!attempt.Framed() && attempt.events == 0) {
 		return
 	}
 	for _, part := range exchange.parts {
@@ -86,7 +87,7 @@
 			exchange.forwarder.OnQuarantineChange(part)
 		}
 	}
-	if !exchange.forwarder.Quarantine.RecordSuccess(exchange.fingerprint) {
+	if !attempt.Framed() || !exchange.forwarder.Quarantine.RecordSuccess(exchange.fingerprint) {
 		return
 	}
 	exchange.forwarder.OnQuarantineChange(exchange.fingerprint)
