test: guards of both budgets that no test held

Cause: each guard was taken out in turn.

Change: a test for each, of the decision itself or of two nodes.

Result: each fails with its guard out, and passes with it. The reserve for nodes that are not heard is held by no test yet.

--- a/internal/policy/quarantine/part_test.go
+++ b/internal/policy/quarantine/part_test.go
@@ -107,6 +107,16 @@
 	expect.Expect(suspect.LiftedAt).To(gomega.Equal(*now))
 }
 
+// Guards against a part whose group stalled and that is taken for a request.
+func TestStallOfAPartStaysOneOfAPart(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	list, _ := partList()
+	part := quarantine.NewPartFingerprint("bad")
+	list.RecordStall(quarantine.Subject{Fingerprint: part, Part: true}, "g", "i-1")
+	expect.Expect(list.ConfirmGroupLoss("g")).To(gomega.Equal([]quarantine.Fingerprint{part}))
+	expect.Expect(list.IsPart(part)).To(gomega.BeTrue())
+}
+
 // Guards against new parts that push out those that make servers fail: callers choose the names of parts.
 func TestManyPartsDoNotPushOutTheHarmful(t *testing.T) {
 	expect := gomega.NewWithT(t)
--- a/internal/policy/retry/fleet_test.go
+++ b/internal/policy/retry/fleet_test.go
@@ -69,3 +69,46 @@
 	expect.Expect(usage.FleetRetries).To(gomega.Equal(30))
 	expect.Expect(usage.FleetRequests).To(gomega.Equal(50))
 }
+
+// fleetOf returns a node that knows all counts of a fleet, in which as many nodes as given are heard, and the counts
+// that it has been told: 1,000 requests in the settled slots, a seventh of them its own.
+func fleetOf(now *time.Duration, reached *int, all int, options ...retry.FleetOption) *retry.WindowBudget {
+	options = append(options, retry.Clock(func() time.Duration { return *now }), retry.Nodes(func() (int, int) { return *reached, all }))
+	fleet := retry.NewFleet(allowance(), options...)
+	position, _ := fleet.Position()
+	fleet.MergeCoverage(retry.Coverage{From: position - 20*time.Second, UpTo: position})
+	budget := fleet.Service("service")
+	for range 143 {
+		budget.RecordRequest()
+	}
+	first := int64(position / (500 * time.Millisecond))
+	fleet.Merge(retry.Totals{"service": {First: first, Counts: []retry.Count{{Requests: 1000}}}})
+	for range 20 {
+		*now += 100 * time.Millisecond
+		fleet.Observed()
+	}
+	return budget
+}
+
+// Guards against a node that is cut off and takes the requests that all nodes got before for its own part, while the
+// others use them as well.
+func TestCutOffNodeUsesItsPartOnly(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now, reached := time.Hour, 7
+	budget := fleetOf(&now, &reached, 7, retry.NoPredecessor())
+	together := budget.State().Window
+	reached = 1
+	alone := budget.State().Window
+	expect.Expect(alone.Left).To(gomega.BeNumerically("<=", together.Left))
+	expect.Expect(alone.Left).To(gomega.BeNumerically("<=", (0.2*1000+100)/7))
+	expect.Expect(alone.Left).To(gomega.BeNumerically(">", 10), "it still has its part")
+}
+
+// Guards against a fleet whose nodes all start anew and each take an equal share among the few that they know yet.
+func TestNewProcessTakesNoEqualShareAtOnce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now, reached := time.Hour, 3
+	budget := fleetOf(&now, &reached, 3)
+	window := budget.State().Window
+	expect.Expect(window.Left).To(gomega.BeNumerically("<=", 0.5*0.143*window.Allowed))
+}
