refactor(soak): the stand-in alone judges the retry allowance

Cause: the soak had a judge of its own beside MaxRetryUse, which counted runs.

Change: the stand-in reports all arrivals, and the soak asks MaxRetryUse. The test of the checks has the same 130 and 80 calls, as arrivals.

--- a/internal/run/soak/check.go
+++ b/internal/run/soak/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -42,46 +43,28 @@
 }
 
 // checkBudget reports a window in which the servers of a service got more retries than the retry
-// budget of the operator allows.
+// budget of the operator allows. The requests are those of which a call reached a server.
 func checkBudget(observed standin.Observed) []string {
 	bounds := standin.DefaultBounds()
 	violations := []string{}
 	for _, kinds := range [][]standin.Kind{{standin.Draft}, {standin.Book, standin.Ping}} {
-		seen := map[string]bool{}
-		firsts, retries := []time.Duration{}, []time.Duration{}
-		for _, run := range observed.Runs {
-			if !slices.ContainsFunc(kinds, func(kind standin.Kind) bool { return strings.Contains(run.ID, string(kind)+"-") }) {
+		firsts, arrivals := map[string]time.Duration{}, []standin.Arrival{}
+		for _, arrival := range observed.Arrivals {
+			if !slices.ContainsFunc(kinds, func(kind standin.Kind) bool { return strings.Contains(arrival.RequestID, string(kind)+"-") }) {
 				continue
 			}
-			if seen[run.ID] {
-				retries = append(retries, run.At)
-			} else {
-				firsts = append(firsts, run.At)
+			arrivals = append(arrivals, arrival)
+			if first, known := firsts[arrival.RequestID]; !known || arrival.At < first {
+				firsts[arrival.RequestID] = arrival.At
 			}
-			seen[run.ID] = true
 		}
-		for _, from := range retries {
-			retried, requests := countWithin(retries, from, bounds.RetryWindow), countWithin(firsts, from, bounds.RetryWindow)
-			if float64(retried) > bounds.RetryRatio*float64(requests)+bounds.RetryBase {
-				violations = append(violations, fmt.Sprintf("retry budget exceeded: %d retries of %v within %s for %d first runs", retried, kinds, bounds.RetryWindow, requests))
-				break
-			}
+		if use := standin.MaxRetryUse(slices.Collect(maps.Values(firsts)), arrivals, bounds); use.Share() > 1 {
+			violations = append(violations, fmt.Sprintf("retry budget exceeded: %d retries of %v within %s, allowed %.1f", use.Retries, kinds, bounds.RetryWindow, use.Allowed))
 		}
 	}
 	return violations
 }
 
-// countWithin counts the times in the window that starts at from.
-func countWithin(times []time.Duration, from, span time.Duration) int {
-	count := 0
-	for _, at := range times {
-		if at >= from && at < from+span {
-			count++
-		}
-	}
-	return count
-}
-
 // checkHarmful reports a request that still reached servers after it had crashed three of them.
 func checkHarmful(observed standin.Observed) []string {
 	late := standin.LateCalls(observed.Harmful, quarantineDelay)
--- a/internal/run/soak/soak_test.go
+++ b/internal/run/soak/soak_test.go
@@ -73,10 +73,10 @@
 
 	retries := standin.Observed{}
 	for range 130 {
-		retries.Runs = append(retries.Runs, standin.Run{ID: "draft-1", At: time.Second})
+		retries.Arrivals = append(retries.Arrivals, standin.Arrival{RequestID: "draft-1", At: time.Second})
 	}
 	expect.Expect(checkBudget(retries)).To(gomega.HaveLen(1))
-	expect.Expect(checkBudget(standin.Observed{Runs: retries.Runs[:80]})).To(gomega.BeEmpty())
+	expect.Expect(checkBudget(standin.Observed{Arrivals: retries.Arrivals[:80]})).To(gomega.BeEmpty())
 
 	harmful := standin.Observed{}
 	for number := range 12 {
