feat(formation): the line of a lost group tells on which evidence

What an operator saw: "group lost members" names the members and not why they count as lost. A process that is paused, one that has ended and a host without power look the same.

Change: for each member asked, the line has what it said (in the group, refused the request, in none or another group, another run, unlisted, connection refused or reset, no connection, a connection without a reply), how often the members were asked, for how long, and how many other groups were under examination. "group not ended" has the same.

No change of behaviour: the same members count as lost, at the same time.

--- a/internal/fleet/formation/controller.go
+++ b/internal/fleet/formation/controller.go
@@ -114,8 +114,10 @@
 	// retiringForOther is set while a group is being ended so that its servers can form a group of
 	// another model.
 	retiringForOther atomic.Bool
-	epochCounter     int64
-	epochTerm        int64
+	// examinations counts the groups that are being examined.
+	examinations atomic.Int64
+	epochCounter int64
+	epochTerm    int64
 
 	Counts Counts
 }
--- a/internal/fleet/formation/formation.go
+++ b/internal/fleet/formation/formation.go
@@ -147,6 +147,9 @@
 type ServerClient struct {
 	Report func(ctx context.Context, server *roster.Server) (Report, error)
 	Order  func(ctx context.Context, server *roster.Server, order Order) (Result, error)
+	// Connect opens a new connection to a server and returns the error of the attempt. Without it, no
+	// evidence comes from connections.
+	Connect func(ctx context.Context, server *roster.Server) error
 }
 
 // Bounds holds the limits of the deployment that a Controller must keep.
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -96,7 +96,16 @@
 
 // examineGroup requests reports from all members of a group, and ends the group if one is missing.
 func (controller *Controller) examineGroup(term int64, group Group) {
-	missing := controller.missingMembers(group, group.Members)
+	controller.examinations.Add(1)
+	defer controller.examinations.Add(-1)
+	found := evidence{asked: 1, startedAt: controller.Now()}
+	found.responses = controller.requestResponses(group)
+	missing := []string{}
+	for index, response := range found.responses {
+		if response != InGroup && response != RequestRefused {
+			missing = append(missing, group.Members[index])
+		}
+	}
 	if len(missing) == 0 {
 		controller.mu.Lock()
 		controller.foundCompleteAt[group.Name] = controller.Now()
@@ -106,11 +115,12 @@
 		return
 	}
 	controller.Counts.Lost.Add(1)
-	controller.Logger.Warn("former: group lost members.", "Group", group.Name, "Model", group.Model, "Members", missing)
+	attributes := controller.evidenceAttributes(group, found)
+	controller.Logger.Warn("former: group lost members.", append([]any{"Group", group.Name, "Model", group.Model, "Members", missing}, attributes...)...)
 	for _, id := range missing {
 		controller.excludeLost(id)
 	}
-	controller.endGroup(term, group, missing)
+	controller.endGroup(term, group, missing, attributes...)
 }
 
 // missingMembers returns the given members that don't reply or are not in the group. A member that
@@ -135,7 +145,7 @@
 // reached, nothing is known about the group and nothing is done: it may be complete and reachable
 // from other nodes. A refused connection proves nothing, since connections may be refused in a
 // partition too.
-func (controller *Controller) endGroup(term int64, group Group, missing []string) {
+func (controller *Controller) endGroup(term int64, group Group, missing []string, attributes ...any) {
 	if controller.makeHeadLeave(term, group, missing) {
 		controller.mu.Lock()
 		controller.headLeft[group.Name] = true
@@ -145,7 +155,7 @@
 		return
 	}
 	if !controller.makeMembersLeave(term, group, missing) {
-		controller.Logger.Warn("former: group not ended because none of its members can be reached.", "Group", group.Name)
+		controller.Logger.Warn("former: group not ended because none of its members can be reached.", append([]any{"Group", group.Name}, attributes...)...)
 		return
 	}
 	controller.Announce(Announcement{Change: Lost, Group: group})
--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -394,17 +394,17 @@
 // HostReachable reports whether the host of a server responds to a connection attempt within the timeout. A connection
 // that is accepted is kept for calls. A refused or reset connection also shows that the host is reachable.
 func (pool *Pool) HostReachable(address string, timeout time.Duration) bool {
-	err := pool.connect(address, timeout)
+	err := pool.Connect(address, timeout)
 	return err == nil || errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // CanConnect reports whether a server accepts a connection within the timeout. The connection is kept for calls.
 func (pool *Pool) CanConnect(address string, timeout time.Duration) bool {
-	return pool.connect(address, timeout) == nil
+	return pool.Connect(address, timeout) == nil
 }
 
-// connect opens a connection to a server and adds it to the pool.
-func (pool *Pool) connect(address string, timeout time.Duration) error {
+// Connect opens a new connection to a server and adds it to the pool.
+func (pool *Pool) Connect(address string, timeout time.Duration) error {
 	pool.Counters.Dialled.Add(1)
 	dialled, err := pool.dial(address, timeout)
 	if err != nil {
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -230,7 +230,7 @@
 
 func (node *Node) formationDependencies() formation.Dependencies {
 	return formation.Dependencies{
-		ServerClient: node.platform.Fleet, View: node.groupView, Servers: node.servers.Load, Services: node.engineServices,
+		ServerClient: node.serverClient(), View: node.groupView, Servers: node.servers.Load, Services: node.engineServices,
 		Term: node.orderTerm, TermOutdated: node.handleOutdatedTerm, Announce: node.announceGroupChange, ModelUsage: node.modelUsage,
 		FedByUpstream: func() bool { return node.peers.fedByUpstream() },
 		BeforeFirstRequest: func() bool {
@@ -244,6 +244,16 @@
 	}
 }
 
+// serverClient returns the platform's client of servers, which opens connections through the node's pool.
+func (node *Node) serverClient() formation.ServerClient {
+	client := node.platform.Fleet
+	client.Connect = func(ctx context.Context, server *roster.Server) error {
+		deadline, _ := ctx.Deadline()
+		return node.pool.Connect(server.Address, time.Until(deadline))
+	}
+	return client
+}
+
 func (node *Node) forwarderDependencies() forward.Dependencies {
 	return forward.Dependencies{
 		Configuration: node.configuration, Board: node.board, Pool: node.pool, DecodeRequest: node.platform.DecodeCaller,
