feat(forward): log why a run was given up and how long it had been silent

What operators saw: the line of a cancelled run said StoodStill for a silent group, a lost group, a lost path, an unreachable data centre and a silent node alike, so that nobody could tell who had given the run up and on what evidence.

Change: a moved call carries the reason and its silence. No behaviour changes.

--- a/internal/policy/dispatch/call.go
+++ b/internal/policy/dispatch/call.go
@@ -20,7 +20,8 @@
 	paused atomic.Bool
 	// ended reports that the call is no longer counted.
 	ended atomic.Bool
-	moved atomic.Bool
+	// moved is why the call was cancelled in favour of another target, nil if it wasn't.
+	moved atomic.Pointer[Suspicion]
 	// quarantined reports that the call was cancelled because its request is quarantined.
 	quarantined atomic.Bool
 	// eventAt is when the last event arrived, prefillAtEvent the expected prefill time of the target's pending
@@ -59,7 +60,7 @@
 		call.target.startedStreams.Add(1)
 		call.target.pendingPromptTokens.Add(-call.promptTokens)
 	}
-	call.recordGap(now, count)
+	call.recordGap(now, time.Duration(call.eventAt.Swap(int64(now))), count)
 }
 
 // PauseReading records that the caller is being written to. Until ResumeReading no event can be read, which says
@@ -109,7 +110,7 @@
 	}
 	if call.started.Load() {
 		state.startedStreams.Add(-1)
-		if call.target.slotTime != nil && !call.moved.Load() {
+		if call.target.slotTime != nil && !call.Moved() {
 			call.target.slotTime.record(state.now() - call.sentAt)
 		}
 		return
@@ -119,7 +120,15 @@
 
 // Moved reports whether the call was cancelled because its target was given up.
 func (call *Call) Moved() bool {
-	return call.moved.Load()
+	return call.moved.Load() != nil
+}
+
+// Movement returns why the call was cancelled because its target was given up, the zero value if it wasn't.
+func (call *Call) Movement() Suspicion {
+	if suspicion := call.moved.Load(); suspicion != nil {
+		return *suspicion
+	}
+	return Suspicion{}
 }
 
 // Quarantined reports whether the call was cancelled because its request is quarantined.
@@ -152,11 +161,12 @@
 }
 
 // moveCalls cancels the calls of a target so that they resume elsewhere, and returns their number.
-func (localState *localState) moveCalls() int {
+func (localState *localState) moveCalls(reason Reason) int {
+	now := localState.now()
 	localState.mu.Lock()
 	defer localState.mu.Unlock()
 	for call := range localState.calls {
-		call.moved.Store(true)
+		call.moved.CompareAndSwap(nil, &Suspicion{Reason: reason, Silence: call.silence(now)})
 		call.cancel()
 	}
 	return len(localState.calls)
@@ -168,7 +178,7 @@
 	moved := 0
 	for _, target := range board.snapshot.Load().targets {
 		if target.Group == group && !target.memberLost.Swap(true) {
-			moved += target.moveCalls()
+			moved += target.moveCalls(GroupLost)
 		}
 	}
 	return moved
--- a/internal/policy/dispatch/datacentre.go
+++ b/internal/policy/dispatch/datacentre.go
@@ -183,7 +183,7 @@
 	}
 	for _, target := range dataCentreProbe.board.snapshot.Load().targets {
 		if target.DataCentre == dataCentreProbe.DataCentre && target.Group != "" {
-			moved += target.moveCalls()
+			moved += target.moveCalls(DataCentreUnreachable)
 		}
 	}
 	return moved, true
--- a/internal/policy/dispatch/pace.go
+++ b/internal/policy/dispatch/pace.go
@@ -89,15 +89,14 @@
 	return max(0, prefillTime-time.Duration(max(0, target.ActiveCalls()-target.Slots))*target.PromptPrefillTime)
 }
 
-// recordGap measures the time since the previous event of a stream, for events that arrived together. Prompts
+// recordGap measures the time since the previous event of a stream, 0 for none, for events that arrived together. Prompts
 // that the group may have prefilled since the previous event lengthen the pass.
-func (call *Call) recordGap(now time.Duration, events int) {
+func (call *Call) recordGap(now, previousAt time.Duration, events int) {
 	target := call.target
 	if target.Group == "" || target.PassTime <= 0 {
 		return
 	}
 	prefillTime := target.pendingPrefillTime()
-	previousAt := time.Duration(call.eventAt.Swap(int64(now)))
 	previousPrefillTime := time.Duration(call.prefillAtEvent.Swap(int64(prefillTime)))
 	if previousAt == 0 || call.slowCaller.Swap(false) {
 		return
--- a/internal/policy/dispatch/path.go
+++ b/internal/policy/dispatch/path.go
@@ -126,7 +126,7 @@
 	moved, now := 0, board.now()
 	for _, target := range board.snapshot.Load().targets {
 		if target.path == path && target.Group != "" && now-time.Duration(target.lastEventAt.Load()) > recentEvent {
-			moved += target.moveCalls()
+			moved += target.moveCalls(PathLost)
 		}
 	}
 	return moved
@@ -156,6 +156,6 @@
 	if silence < maxSilence {
 		return false
 	}
-	target.moveCalls()
+	target.moveCalls(PeerSilent)
 	return true
 }
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -336,7 +336,7 @@
 		target.Avoid(avoidStalledFor)
 		group := StalledGroup{Head: target.ID, Group: target.Group, Duration: duration, Calls: int(target.ownCalls.Load()), PathUnhealthy: !target.PathHealthy()}
 		if duration >= move {
-			target.moveCalls()
+			target.moveCalls(GroupSilent)
 		}
 		stalled = append(stalled, group)
 	}
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -133,6 +133,9 @@
 // newAttempt starts an attempt that times out after the given time.
 func (exchange *exchange) newAttempt(target *dispatch.Target, timeout time.Duration) *attempt {
 	exchange.attempts++
+	if last := len(exchange.moves) - 1; last >= 0 && exchange.moves[last].Next == "" {
+		exchange.moves[last].Next = target.ID
+	}
 	attempt := &attempt{target: target, canceler: &canceler{}, startedAt: exchange.forwarder.Now()}
 	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel, exchange.partKeys()...)
 	attempt.timeout = time.AfterFunc(timeout, attempt.expire)
@@ -152,6 +155,7 @@
 // handleSendError records a call that brought no response.
 func (exchange *exchange) handleSendError(attempt *attempt, err error) {
 	target := attempt.target
+	exchange.recordMove(attempt)
 	exchange.cause = err.Error()
 	exchange.excludedServers = append(exchange.excludedServers, target.ID)
 	if attempt.withheld = errors.Is(err, notice.ErrWithheld) || errors.Is(err, backendserver.ErrNoIdleConnection); attempt.withheld {
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -127,6 +127,7 @@
 	received, err := exchange.readResponse(attempt)
 	exchange.recordResult(attempt, err != nil || attempt.Status >= http.StatusInternalServerError)
 	if err != nil {
+		exchange.recordMove(attempt)
 		exchange.recordRun()
 		exchange.recordServerFailure(attempt, err)
 		exchange.cause = "read the response of server " + attempt.target.ID + ": " + err.Error()
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -154,6 +154,7 @@
 		attempt.Reply = reply
 		return attempt
 	}
+	exchange.recordMove(attempt)
 	exchange.cause = "node " + peer.Address + ": " + err.Error()
 	if !exchange.callerGone() {
 		forwarder.Detours.RecordFailure(peer.Address)
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -58,7 +58,9 @@
 	// fallback is a server's error response that is delivered if no other server does better.
 	fallback   *response
 	lastTarget targetInfo
-	timing     eventTiming
+	// moves are the calls that were given up for their targets' silence or loss.
+	moves  []move
+	timing eventTiming
 	// outcome and cause tell why the request ended as it did.
 	outcome Outcome
 	cause   string
@@ -99,6 +101,25 @@
 	calls  int
 }
 
+// move is a call that was given up, for the log.
+type move struct {
+	// Server is the server of the call, or the address of the node that the call went through.
+	Server, Group      string
+	Reason             dispatch.Reason
+	SilentMilliseconds int64
+	// Next is the server, or the node, that got the next call, empty if there was none.
+	Next string
+}
+
+// recordMove records a call that was given up because its target was silent or lost.
+func (exchange *exchange) recordMove(attempt *attempt) {
+	if movement := attempt.call.Movement(); attempt.call.Moved() {
+		exchange.moves = append(exchange.moves, move{
+			Server: attempt.target.ID, Group: attempt.target.Group, Reason: movement.Reason, SilentMilliseconds: movement.Silence.Milliseconds(),
+		})
+	}
+}
+
 // resolve determines the route, the workspace and the service of the request.
 func (exchange *exchange) resolve() bool {
 	request := exchange.request
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -18,6 +18,7 @@
 	if attempt.peer != nil || exchange.callerGone() || attempt.call.Quarantined() || !isServerFailure(attempt, err) {
 		return
 	}
+	movement := attempt.call.Movement()
 	if !attempt.call.Moved() {
 		attempt.target.RecordBrokenConnection()
 	}
@@ -28,7 +29,8 @@
 		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Ends", failures), slog.String("Server", attempt.target.ID), slog.String("Group", attempt.target.Group),
 		slog.Any("Parts", exchange.request.PromptParts), slog.Int("EventsOfRun", attempt.events),
-		slog.Int("Attempt", exchange.attempts), slog.Bool("StoodStill", attempt.call.Moved()), slog.Int64("EventsUpTo", exchange.request.LastEventID),
+		slog.Int("Attempt", exchange.attempts), slog.Bool("StoodStill", attempt.call.Moved()),
+		slog.String("GivenUpFor", string(movement.Reason)), slog.Int64("SilentMilliseconds", movement.Silence.Milliseconds()), slog.Int64("EventsUpTo", exchange.request.LastEventID),
 		slog.Int64("SentMillisecondsAgo", (forwarder.Now()-attempt.startedAt).Milliseconds()), slog.String("Cause", err.Error()))
 }
 
--- a/internal/serve/forward/rig_test.go
+++ b/internal/serve/forward/rig_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -46,6 +47,8 @@
 	mu                 sync.Mutex
 	outcomes           map[forward.Outcome]int
 	memoryRefusalLines int
+	// lines are the log lines.
+	lines []string
 
 	handler http.Handler
 	serving conc.WaitGroup
@@ -68,7 +71,7 @@
 	table.StoreIfNewer(rigConfiguration())
 	dial := rig.network.Dialer("node")
 	rig.pool = backendserver.New(backendserver.Codec{
-		Encode: func(call *backendserver.Call) http.Header { return call.Header },
+		Encode: encodeCall,
 		Decode: func(*backendserver.Call, int, http.Header) backendserver.DecodedHead {
 			return backendserver.DecodedHead{}
 		},
@@ -122,10 +125,28 @@
 	return request
 }
 
-// Write counts the log lines about refused bodies.
+// encodeCall returns the headers of a call, with the last event that the caller has received.
+func encodeCall(call *backendserver.Call) http.Header {
+	if !call.Resumes {
+		return call.Header
+	}
+	header := call.Header.Clone()
+	header.Set("Last-Event-Id", strconv.FormatInt(call.LastEventID, 10))
+	return header
+}
+
+// linesWith returns the log lines that contain a text.
+func (rig *rig) linesWith(text string) []string {
+	rig.mu.Lock()
+	defer rig.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(rig.lines), func(line string) bool { return !strings.Contains(line, text) })
+}
+
+// Write keeps the log lines, and counts those about refused bodies.
 func (rig *rig) Write(line []byte) (int, error) {
 	rig.mu.Lock()
 	defer rig.mu.Unlock()
+	rig.lines = append(rig.lines, string(line))
 	if strings.Contains(string(line), "lack of memory") {
 		rig.memoryRefusalLines++
 	}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -188,6 +188,7 @@
 		exchange.log(http.StatusOK)
 		return true
 	}
+	exchange.recordMove(attempt)
 	exchange.recordRun()
 	exchange.recordServerFailure(attempt, err)
 	exchange.cause = "relay the stream of server " + attempt.target.ID + ": " + err.Error()
