feat(standin): hosts without power, ended processes and pauses are told apart at the connection

Cause: a server that had lost power accepted connections and aborted report requests, and an ended process accepted connections and refused calls in HTTP. Both look like a paused process, which has to be told from them, and the stand-in could not pause a process at all.

Change: connecting to a host without power times out, and its open connections stay silent for reports, too. The connections of an ended process are reset, idle ones as well, and connecting to it is refused until it is restarted. Resets on the network in memory are now seen as ECONNRESET.

--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -3,7 +3,7 @@
 //
 // Each server is a compare-and-set register. The server refuses an order with a lower term than the highest term it has
 // seen. An order that expects another count of executed orders conflicts. Epochs only rise. Faults are set per server:
-// a server can stop, be partitioned from given callers, lose replies or execute orders late.
+// a server can stop, pause, be partitioned from given callers, lose replies or execute orders late.
 //
 // # Usage
 //
@@ -19,6 +19,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,8 +39,11 @@
 	dead                   bool
 	// crashed marks a dead server whose process exited, so that its connections are closed. Any other dead server
 	// stops responding and leaves its connections open.
-	crashed  bool
-	draining bool
+	crashed bool
+	// pausedAt and pausedUntil are the bounds of the pause of the process. pausedUntil is 0 unless a pause has begun and
+	// its end was not applied yet.
+	pausedAt, pausedUntil time.Duration
+	draining              bool
 	// deregistered hides the running server from the registry.
 	deregistered bool
 	// partitionedFrom holds the callers that cannot reach the server.
@@ -93,6 +97,8 @@
 	HeadsIdle bool
 	// ReportLag is the age of the reports that servers return.
 	ReportLag time.Duration
+	// ProcessEnded, if set, is called when a server's process has ended.
+	ProcessEnded func(id string)
 
 	mu           sync.Mutex
 	servers      map[string]*server
@@ -166,18 +172,32 @@
 	return most
 }
 
+// reachableServer returns the server if it responds to the caller. The error for a crashed server is also
+// syscall.ECONNREFUSED.
 func (cluster *Cluster) reachableServer(caller, id string) (*server, error) {
 	found, ok := cluster.servers[id]
-	if !ok || found.dead || found.partitionedFrom[caller] {
+	if !ok || found.partitionedFrom[caller] || found.poweredOff() {
 		return nil, errors.Wrapf(ErrNoResponse, "server %s", id)
 	}
+	if found.crashed {
+		return nil, errors.Mark(errors.Wrapf(syscall.ECONNREFUSED, "server %s", id), ErrNoResponse)
+	}
+	if cluster.now() < found.pausedUntil {
+		return nil, errors.Wrapf(ErrNoResponse, "server %s is paused", id)
+	}
 	cluster.advance(found)
 	return found, nil
 }
 
-// advance applies the state changes of the server that are due by now.
+func (server *server) poweredOff() bool { return server.dead && !server.crashed }
+
+// advance applies the state changes of the server that are due by now. A paused server changes nothing.
 func (cluster *Cluster) advance(found *server) {
 	now := cluster.now()
+	if now < found.pausedUntil {
+		return
+	}
+	cluster.resume(found)
 	group := &found.group
 	if found.loading != "" && now >= found.loadedAt {
 		found.staged, found.loading = []string{found.loading}, ""
@@ -197,7 +217,7 @@
 	if group.rank != 0 || (group.state != roster.Open && group.state != roster.Closing) {
 		return
 	}
-	if cluster.HeadsIdle || cluster.allMembersPresent(group) {
+	if cluster.HeadsIdle || cluster.allMembersPresent(group) && !cluster.anyMemberPaused(group) {
 		group.stalled = false
 		return
 	}
@@ -224,6 +244,14 @@
 	return true
 }
 
+// anyMemberPaused reports whether the process of a listed member is paused.
+func (cluster *Cluster) anyMemberPaused(group *membership) bool {
+	return slices.ContainsFunc(group.members, func(id string) bool {
+		member, ok := cluster.servers[id]
+		return ok && cluster.now() < member.pausedUntil
+	})
+}
+
 // Report returns the report of the server to the caller, as old as ReportLag.
 func (cluster *Cluster) Report(caller, id string) (formation.Report, error) {
 	cluster.mu.Lock()
@@ -278,6 +306,9 @@
 	Refusing
 	// Unresponsive means that the server does not respond.
 	Unresponsive
+	// Paused means that the server or a member of its group is paused. The server makes no progress on calls until the
+	// pause ends.
+	Paused
 )
 
 // HeadState returns how the server handles calls for its group's model.
@@ -285,11 +316,13 @@
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
 	found, ok := cluster.servers[id]
-	if !ok || (found.dead && !found.crashed) {
+	switch {
+	case !ok || found.poweredOff():
 		return Unresponsive
-	}
-	if found.crashed {
+	case found.crashed:
 		return Refusing
+	case cluster.now() < found.pausedUntil:
+		return Paused
 	}
 	cluster.advance(found)
 	group := &found.group
@@ -300,10 +333,43 @@
 		return Refusing
 	case !cluster.allMembersPresent(group):
 		return Stalled
+	case cluster.anyMemberPaused(group):
+		return Paused
 	}
 	return Serving
 }
 
+// ProcessState describes a server's process and its host.
+type ProcessState int
+
+// The states of a server's process.
+const (
+	// ProcessRunning means that the process runs.
+	ProcessRunning ProcessState = iota
+	// ProcessPaused means that the host accepts connections and the process makes no progress.
+	ProcessPaused
+	// ProcessEnded means that the process has crashed. The host refuses connections.
+	ProcessEnded
+	// HostOff means that the host has lost power. Connecting to it times out.
+	HostOff
+)
+
+// ProcessState returns the state of a server's process, and how long a pause still lasts.
+func (cluster *Cluster) ProcessState(id string) (state ProcessState, remaining time.Duration) {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	found, ok := cluster.servers[id]
+	switch {
+	case !ok || found.poweredOff():
+		return HostOff, 0
+	case found.crashed:
+		return ProcessEnded, 0
+	case cluster.now() < found.pausedUntil:
+		return ProcessPaused, found.pausedUntil - cluster.now()
+	}
+	return ProcessRunning, 0
+}
+
 // Servers returns the registered servers, ordered by ID.
 func (cluster *Cluster) Servers(service string) []*roster.Server {
 	cluster.mu.Lock()
--- a/internal/standin/backends/orders.go
+++ b/internal/standin/backends/orders.go
@@ -37,6 +37,10 @@
 	if found == nil || found.dead {
 		return
 	}
+	if remaining := found.pausedUntil - cluster.now(); remaining > 0 {
+		time.AfterFunc(remaining, func() { cluster.executeDelayed(id, order) })
+		return
+	}
 	cluster.advance(found)
 	cluster.executeOrder(found, order)
 }
--- a/internal/testlib/network/network.go
+++ b/internal/testlib/network/network.go
@@ -249,6 +249,7 @@
 	peer        *conn
 	partitioned atomic.Bool
 	reset       atomic.Bool
+	resetsAtEnd atomic.Bool
 }
 
 // Read reads data from the other end, and returns ECONNRESET after a reset.
@@ -275,11 +276,20 @@
 	return conn.Conn.Write(buffer)
 }
 
+// SetLinger sets whether Close resets the connection, which a time of 0 seconds asks for.
+func (conn *conn) SetLinger(seconds int) error {
+	conn.resetsAtEnd.Store(seconds == 0)
+	return nil
+}
+
 // Close closes the connection and removes it from the network.
 func (conn *conn) Close() error {
 	conn.network.mu.Lock()
 	delete(conn.network.conns, conn)
 	conn.network.mu.Unlock()
+	if conn.resetsAtEnd.Load() && !conn.partitioned.Load() && !conn.peer.partitioned.Load() {
+		conn.peer.reset.Store(true)
+	}
 	return conn.Conn.Close()
 }
 
