test(soak): sound servers fall silent together around planned work

What callers see: streams that have begun are cut while their servers are silent for a moment, around a configuration version, a SIGHUP or a SIGTERM. The soak could not find it. Its only silence of an engine ended in a reset of the connections, it struck one server at a time, and no check judged responses that were begun and not finished.

Change: - server-silent and servers-silent hold all traffic of one or several engines (some, most, all, those of one data centre; 0.2 to 5 s) and release it afterwards. Connections stay, new ones are accepted meanwhile. - node-reload sends SIGHUP to a node that responds. - A timeline records planned work, disruptions, failures with the members of the failed server's group, and silences. LostCheck judges all responses of a run by it. Resets and blocked traffic of a single server count as disruptions, crashes as failures of the servers of that group. - Plans of even seeds consist of planned work and silences in overlapping series, with more callers and longer drafts (24 callers, 1.9 s a draft), so that nothing else excuses a cut response. Plans of odd seeds draw from all kinds as before, with the three new ones among them.

Seeds give other plans than before. The weights of the existing kinds are the same relative to each other. The tests of mixed plans draw 80 seeds instead of 40, of which 40 are mixed.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -68,8 +68,8 @@
 	case err != nil:
 		return false, errors.Wrapf(err, "seed %d", seed)
 	}
-	_, _ = fmt.Fprintf(outputs.Out, "seed %d: %d faults, %d requests, %d complete responses, by status %v, %d guarantees violated\n",
-		report.Seed, report.Faults, report.Requests, report.Complete, report.Statuses, len(report.Violations))
+	_, _ = fmt.Fprintf(outputs.Out, "seed %d: %d faults, %d requests, %d complete responses, %d cut, by status %v, %d guarantees violated\n",
+		report.Seed, report.Faults, report.Requests, report.Complete, report.Cut, report.Statuses, len(report.Violations))
 	if len(report.Violations) == 0 {
 		return false, errors.Wrap(os.RemoveAll(folder), "remove logs")
 	}
--- a/internal/run/soak/callers.go
+++ b/internal/run/soak/callers.go
@@ -21,7 +21,7 @@
 	callInterval = 120 * time.Millisecond
 	// maxBodyLength bounds the random length of a request body. The length tells the responses to bookings apart.
 	maxBodyLength = 4000
-	// draftEvents is the number of events in each draft.
+	// draftEvents is the number of events in a draft.
 	draftEvents = 20
 )
 
@@ -29,6 +29,8 @@
 type callerPool struct {
 	address func(node int) string
 	nodes   int
+	// perNode is the number of callers per node, draftEvents the number of events in each of their drafts.
+	perNode, draftEvents int
 
 	mu       sync.Mutex
 	results  []standin.Result
@@ -37,7 +39,7 @@
 }
 
 func (callerPool *callerPool) start(seed uint64) {
-	for number := range callersPerNode * callerPool.nodes {
+	for number := range callerPool.perNode * callerPool.nodes {
 		random := rand.New(rand.NewPCG(seed, uint64(number)+1))
 		callerPool.running.Go(func() { callerPool.run(number, random) })
 	}
@@ -59,7 +61,7 @@
 			node = random.IntN(callerPool.nodes)
 		}
 		kind := []standin.Kind{standin.Draft, standin.Draft, standin.Book, standin.Ping}[random.IntN(4)]
-		request := standin.Request{ID: fmt.Sprintf("%s-%d-%d", kind, caller, number), Kind: kind, Body: strings.Repeat("x", 1+random.IntN(maxBodyLength)), Events: draftEvents}
+		request := standin.Request{ID: fmt.Sprintf("%s-%d-%d", kind, caller, number), Kind: kind, Body: strings.Repeat("x", 1+random.IntN(maxBodyLength)), Events: callerPool.draftEvents}
 		callerPool.send(client, node, request)
 	}
 }
--- a/internal/run/soak/fault.go
+++ b/internal/run/soak/fault.go
@@ -17,6 +17,7 @@
 	NodeStop   Kind = "node-stop"    // SIGTERM, then a restart
 	NodeKill   Kind = "node-kill"    // SIGKILL, then a restart
 	NodePause  Kind = "node-pause"   // SIGSTOP, later SIGCONT
+	NodeReload Kind = "node-reload"  // SIGHUP
 	AllKill    Kind = "all-kill"     // SIGKILL to all nodes, then restarts
 	PeerDelay  Kind = "peer-delay"   // frames to a node are delayed
 	PeerReset  Kind = "peer-reset"   // connections to a node's peer port are reset
@@ -35,12 +36,15 @@
 	ServerKill  Kind = "server-kill"  // a server stops responding, then restarts under the same ID
 	ServerReset Kind = "server-reset" // connections to a server are reset
 	ServerBreak Kind = "server-break" // a server accepts connections and resets them before any response
-	ServerMute  Kind = "server-mute"  // traffic to and from a server is blocked
-	PlainReset  Kind = "plain-reset"  // connections to a plain server are reset
-	PlainMute   Kind = "plain-mute"   // traffic to and from a plain server is blocked
-	PlainLost   Kind = "plain-lost"   // a plain server's responses are blocked, its calls run
-	PlainDrain  Kind = "plain-drain"  // a plain server announces that it is leaving
-	Configure   Kind = "configure"    // the operator writes a configuration version
+	ServerMute  Kind = "server-mute"  // traffic to and from a server is blocked, then its connections are reset
+	// Servers that are silent and go on are sound: their connections stay, and nothing is lost.
+	ServerSilent  Kind = "server-silent"  // a server sends and receives nothing for a while
+	ServersSilent Kind = "servers-silent" // several servers do so at the same time
+	PlainReset    Kind = "plain-reset"    // connections to a plain server are reset
+	PlainMute     Kind = "plain-mute"     // traffic to and from a plain server is blocked
+	PlainLost     Kind = "plain-lost"     // a plain server's responses are blocked, its calls run
+	PlainDrain    Kind = "plain-drain"    // a plain server announces that it is leaving
+	Configure     Kind = "configure"      // the operator writes a configuration version
 	// Harmful makes callers repeatedly send a request that crashes every server that runs it.
 	Harmful Kind = "harmful"
 )
@@ -51,11 +55,18 @@
 	Duration time.Duration
 	Kind     Kind
 	Target   int
+	// Servers are the engines of ServersSilent, Group says which part of all engines they are.
+	Servers []int
+	Group   string
 }
 
 // String formats the fault as a line of the printed plan.
 func (fault Fault) String() string {
-	return fmt.Sprintf("%6.2f s  %-12s of %2d for %.2f s", fault.At.Seconds(), fault.Kind, fault.Target, fault.Duration.Seconds())
+	target := fmt.Sprintf("%2d", fault.Target)
+	if fault.Kind == ServersSilent {
+		target = fmt.Sprintf("%d servers (%s)", len(fault.Servers), fault.Group)
+	}
+	return fmt.Sprintf("%6.2f s  %-14s of %s for %.2f s", fault.At.Seconds(), fault.Kind, target, fault.Duration.Seconds())
 }
 
 // Plan is the sequence of faults that a seed determines.
@@ -63,7 +74,17 @@
 	Seed   uint64
 	Length time.Duration
 	Nodes  int
-	Faults []Fault
+	// SoundServers is set for a plan of planned work and silences of servers only, see soundFaults.
+	SoundServers bool
+	Faults       []Fault
+}
+
+// kinds says from which kinds of faults the plan was drawn.
+func (plan *Plan) kinds() string {
+	if plan.SoundServers {
+		return "planned work and silences of sound servers only"
+	}
+	return "of all kinds"
 }
 
 // faultWeight is the relative frequency of a kind of fault and the range of its duration.
@@ -79,6 +100,7 @@
 	{NodeStop, 4, 0, 0},
 	{NodeKill, 4, 0, 0},
 	{NodePause, 4, 300 * time.Millisecond, 5 * time.Second},
+	{NodeReload, 2, 0, 0},
 	{AllKill, 1, 0, 0},
 	{PeerDelay, 3, time.Second, 5 * time.Second},
 	{PeerReset, 3, 0, 0},
@@ -97,6 +119,8 @@
 	{ServerReset, 3, 0, 0},
 	{ServerBreak, 2, 500 * time.Millisecond, 4 * time.Second},
 	{ServerMute, 3, 300 * time.Millisecond, 4 * time.Second},
+	{ServerSilent, 2, minSilence, maxSilence},
+	{ServersSilent, 3, minSilence, maxSilence},
 	{PlainReset, 2, 0, 0},
 	{PlainMute, 2, 300 * time.Millisecond, 3 * time.Second},
 	{PlainLost, 3, 300 * time.Millisecond, 3 * time.Second},
@@ -119,7 +143,11 @@
 // GeneratePlan returns the plan of a seed. Equal arguments give equal plans.
 func GeneratePlan(seed uint64, length time.Duration, nodes, engines, plain int) Plan {
 	random := rand.New(rand.NewPCG(seed, 0))
-	plan := Plan{Seed: seed, Length: length, Nodes: nodes}
+	plan := Plan{Seed: seed, Length: length, Nodes: nodes, SoundServers: seed%soundSeedInterval == 0}
+	if plan.SoundServers {
+		plan.Faults = soundFaults(random, length, nodes, engines)
+		return plan
+	}
 	totalWeight := 0
 	for _, weighted := range faultWeights {
 		totalWeight += weighted.weight
@@ -145,6 +173,9 @@
 			fault.Duration = selected.minDuration + time.Duration(random.Int64N(int64(selected.maxDuration-selected.minDuration)))
 		}
 		fault.Target = random.IntN(targetCount(selected.kind, nodes, engines, plain))
+		if selected.kind == ServersSilent {
+			fault.Servers, fault.Group = drawServers(random, engines)
+		}
 		if selected.kind == PlainDrain {
 			if plainDrains++; plainDrains > maxPlainDrains {
 				continue
@@ -162,7 +193,7 @@
 // targetCount returns the number of possible targets of a kind of fault.
 func targetCount(kind Kind, nodes, engines, plain int) int {
 	switch kind {
-	case ServerEnd, ServerKill, ServerReset, ServerBreak, ServerMute:
+	case ServerEnd, ServerKill, ServerReset, ServerBreak, ServerMute, ServerSilent:
 		return engines
 	case PlainReset, PlainMute, PlainLost, PlainDrain:
 		return plain
--- a/internal/run/soak/fleet.go
+++ b/internal/run/soak/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"hazelslip/internal/common/clock"
 	"hazelslip/internal/run/gateway"
 	"hazelslip/platform/standin"
 )
@@ -52,6 +53,7 @@
 	serverProxies             []*proxy
 	engines                   []string
 	plainServers              []string
+	timeline                  timeline
 
 	// mu serializes the writes of configuration versions.
 	mu      sync.Mutex
@@ -62,6 +64,10 @@
 	return fmt.Sprintf("127.0.0.%d:%d", firstHostNumber+node, fleet.options.BasePort+port)
 }
 
+func (fleet *fleet) stateURL(node int) string {
+	return "http://" + fleet.nodeAddress(node, operatorPort) + "/state"
+}
+
 // proxyAddress returns the address of a proxy that belongs to a node.
 func (fleet *fleet) proxyAddress(node, port int) string {
 	return fmt.Sprintf("127.0.1.%d:%d", firstHostNumber+node, fleet.options.BasePort+port)
@@ -231,18 +237,47 @@
 	return errors.Wrap(json.NewDecoder(response.Body).Decode(value), "decode the response")
 }
 
-// inject starts a fault and ends it after its duration.
+// inject starts a fault, ends it after its duration and records it.
 func (fleet *fleet) inject(ctx context.Context, fault Fault) {
 	begin, end := fleet.actions(fault)
+	members := []string{}
+	if fault.Kind == ServerEnd || fault.Kind == ServerKill {
+		members = fleet.groupMembers(fault.Target)
+	}
+	from := clock.Boot()
 	begin()
-	if end == nil {
-		return
+	if end != nil {
+		select {
+		case <-time.After(fault.Duration):
+		case <-ctx.Done():
+		}
+		end()
 	}
-	select {
-	case <-time.After(fault.Duration):
-	case <-ctx.Done():
+	fleet.timeline.addFault(fault, from, clock.Boot(), members)
+}
+
+// groupMembers returns the engines that are in one group with an engine, by what they report.
+func (fleet *fleet) groupMembers(engine int) []string {
+	type group struct {
+		Name  string `json:"name"`
+		Epoch int64  `json:"epoch"`
 	}
-	end()
+	groups, found := make([]group, len(fleet.engines)), []string{fleet.engines[engine]}
+	for number := range groups {
+		report := struct {
+			Group group `json:"group"`
+		}{}
+		// A server that is down has no group.
+		if err := fleet.getJSON(fmt.Sprintf("http://127.0.0.1:%d/v1/report", fleet.options.BasePort+serverPort+number), &report); err == nil {
+			groups[number] = report.Group
+		}
+	}
+	for number, member := range groups {
+		if number != engine && member.Name != "" && member == groups[engine] {
+			found = append(found, fleet.engines[number])
+		}
+	}
+	return found
 }
 
 const (
@@ -257,7 +292,9 @@
 	target := fault.Target
 	switch fault.Kind {
 	case NodeStop:
-		return fleet.nodes[target].terminate, nil
+		return func() { fleet.terminate(target) }, nil
+	case NodeReload:
+		return func() { fleet.reload(target) }, nil
 	case NodeKill:
 		return func() { fleet.nodes[target].signal(syscall.SIGKILL) }, nil
 	case AllKill:
@@ -283,6 +320,10 @@
 		return holdActions(fleet.storeProxies[target], 0, 1)
 	case ServerMute:
 		return holdActions(fleet.serverProxies[target], 1, 1)
+	case ServerSilent:
+		return fleet.silenceActions([]int{target})
+	case ServersSilent:
+		return fleet.silenceActions(fault.Servers)
 	case ServerReset:
 		return fleet.serverProxies[target].resetAll, nil
 	case PlainReset:
@@ -305,6 +346,24 @@
 	}
 }
 
+// terminate stops a node with SIGTERM.
+func (fleet *fleet) terminate(node int) {
+	from := clock.Boot()
+	if fleet.nodes[node].terminate() {
+		fleet.timeline.addPlanned(standin.Termination, node, from, from)
+	}
+}
+
+// reload sends SIGHUP to a node that responds. A process that is starting would die of it.
+func (fleet *fleet) reload(node int) {
+	if err := fleet.getJSON(fleet.stateURL(node), &gateway.State{}); err != nil {
+		return
+	}
+	if from := clock.Boot(); fleet.nodes[node].signal(syscall.SIGHUP) {
+		fleet.timeline.addPlanned(standin.Reload, node, from, from)
+	}
+}
+
 // backupAge is the age of the backup from which the store is restored.
 const backupAge = "4s"
 
@@ -345,7 +404,9 @@
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	fleet.version++
+	from := clock.Boot()
 	fleet.sendControl("/configuration/" + strconv.FormatInt(fleet.version, 10))
+	fleet.timeline.addPlanned(standin.Configuring, 0, from, clock.Boot())
 }
 
 // latestVersion returns the configuration version that was written last.
--- a/internal/run/soak/process.go
+++ b/internal/run/soak/process.go
@@ -105,13 +105,13 @@
 	}
 }
 
-// signal sends a signal to the running program.
-func (process *process) signal(signal syscall.Signal) {
+// signal sends a signal to the running program, and reports false if the program has ended.
+func (process *process) signal(signal syscall.Signal) bool {
 	process.mu.Lock()
 	defer process.mu.Unlock()
 	select {
 	case <-process.ended:
-		return
+		return false
 	default:
 	}
 	switch signal {
@@ -120,19 +120,19 @@
 	case syscall.SIGSTOP:
 		process.paused = true
 	}
-	_ = process.running.Process.Signal(signal)
+	return process.running.Process.Signal(signal) == nil
 }
 
 // terminate sends SIGTERM, and SIGKILL after stopTimeout. It records a violation if the program did not stop in
-// time, unless the program was paused.
-func (process *process) terminate() {
+// time, unless the program was paused. It reports whether SIGTERM was sent.
+func (process *process) terminate() bool {
 	process.mu.Lock()
 	ended := process.ended
 	process.mu.Unlock()
-	process.signal(syscall.SIGTERM)
+	sent := process.signal(syscall.SIGTERM)
 	select {
 	case <-ended:
-		return
+		return sent
 	case <-time.After(stopTimeout):
 	}
 	process.mu.Lock()
@@ -142,6 +142,7 @@
 		process.recordViolation("%s did not stop within its grace period", process.name)
 	}
 	process.signal(syscall.SIGKILL)
+	return sent
 }
 
 // stop ends the program without a restart.
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -8,6 +8,8 @@
 //
 //   - A non-idempotent call runs at most once, and a request reported as "not run" did not run.
 //   - Responses are complete, in order and never those of another request.
+//   - No response that has begun is cut around planned work (SIGTERM, SIGHUP, a configuration version)
+//     unless a server failed, the request's time was over, or there was an unplanned disruption.
 //   - No server is in two groups, and no incomplete group serves.
 //   - The configuration version of a node never decreases.
 //   - Servers that have left get no calls.
@@ -17,6 +19,10 @@
 //
 // The package checks guarantees, not performance.
 //
+// Plans of odd seeds draw from all kinds of faults. Plans of even seeds consist of planned work and of
+// silences of servers that go on afterwards, in overlapping series: nothing in them excuses a response that
+// is cut.
+//
 // The seed determines the whole plan, which is printed first. The package ends only processes
 // that it started, by their process IDs. Those processes die with it.
 //
@@ -64,6 +70,8 @@
 	Faults   int
 	Requests int
 	Complete int
+	// Cut counts the responses whose connection a node ended before they were complete, for any reason.
+	Cut int
 	// Statuses counts requests by response status. Status 0 means that the connection failed.
 	Statuses map[int]int
 	// Violations describes the violated guarantees. It is empty if every check passed.
@@ -122,10 +130,10 @@
 	if err := options.Check(); err != nil {
 		return Report{}, err
 	}
-	shape := standin.Shape{Domains: 3, Servers: 8, Ledgers: 4, Seed: options.Seed}
+	shape := standin.Shape{Domains: domains, Servers: 8, Ledgers: 4, Seed: options.Seed}
 	engines, plain := standin.ServerIDs(shape)
 	plan := GeneratePlan(options.Seed, options.Length, options.Nodes, len(engines), len(plain))
-	_, _ = fmt.Fprintf(options.Out, "seed %d: %d nodes, %s, %d faults\n", plan.Seed, plan.Nodes, plan.Length, len(plan.Faults))
+	_, _ = fmt.Fprintf(options.Out, "seed %d: %d nodes, %s, %d faults, %s\n", plan.Seed, plan.Nodes, plan.Length, len(plan.Faults), plan.kinds())
 	for _, fault := range plan.Faults {
 		_, _ = fmt.Fprintln(options.Out, fault)
 	}
@@ -134,7 +142,13 @@
 		options: options, shape: shape, recordViolation: runner.recordViolation, version: firstVersion,
 		controlClient: &http.Client{Timeout: 2 * time.Second},
 	}
-	runner.callers = &callerPool{nodes: options.Nodes, stopping: make(chan struct{}), address: func(node int) string { return runner.fleet.nodeAddress(node, callerPort) }}
+	runner.callers = &callerPool{
+		nodes: options.Nodes, perNode: callersPerNode, draftEvents: draftEvents, stopping: make(chan struct{}),
+		address: func(node int) string { return runner.fleet.nodeAddress(node, callerPort) },
+	}
+	if plan.SoundServers {
+		runner.callers.perNode, runner.callers.draftEvents = soundCallersPerNode, soundDraftEvents
+	}
 	defer runner.fleet.stop()
 	if err := runner.fleet.start(); err != nil {
 		return Report{}, err
@@ -182,11 +196,15 @@
 	defer stopNotices()
 	announcers := conc.WaitGroup{}
 	for stream, announcement := range map[uint64]announcement{limitStream: limitAnnouncement, backoffStream: backoffAnnouncement} {
+		if plan.SoundServers {
+			break
+		}
 		random := rand.New(rand.NewPCG(plan.Seed, stream))
 		announcers.Go(func() { runner.announceRandomly(noticeCtx, announcement, runner.checkedServer(plan.Seed), random) })
 	}
 	injections := conc.WaitGroup{}
 	start := time.Now()
+	_, _ = fmt.Fprintf(runner.options.Out, "the load starts at %s\n", start.UTC().Format(time.RFC3339Nano))
 	for _, fault := range plan.Faults {
 		select {
 		case <-ctx.Done():
@@ -224,7 +242,10 @@
 			report.Complete++
 		}
 	}
+	lost, cut := runner.fleet.timeline.checkLost(results, observed, start)
+	report.Cut = cut
 	report.Violations = append(report.Violations, checkResponses(results, observed)...)
+	report.Violations = append(report.Violations, lost...)
 	report.Violations = append(report.Violations, checkBudget(observed)...)
 	report.Violations = append(report.Violations, checkHarmful(observed)...)
 	report.Violations = append(report.Violations, checkDrains(runner.drains, observed)...)
@@ -245,7 +266,7 @@
 	time.Sleep(propagationTime)
 	for node := range runner.options.Nodes {
 		state := gateway.State{}
-		if err := runner.fleet.getJSON(runner.stateURL(node), &state); err != nil {
+		if err := runner.fleet.getJSON(runner.fleet.stateURL(node), &state); err != nil {
 			runner.recordViolation("node %d: read the state after the last fault: %v", node+1, err)
 		} else if state.ConfigurationVersion < latest {
 			runner.recordViolation("node %d has configuration version %d in force, version %d was written %s ago", node+1, state.ConfigurationVersion, latest, propagationTime)
@@ -253,10 +274,6 @@
 	}
 }
 
-func (runner *runner) stateURL(node int) string {
-	return "http://" + runner.fleet.nodeAddress(node, operatorPort) + "/state"
-}
-
 func (runner *runner) inject(ctx context.Context, fault Fault) {
 	switch fault.Kind {
 	case Harmful:
@@ -275,7 +292,7 @@
 // watchVersions records a configuration version that decreases within one incarnation of a node.
 func (runner *runner) watchVersions(ctx context.Context, node int) {
 	latest := map[uint64]int64{}
-	url := runner.stateURL(node)
+	url := runner.fleet.stateURL(node)
 	for ctx.Err() == nil {
 		state := gateway.State{}
 		if err := runner.fleet.getJSON(url, &state); err == nil {
--- a/internal/run/soak/soak_test.go
+++ b/internal/run/soak/soak_test.go
@@ -15,18 +15,24 @@
 // A failed run is reproduced from its seed, so a seed must always give the same plan.
 func TestSeedDeterminesPlan(t *testing.T) {
 	expect := gomega.NewWithT(t)
-	first, second := GeneratePlan(7, time.Minute, 4, 24, 3), GeneratePlan(7, time.Minute, 4, 24, 3)
-	expect.Expect(first).To(gomega.Equal(second))
-	expect.Expect(GeneratePlan(8, time.Minute, 4, 24, 3)).NotTo(gomega.Equal(first))
+	// Odd and even seeds give plans of different kinds.
+	for _, seed := range []uint64{7, 8} {
+		first, second := GeneratePlan(seed, time.Minute, 4, 24, 3), GeneratePlan(seed, time.Minute, 4, 24, 3)
+		expect.Expect(first).To(gomega.Equal(second))
+		expect.Expect(GeneratePlan(seed+2, time.Minute, 4, 24, 3).Faults).NotTo(gomega.Equal(first.Faults))
+	}
 }
 
-// Across 40 seeds, every kind of fault must occur and faults must overlap. A kind that never occurs
-// tests nothing.
+// Across 40 seeds of mixed plans, every kind of fault must occur and faults must overlap. A kind that never
+// occurs tests nothing.
 func TestPlansCoverEveryFaultKind(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	seen, overlapping := map[Kind]bool{}, 0
-	for seed := range uint64(40) {
+	for seed := range uint64(80) {
 		plan := GeneratePlan(seed, 40*time.Second, 4, 24, 3)
+		if plan.SoundServers {
+			continue
+		}
 		for number, fault := range plan.Faults {
 			seen[fault.Kind] = true
 			if number > 0 && fault.At < plan.Faults[number-1].At+plan.Faults[number-1].Duration {
@@ -45,7 +51,7 @@
 // only while the nodes can reach each other.
 func TestNoOtherFaultsDuringHarmfulRequests(t *testing.T) {
 	expect := gomega.NewWithT(t)
-	for seed := range uint64(40) {
+	for seed := range uint64(80) {
 		plan := GeneratePlan(seed, time.Minute, 4, 24, 3)
 		for _, harmful := range plan.Faults {
 			if harmful.Kind != Harmful {
