fix(gateway): a pause of the node itself is no silence of others

What callers saw: a node that was stopped for a while, or got no processor time, cancels all its calls at its first look at the clock, also those whose events have arrived and aren't read yet.

Cause: silence is measured from the last event that this process has read. A process that doesn't run reads nothing, so the first check after the pause finds all groups, all detour nodes and all data centres silent at once.

Change: clock.PauseDetector sees that a tick is later than its interval.

Why it works: the pause is subtracted and the silence before and after it adds up.

--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -237,6 +237,7 @@
 // watch updates the permits and pace factors, starts the probes that are due, and reports stalled groups to
 // the leader.
 func (node *Node) watch() {
+	node.observePause()
 	node.refreshPermits()
 	node.updatePaces()
 	node.detours.check()
--- a/internal/run/gateway/frame_bench_test.go
+++ b/internal/run/gateway/frame_bench_test.go
@@ -24,9 +24,9 @@
 func (listener *idleListener) Addr() net.Addr { return &net.TCPAddr{} }
 
 // idleNode returns a node that is never started.
-func idleNode(b testing.TB) *Node {
+func idleNode(b testing.TB, options ...Option) *Node {
 	node, err := New(Settings{Name: "n", DataCentre: "east", Store: "store:1", Listen: Listen{Caller: "c", Readiness: "r", Peer: "p"}}, Platform{},
-		Network(func(string) (net.Listener, error) { return &idleListener{done: make(chan struct{})}, nil }, nil))
+		append(options, Network(func(string) (net.Listener, error) { return &idleListener{done: make(chan struct{})}, nil }, nil))...)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -123,6 +123,9 @@
 	stopping             atomic.Bool
 	announcementsApplied atomic.Uint64
 	pathsLost            atomic.Uint64
+	// watchPauses detects pauses of this process, and pauses counts them.
+	watchPauses *clock.PauseDetector
+	pauses      atomic.Uint64
 	// storedSuspectsLost is set when the store may have lost the suspects written to it.
 	storedSuspectsLost atomic.Bool
 
@@ -189,6 +192,7 @@
 		option(node)
 	}
 	node.storeCalls = store.NewCallTracker(store.Clock(node.now), store.OnOutageStart(node.storeBecameUnavailable), store.OnOutageEnd(node.storeRecovered), store.OnHungCall(node.logHungStoreCall))
+	node.watchPauses = clock.NewPauseDetector(node.now)
 	node.drains, node.warmups = drain.New(drain.Clock(node.now)), warmup.NewColdTable(node.now)
 	node.servers = roster.New(roster.Draining(func(id string, born int64) bool {
 		return node.notices.Draining(ratelimit.Run{Server: id, Born: born})
@@ -323,7 +327,7 @@
 	node.peers.start()
 	node.follower.Start()
 	node.GoNamed("targets", node.runTargetUpdates)
-	node.RepeatNamed("watch", node.nextWatchInterval, node.watch)
+	node.RepeatNamed("watch", node.scheduleWatch, node.watch)
 	node.RepeatNamed("tenure", node.leafAwareInterval(leadershipInterval), node.updateLeadership)
 	node.EveryNamed("sweep", time.Second, node.sweep)
 	node.RepeatNamed("retries", node.leafAwareInterval(retryTotalInterval), node.peers.updateRetryTotals)
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -151,7 +151,7 @@
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.announcementsApplied.Load(),
 		"MemoryHeld": uint64(held), "MemoryMost": uint64(peak), "MemoryRefused": refused,
 		"DemandAsked": node.demand.Counts.Requested.Load(), "DemandRefused": node.demand.Counts.Refused.Load(), "DemandTaken": node.demand.Counts.RemoteUpdates.Load(),
-		"WaysLost": node.pathsLost.Load(), "DetoursSent": node.forwarder.Counts.DetoursSent.Load(),
+		"Pauses": node.pauses.Load(), "WaysLost": node.pathsLost.Load(), "DetoursSent": node.forwarder.Counts.DetoursSent.Load(),
 		"DetoursTaken": node.forwarder.Counts.DetoursTaken.Load(), "DetoursRefused": node.forwarder.Counts.DetoursRefused.Load(),
 		"Goroutines": uint64(runtime.NumGoroutine()),
 	}
--- a/internal/run/gateway/paces_test.go
+++ b/internal/run/gateway/paces_test.go
@@ -14,8 +14,8 @@
 )
 
 // nodeWithGroups returns a node that is never started and knows some groups.
-func nodeWithGroups(t *testing.T, groups int) *Node {
-	node := idleNode(t)
+func nodeWithGroups(t *testing.T, groups int, options ...Option) *Node {
+	node := idleNode(t, options...)
 	specs := []dispatch.Spec{}
 	for number := range groups {
 		specs = append(specs, dispatch.Spec{
