fix(gateway): a probe that spans a pause of the node proves nothing

What callers saw: a node that is stopped while it tries to connect to some servers believes that it reaches none of them, and ends all calls at the service or the data centre.

Cause: the timeout of 0.15 s expires while the process doesn't run. The probe of a path that was suspected ends as "none of two reached", twice in a row, and the path is lost.

Evidence: TestProbesDuringPauseProveNothing, two groups and four calls, a pause of 1 s during each probe: the calls were ended twice each (8), by the path to the data centre and by the path to the service.

Change: the result of a probe that took MinPause longer than its timeout is dropped.

Why it works: a suspected path blocks no server that answers, and nothing is ended there. The same probes on a running node still find both paths lost (the test's second case).

--- a/internal/common/clock/pause.go
+++ b/internal/common/clock/pause.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// minPause is the shortest delay of a tick that counts as a pause. Shorter delays are usual on a busy machine. They are
-// well below any silence that a node acts on.
-const minPause = 100 * time.Millisecond
+// MinPause is the shortest delay of a tick or a timeout that counts as a pause. Shorter delays are usual on a busy
+// machine. They are well below any silence that a node acts on.
+const MinPause = 100 * time.Millisecond
 
 // PauseDetector detects pauses of this process: spans in which the process was stopped or got no processor time. The
 // process receives nothing in such a span, so the span says nothing about the silence of others.
@@ -36,7 +36,7 @@
 func (detector *PauseDetector) Observe() time.Duration {
 	now, previous := detector.now(), detector.lastTick
 	detector.lastTick = now
-	if pause := now - previous - detector.interval; previous > 0 && pause >= minPause {
+	if pause := now - previous - detector.interval; previous > 0 && pause >= MinPause {
 		return pause
 	}
 	return 0
--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"hazelslip/internal/common/clock"
 	"hazelslip/internal/fleet/catalogue"
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/overlay"
@@ -259,8 +260,10 @@
 const probeTimeout = 150 * time.Millisecond
 
 // probeAll tries all named servers concurrently and returns those that were reached. It stops waiting once
-// enough were reached, since it takes long to find that a server can't be reached.
-func (node *Node) probeAll(names []string, try func(name string) bool, enough func(reached int) bool) []string {
+// enough were reached, since it takes long to find that a server can't be reached. The result is not valid if this
+// process was paused meanwhile: the timeouts then expired before the connections could be made.
+func (node *Node) probeAll(names []string, try func(name string) bool, enough func(reached int) bool) (reached []string, valid bool) {
+	began := node.now()
 	results := make(chan string, len(names))
 	for _, name := range names {
 		node.GoNamed("probe", func() {
@@ -270,7 +273,6 @@
 			results <- name
 		})
 	}
-	reached := []string{}
 	for range names {
 		if name := <-results; name != "" {
 			reached = append(reached, name)
@@ -279,13 +281,16 @@
 			break
 		}
 	}
-	return reached
+	return reached, node.now()-began < probeTimeout+clock.MinPause
 }
 
 // probeDataCentre connects to servers of a data centre that may be cut off.
 func (node *Node) probeDataCentre(probe *dispatch.DataCentreProbe) {
 	reaches := func(address string) bool { return node.pool.HostReachable(address, probeTimeout) }
-	reached := node.probeAll(probe.Addresses, reaches, func(int) bool { return false })
+	reached, valid := node.probeAll(probe.Addresses, reaches, func(int) bool { return false })
+	if !valid {
+		return
+	}
 	if moved, unreachable := probe.Done(len(reached) > 0); unreachable {
 		node.logger.Warn("gateway: a data centre is unreachable.", "DataCentre", probe.DataCentre, "Tried", len(probe.Addresses), "CallsMoved", moved)
 	}
--- a/internal/run/gateway/frame_bench_test.go
+++ b/internal/run/gateway/frame_bench_test.go
@@ -26,7 +26,7 @@
 // idleNode returns a node that is never started.
 func idleNode(b testing.TB, options ...Option) *Node {
 	node, err := New(Settings{Name: "n", DataCentre: "east", Store: "store:1", Listen: Listen{Caller: "c", Readiness: "r", Peer: "p"}}, Platform{},
-		append(options, Network(func(string) (net.Listener, error) { return &idleListener{done: make(chan struct{})}, nil }, nil))...)
+		append([]Option{Network(func(string) (net.Listener, error) { return &idleListener{done: make(chan struct{})}, nil }, nil)}, options...)...)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -24,7 +24,10 @@
 // probe connects to servers of a path.
 func (detours *detours) probe(probe *dispatch.PathProbe) {
 	connects := func(server string) bool { return detours.node.pool.CanConnect(probe.Addresses[server], probeTimeout) }
-	reached := detours.node.probeAll(probe.Servers, connects, probe.ProvesHealthy)
+	reached, valid := detours.node.probeAll(probe.Servers, connects, probe.ProvesHealthy)
+	if !valid {
+		return
+	}
 	if result := probe.Complete(reached); result.Changed() {
 		detours.pathChanged(probe.Path, &result)
 	}
--- a/internal/run/gateway/pauses_test.go
+++ b/internal/run/gateway/pauses_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"context"
+	"net"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -60,3 +63,47 @@
 	}
 	expect.Expect(endedCalls()).To(gomega.Equal([]bool{true, true, true, true}), "the silence of a running node counts")
 }
+
+// Guards against a node that was stopped while it tried to connect to some servers, takes the expired timeouts for
+// unreachable servers, and ends all calls at the service or the data centre.
+func TestProbesDuringPauseProveNothing(t *testing.T) {
+	for name, paused := range map[string]time.Duration{"stopped": time.Second, "running": probeTimeout} {
+		t.Run(name, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			jumping := newJumpingClock()
+			dial := func(context.Context, string, string) (net.Conn, error) {
+				jumping.advance(paused / 2)
+				return nil, os.ErrDeadlineExceeded
+			}
+			node := idleNode(t, Clock(jumping.now), func(node *Node) { node.dial = dial })
+			specs := []dispatch.Spec{}
+			for _, id := range []string{"i-1", "i-2"} {
+				specs = append(specs, dispatch.Spec{ID: id, Address: id + ":1", Service: "drafts", DataCentre: "west", Group: "g-" + id, Slots: 8, PassTime: 40 * time.Millisecond})
+			}
+			node.board.Update(map[string][]dispatch.Spec{"drafts/m": specs})
+			ended := atomic.Int32{}
+			for _, exclude := range [][]string{nil, nil, {"i-1"}, {"i-2"}} {
+				target, _ := node.board.Pick("drafts/m", dispatch.Criteria{Exclude: exclude})
+				target.Begin(100, 0, func() { ended.Add(1) }).RecordEvent()
+			}
+			jumping.advance(time.Second)
+			for _, probe := range node.board.DueDataCentreProbes() {
+				node.probeDataCentre(&probe)
+			}
+			node.board.WatchPaths()
+			for range 3 {
+				for _, probe := range node.board.DuePathProbes() {
+					node.detours.probe(&probe)
+				}
+			}
+			status := node.detours.paths.Get(pathhealth.Destination{Service: "drafts", DataCentre: "west"}).Status()
+			if name == "running" {
+				expect.Expect(status).To(gomega.Equal(pathhealth.Lost))
+				expect.Expect(ended.Load()).To(gomega.BeNumerically(">=", 4))
+				return
+			}
+			expect.Expect(ended.Load()).To(gomega.BeZero())
+			expect.Expect(status).To(gomega.Equal(pathhealth.Suspected), "the next probe decides")
+		})
+	}
+}
