fix(gateway): a node that was paused does not take over from a leader that lives

What callers saw: nothing in most cases. After a pause of a root the fleet changes its leader, the groups that were being formed are abandoned, and the new leader knows nothing of what the old one was doing.

Cause: a leader counts as gone 0.75 s after its last heartbeat, and the first candidate takes over 0.3 s later. Both are measured across a pause of the node itself, which has read no heartbeat; its links end meanwhile and have to be opened again.

Evidence: TestPausedNodeKeepsItsLeader: after a pause of 3 s no leader is known. TestPauseIsNoTimeWithoutLeader: a node that found no leader 0.1 s before a pause takes over at its first tick after it.

Change: the task that decides on leadership has a PauseDetector of its own, and moves on when the leader was last seen and since when there is none.

Why it works: after the pause the node has the usual 1.05 s of its own time to open its links and hear the leader. The silence of a leader counts while the node runs (both tests go on until then).

--- a/internal/common/clock/pause.go
+++ b/internal/common/clock/pause.go
@@ -31,6 +31,11 @@
 	return interval
 }
 
+// Restart excludes the time since the last tick, in which the task waited for an answer.
+func (detector *PauseDetector) Restart() {
+	detector.lastTick = detector.now()
+}
+
 // Observe is called at the start of each tick. It returns how long this process was paused since the previous tick, or
 // 0 if the tick is on time.
 func (detector *PauseDetector) Observe() time.Duration {
--- a/internal/common/clock/pause_test.go
+++ b/internal/common/clock/pause_test.go
@@ -35,6 +35,11 @@
 				now += tick.asleep
 				expect.Expect(detector.Observe()).To(gomega.Equal(tick.pause))
 			}
+			now += time.Second
+			detector.Restart()
+			detector.Schedule(interval)
+			now += interval
+			expect.Expect(detector.Observe()).To(gomega.BeZero(), "the task waited for an answer")
 			detector.Schedule(5 * interval)
 			now += 5 * interval
 			expect.Expect(detector.Observe()).To(gomega.BeZero(), "a longer interval is no pause")
--- a/internal/fleet/leadership/leadership.go
+++ b/internal/fleet/leadership/leadership.go
@@ -127,6 +127,14 @@
 	elector.cooldownUntil = elector.now() + refusalCooldown
 }
 
+// RecordPause records that this process did not run for a span that ends now. The span does not count as time without
+// a leader.
+func (elector *Elector) RecordPause(pause time.Duration) {
+	elector.mu.Lock()
+	defer elector.mu.Unlock()
+	elector.leaderlessSince = clock.AfterPause(elector.leaderlessSince, pause, elector.now())
+}
+
 // TryTakeOver takes a new term if it is this node's turn, and returns true if it took one. Peers are the nodes heard
 // from recently; eligible says whether this node is able to send orders.
 func (elector *Elector) TryTakeOver(peers []Peer, eligible bool) bool {
--- a/internal/fleet/leadership/leadership_test.go
+++ b/internal/fleet/leadership/leadership_test.go
@@ -102,3 +102,21 @@
 		expect.Expect(terms[2]).To(gomega.BeNumerically(">", terms[1]+leadership.TermSpacing))
 	})
 }
+
+// Guards against a node that was stopped for a while and takes over from a leader that it could not hear: it counts the
+// time in which it did not run as time without a leader.
+func TestPauseIsNoTimeWithoutLeader(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Hour
+	elector := leadership.New(7, func() (storelog.Position, error) { return storelog.Position{Offset: 3}, nil }, func() time.Duration { return now })
+	tick := func(pause time.Duration) bool {
+		if now += 100*time.Millisecond + pause; pause > 0 {
+			elector.RecordPause(pause)
+		}
+		return elector.TryTakeOver(nil, true)
+	}
+	expect.Expect(tick(0)).To(gomega.BeFalse())
+	expect.Expect(tick(2 * time.Second)).To(gomega.BeFalse())
+	expect.Expect(tick(2 * time.Second)).To(gomega.BeFalse())
+	expect.Expect(tick(0)).To(gomega.BeTrue(), "the time before and between the pauses counts")
+}
--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -359,6 +359,9 @@
 // updateLeadership makes this node leader when it is its turn, yields the leadership when this node can't
 // give orders, and advances the heartbeat while this node is leader.
 func (node *Node) updateLeadership() {
+	node.observeLeadershipPause()
+	// A claim of a term waits for the store.
+	defer node.leadershipPauses.Restart()
 	eligible := node.peers.overlay.Role() == overlay.Root && node.servers.Load().Known() && node.Ready() == nil &&
 		node.now()-node.startedAt > leadershipStartDelay && !node.cannotReachEngines()
 	candidates := node.peers.leaderCandidates()
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -123,9 +123,9 @@
 	stopping             atomic.Bool
 	announcementsApplied atomic.Uint64
 	pathsLost            atomic.Uint64
-	// watchPauses detects pauses of this process, and pauses counts them.
-	watchPauses *clock.PauseDetector
-	pauses      atomic.Uint64
+	// watchPauses and leadershipPauses detect pauses of this process, each for its own task. pauses counts them.
+	watchPauses, leadershipPauses *clock.PauseDetector
+	pauses                        atomic.Uint64
 	// storedSuspectsLost is set when the store may have lost the suspects written to it.
 	storedSuspectsLost atomic.Bool
 
@@ -192,7 +192,7 @@
 		option(node)
 	}
 	node.storeCalls = store.NewCallTracker(store.Clock(node.now), store.OnOutageStart(node.storeBecameUnavailable), store.OnOutageEnd(node.storeRecovered), store.OnHungCall(node.logHungStoreCall))
-	node.watchPauses = clock.NewPauseDetector(node.now)
+	node.watchPauses, node.leadershipPauses = clock.NewPauseDetector(node.now), clock.NewPauseDetector(node.now)
 	node.drains, node.warmups = drain.New(drain.Clock(node.now)), warmup.NewColdTable(node.now)
 	node.servers = roster.New(roster.Draining(func(id string, born int64) bool {
 		return node.notices.Draining(ratelimit.Run{Server: id, Born: born})
@@ -328,7 +328,7 @@
 	node.follower.Start()
 	node.GoNamed("targets", node.runTargetUpdates)
 	node.RepeatNamed("watch", node.scheduleWatch, node.watch)
-	node.RepeatNamed("tenure", node.leafAwareInterval(leadershipInterval), node.updateLeadership)
+	node.RepeatNamed("tenure", node.scheduleLeadership, node.updateLeadership)
 	node.EveryNamed("sweep", time.Second, node.sweep)
 	node.RepeatNamed("retries", node.leafAwareInterval(retryTotalInterval), node.peers.updateRetryTotals)
 	node.GoNamed("suspects", node.runSuspectSync)
--- a/internal/run/gateway/pauses_test.go
+++ b/internal/run/gateway/pauses_test.go
@@ -11,8 +11,10 @@
 	"github.com/onsi/gomega"
 
 	"hazelslip/internal/fleet/detour"
+	"hazelslip/internal/fleet/leadership"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/pathhealth"
+	"hazelslip/internal/wire/frame"
 )
 
 // jumpingClock is a clock that a test moves on, as it jumps for a process that was stopped.
@@ -107,3 +109,24 @@
 		})
 	}
 }
+
+// Guards against a node that was stopped for a while and believes that the leader is gone, because it has heard no
+// heartbeat meanwhile.
+func TestPausedNodeKeepsItsLeader(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	jumping := newJumpingClock()
+	node := idleNode(t, Clock(jumping.now))
+	node.peers.handleLeader(&frame.Holder{Term: 8192, Beat: 7})
+	tick := func(pause time.Duration) {
+		jumping.advance(node.scheduleLeadership() + pause)
+		node.updateLeadership()
+	}
+	leader := leadership.Peer{Term: 8192}
+	tick(0)
+	tick(3 * time.Second)
+	expect.Expect(node.peers.leaderCandidates()).To(gomega.ContainElement(leader))
+	for range 8 {
+		tick(0)
+	}
+	expect.Expect(node.peers.leaderCandidates()).To(gomega.BeEmpty(), "the silence of the leader counts while the node runs")
+}
