test(soak): nodes on a machine that is short of processor time

A node that isn't scheduled for a moment takes all its servers for silent, and is silent itself to other nodes. The soak never brought that about: nodes have a processor for themselves on most machines.

They are killed by their own process handles when the faults have ended, end by themselves 30 s after the length of the plan, and die with the soak.

No busy process was left.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -19,18 +19,24 @@
 	Seeds    int           `default:"1" help:"Number of plans to run one after the other, with consecutive seeds."`
 	Length   time.Duration `default:"20s" help:"Time during which faults are injected, for each plan."`
 	Nodes    int           `default:"4" help:"Number of nodes."`
+	Busy     int           `default:"0" help:"Number of busy processes beside the nodes while faults are injected. More than there are cores starve the nodes."`
+	Spin     time.Duration `default:"0s" hidden:"" help:"Keep one processor busy for this time and do nothing else, as a busy process does."`
 	BasePort int           `default:"23000" help:"First port. The same ports are used on several loopback addresses."`
 	Keep     string        `default:"" type:"path" help:"Folder for the logs of plans that violated a guarantee; the system's temporary folder if empty."`
 }
 
 // Help gives an example.
 func (command *soakCommand) Help() string {
-	return "Example:\n  hazelslip soak --seed 7 --length 30s\n  hazelslip soak --seed 100 --seeds 50 --keep failed\n\n" +
+	return "Example:\n  hazelslip soak --seed 7 --length 30s\n  hazelslip soak --seed 100 --seeds 50 --keep failed\n  hazelslip soak --seed 2 --busy 24\n\n" +
 		"The command runs gateways as processes of this program and ends only processes that it started."
 }
 
 // Run runs the plans and fails if any plan violated a guarantee.
 func (command *soakCommand) Run(outputs *outputs) error {
+	if command.Spin > 0 {
+		soak.Spin(command.Spin)
+		return nil
+	}
 	program, err := os.Executable()
 	if err != nil {
 		return errors.Wrap(err, "find the path of this program")
@@ -60,7 +66,7 @@
 		return false, errors.Wrap(err, "create a folder for logs")
 	}
 	report, err := soak.Run(ctx, soak.Options{
-		Program: program, Seed: seed, Length: command.Length, Nodes: command.Nodes, BasePort: command.BasePort, Folder: folder, Out: outputs.Out,
+		Program: program, Seed: seed, Length: command.Length, Nodes: command.Nodes, Busy: command.Busy, BasePort: command.BasePort, Folder: folder, Out: outputs.Out,
 	})
 	switch {
 	case errors.Is(err, soak.ErrOptions):
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -20,8 +20,11 @@
 // The package checks guarantees, not performance.
 //
 // Plans of odd seeds draw from all kinds of faults. Plans of even seeds consist of planned work and of
-// silences of servers that go on afterwards, in overlapping series: nothing in them excuses a response that
-// is cut.
+// silences of servers that go on afterwards, in overlapping series: no server fails and no link is cut, so
+// that a response that is cut is lost unless its time was over.
+//
+// Options.Busy starves the nodes of processor time while faults are injected. They then fall silent
+// themselves, and servers seem silent to them.
 //
 // The seed determines the whole plan, which is printed first. The package ends only processes
 // that it started, by their process IDs. Those processes die with it.
@@ -56,6 +59,8 @@
 	// Length is the time during which faults are injected.
 	Length time.Duration
 	Nodes  int
+	// Busy is the number of processes that compete with the nodes for processors while faults are injected.
+	Busy int
 	// BasePort is the first port. The same ports are used on several loopback addresses.
 	BasePort int
 	// Folder receives the settings and logs of all processes.
@@ -86,6 +91,8 @@
 	switch {
 	case options.Nodes < 1 || options.Nodes > maxNodes:
 		return errors.Wrapf(ErrOptions, "%d nodes, must be 1 to %d", options.Nodes, maxNodes)
+	case options.Busy < 0 || options.Busy > maxBusy:
+		return errors.Wrapf(ErrOptions, "%d busy processes, must be 0 to %d", options.Busy, maxBusy)
 	case options.Length < time.Second || options.Length > time.Hour:
 		return errors.Wrapf(ErrOptions, "length %s, must be 1 s to 1 h", options.Length)
 	case options.BasePort < 1024 || options.BasePort > maxBasePort:
@@ -185,6 +192,11 @@
 }
 
 func (runner *runner) execute(ctx context.Context, plan Plan) (Report, error) {
+	busy, err := startBusy(runner.options)
+	if err != nil {
+		return Report{}, err
+	}
+	defer busy.stop()
 	watchCtx, stopWatching := context.WithCancel(ctx)
 	defer stopWatching()
 	watchers := conc.WaitGroup{}
@@ -216,6 +228,7 @@
 		injections.Go(func() { runner.inject(ctx, fault) })
 	}
 	injections.Wait()
+	busy.stop()
 	stopNotices()
 	announcers.Wait()
 	if ctx.Err() == nil && !runner.waitUntilAllServe("last", recoveryTimeout) {
--- a/internal/run/soak/soak_test.go
+++ b/internal/run/soak/soak_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -103,6 +105,8 @@
 	expect.Expect(valid.Check()).To(gomega.Succeed())
 	for _, change := range []func(options *Options){
 		func(options *Options) { options.Nodes = 0 },
+		func(options *Options) { options.Busy = -1 },
+		func(options *Options) { options.Busy = maxBusy + 1 },
 		func(options *Options) { options.Length = 0 },
 		func(options *Options) { options.BasePort = 80 },
 		func(options *Options) { options.Program = "/nowhere" },
@@ -132,3 +136,20 @@
 	expect.Expect(checkLimits("l-1", seen)).To(gomega.HaveLen(1))
 	expect.Expect(checkLimits("l-2", seen)).To(gomega.BeEmpty())
 }
+
+// Busy processes of a soak test must not outlive it: they would slow everything else on the machine down.
+func TestBusyProcessesEnd(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	program := filepath.Join(t.TempDir(), "busy")
+	expect.Expect(os.WriteFile(program, []byte("#!/bin/sh\nexec sleep 60\n"), 0o700)).To(gomega.Succeed())
+	busy, err := startBusy(Options{Program: program, Busy: 3, Length: time.Second})
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	started := busy.running
+	expect.Expect(started).To(gomega.HaveLen(3))
+	busy.stop()
+	for _, command := range started {
+		expect.Expect(command.ProcessState.String()).To(gomega.Equal("signal: killed"))
+	}
+	_, err = startBusy(Options{Program: "/nowhere", Busy: 1})
+	expect.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("start a busy process")))
+}
