fix(formation): a silent member is no lost member

What callers saw: answers were cut in the middle although the servers were sound. The leader asked the members of a suspected group once, for 0.15 s. Who didn't reply counted as lost; the others were ordered to leave, which can't be taken back, and all nodes ended the streams there. A process that is paused for 0.2 s lost its group.

Cause: one report without a reply was taken for a proof.

A paused process closes none. - No connection: up to six reference servers are asked in the same round, half of them of the same data centre. All accept: lost at once. Most: lost after three such rounds in a row. Otherwise the network or this node is to blame. - A connection without a reply is never a proof. The members are asked again, with pauses from 100 to 600 ms, until they reply, a proof comes, or the stall timeout has passed, after which a group breaks by itself. Then one group of a model at a time may be ended, within one stall timeout. - A round that ended more than 50 ms late by this node's clock is void, and so are rounds before a longer sleep of this node. - Reference servers are asked only where a connection isn't accepted within 30 ms; rounds that had begun before share the answers. - Only members found lost are excluded, until they reply again. The order in which a group is ended, and when its members are released, is unchanged.

Differs from a plain reading of "not listed is lost": an entry without heartbeats goes after three intervals, which a pause outlasts, so a member without an entry is asked at its last address.

Tests: the fake of the package now has connections: a killed server or one behind a partition times out, as measured on real ones, a paused one accepts. Bounds of existing tests are unchanged. Random faults and schedules of faults have paused servers whose orders are carried out late.

TestGroupThatIsLostAloneIsEndedAtOnce: within 0.16 s, as before.

--- a/internal/fleet/formation/controller.go
+++ b/internal/fleet/formation/controller.go
@@ -37,8 +37,10 @@
 	// force.
 	InBackoff func(server *roster.Server) bool
 	Bounds    Bounds
-	Now       clock.Now
-	Logger    *slog.Logger
+	// Random chooses reference servers. By default it has a random seed.
+	Random *rand.Rand
+	Now    clock.Now
+	Logger *slog.Logger
 }
 
 const (
@@ -91,7 +93,7 @@
 	// groupsInWork holds the groups that are being examined, ended or opened.
 	groupsInWork map[string]bool
 	// lastComplete holds each group as the server list last showed it complete, by name.
-	lastComplete map[string]Group
+	lastComplete map[string]*ListedGroup
 	// foundCompleteAt is when a group was last examined and found complete.
 	foundCompleteAt map[string]time.Duration
 	// transientSince is when a group was first seen in a state that should be transient.
@@ -114,10 +116,13 @@
 	// retiringForOther is set while a group is being ended so that its servers can form a group of
 	// another model.
 	retiringForOther atomic.Bool
-	// examinations counts the groups that are being examined.
-	examinations atomic.Int64
-	epochCounter int64
-	epochTerm    int64
+	// examining holds the groups that are being examined.
+	examining map[string]Group
+	// referenceQuestions holds the last question to reference servers for each data centre.
+	referenceQuestions map[string]*referenceQuestion
+	suspicionLimit     suspicionLimit
+	epochCounter       int64
+	epochTerm          int64
 
 	Counts Counts
 }
@@ -141,9 +146,13 @@
 		Component: lifecycle.New("former"), Dependencies: dependencies,
 		joining: map[string]string{}, staging: map[string]string{}, lost: map[string]exclusion{}, settling: map[string]exclusion{}, forming: map[string]Group{},
 		groupsInWork: map[string]bool{}, planLoggedAt: map[string]time.Duration{}, foundCompleteAt: map[string]time.Duration{}, transientSince: map[string]time.Duration{},
-		lastComplete: map[string]Group{}, usageAverages: map[string]usageAverage{}, lastModels: map[string]string{}, headLeft: map[string]bool{}, plannedLayouts: map[string]map[string]int{},
+		lastComplete: map[string]*ListedGroup{}, examining: map[string]Group{}, referenceQuestions: map[string]*referenceQuestion{},
+		usageAverages: map[string]usageAverage{}, lastModels: map[string]string{}, headLeft: map[string]bool{}, plannedLayouts: map[string]map[string]int{},
 	}
 	controller.loadLimiter.now = dependencies.Now
+	if controller.Random == nil {
+		controller.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	return controller
 }
 
@@ -336,8 +345,28 @@
 	}
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	group, ok := controller.lastComplete[name]
-	return group, ok
+	listed, ok := controller.lastComplete[name]
+	if !ok {
+		return Group{}, false
+	}
+	return listed.Group, true
+}
+
+// lastMember returns a member of a group as the server list last showed the group complete, or nil if it
+// never did.
+func (controller *Controller) lastMember(group, id string) *roster.Server {
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	listed, ok := controller.lastComplete[group]
+	if !ok {
+		return nil
+	}
+	for _, server := range listed.ByRank {
+		if server.ID == id {
+			return server
+		}
+	}
+	return nil
 }
 
 // reserve reserves all servers of a step, or none if one of them is reserved already. Staging has
--- a/internal/fleet/formation/evidence.go
+++ b/internal/fleet/formation/evidence.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,10 +27,15 @@
 	NotInGroup Response = "NotInGroup"
 	// OtherRun means that the member's process has restarted.
 	OtherRun Response = "OtherRun"
-	// Unlisted means that the member is not in the server list.
+	// OtherServer means that another server has the member's address.
+	OtherServer Response = "OtherServer"
+	// Unlisted means that the member is not in the server list and accepts no connection.
 	Unlisted Response = "Unlisted"
 	// ConnectionRefused means that the member's host refused or reset a new connection.
 	ConnectionRefused Response = "ConnectionRefused"
+	// ConnectionReset means that a new connection was accepted, and the connection of the report was closed
+	// before any reply. A paused process closes none.
+	ConnectionReset Response = "ConnectionReset"
 	// NoConnection means that a new connection timed out or failed in another way.
 	NoConnection Response = "NoConnection"
 	// NoReply means that a new connection was accepted and the report didn't arrive, or that there is no
@@ -36,100 +43,160 @@
 	NoReply Response = "NoReply"
 )
 
-// connectDelay is how long a report may take before a connection is opened as well. Reports arrive
-// within a few milliseconds, so that servers without a fault cost no new connection.
+// connectDelay is how long a report may take before a connection is opened as well, and how long that
+// may take before reference servers are asked. Either arrives within a few milliseconds, so that servers
+// without a fault cost no new connection.
 const connectDelay = 30 * time.Millisecond
 
-// requestResponses requests reports from the members of a group, and opens a new connection to each
-// member that doesn't reply at once. A report may be sent over a kept connection, which doesn't tell
-// a host without power from a process that is paused.
-func (controller *Controller) requestResponses(group Group) []Response {
-	responses := make([]Response, len(group.Members))
-	waiters := conc.WaitGroup{}
-	for index, id := range group.Members {
-		server, ok := controller.Servers().Servers[id]
-		if !ok {
-			responses[index] = Unlisted
-			continue
-		}
-		waiters.Go(func() { responses[index] = controller.requestResponse(group, server) })
+// answer is a member's response, with its report if it replied.
+type answer struct {
+	Response
+	report Report
+}
+
+// question is one question to the members of a group while it is under way.
+type question struct {
+	group     Group
+	startedAt time.Duration
+	// askReferences is called once a member's connection is in doubt.
+	askReferences func(dataCentre string)
+}
+
+// requestRound asks servers of a group for reports. Whoever doesn't reply at once is sent a new
+// connection as well: a report may go over a kept connection, which doesn't tell a host without power
+// from a process that is paused.
+func (controller *Controller) requestRound(group Group, ids []string) (*round, []answer) {
+	asked := &round{startedAt: controller.Now()}
+	answers := make([]answer, len(ids))
+	once, members, referenceWaiters := sync.Once{}, conc.WaitGroup{}, conc.WaitGroup{}
+	asking := &question{group: group, startedAt: asked.startedAt, askReferences: func(dataCentre string) {
+		once.Do(func() {
+			referenceWaiters.Go(func() { asked.references = controller.requestReferences(dataCentre, asked.startedAt) })
+		})
+	}}
+	for index, id := range ids {
+		members.Go(func() { answers[index] = controller.requestAnswer(asking, id) })
+	}
+	members.Wait()
+	asked.took = controller.Now() - asked.startedAt
+	referenceWaiters.Wait()
+	for _, answer := range answers {
+		asked.responses = append(asked.responses, answer.Response)
 	}
-	waiters.Wait()
-	return responses
+	return asked, answers
 }
 
-func (controller *Controller) requestResponse(group Group, server *roster.Server) Response {
+// requestAnswer asks one server of a group. A server that is not listed any more is asked at its last
+// address: its process may be paused for longer than the registry keeps an entry without heartbeats.
+func (controller *Controller) requestAnswer(asking *question, id string) answer {
+	server, listed := controller.Servers().Servers[id]
+	if !listed {
+		if server = controller.lastMember(asking.group.Name, id); server == nil {
+			return answer{Response: Unlisted}
+		}
+	}
 	ctx, cancel := controller.ContextWithTimeout(callTimeout)
 	defer cancel()
-	replied := make(chan struct{})
+	ended := make(chan struct{})
+	replied := false
 	var connectErr error
 	connecting := conc.WaitGroup{}
-	connecting.Go(func() { connectErr = controller.connectUnlessReplied(ctx, server, replied) })
+	connecting.Go(func() {
+		if controller.Connect == nil || waitFor(ended, connectDelay) && replied {
+			return
+		}
+		connectErr = controller.connect(ctx, asking, server)
+	})
 	controller.Counts.Reports.Add(1)
 	report, err := controller.Report(ctx, server)
-	if err == nil || errors.Is(err, ErrRefused) {
-		close(replied)
+	replied = err == nil || errors.IsAny(err, ErrRefused, ErrOtherServer)
+	close(ended)
+	connecting.Wait()
+	found := answer{Response: memberResponse(asking.group, server, &report, err, connectErr), report: report}
+	if !listed && found.Response == NoConnection {
+		found.Response = Unlisted
+	}
+	if found.isReply() {
+		controller.endExclusion(server)
+	}
+	return found
+}
+
+// waitFor waits until the channel is closed and returns true, or returns false after the timeout.
+func waitFor(done <-chan struct{}, timeout time.Duration) bool {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
+// connect opens a new connection to a server. Reference servers are asked if it isn't accepted at once.
+func (controller *Controller) connect(ctx context.Context, asking *question, server *roster.Server) error {
+	ended := make(chan struct{})
+	var connectErr error
+	connecting := conc.WaitGroup{}
+	connecting.Go(func() {
+		defer close(ended)
+		connectErr = controller.Connect(ctx, server)
+	})
+	if !waitFor(ended, connectDelay) || connectErr != nil {
+		asking.askReferences(server.DataCentre)
 	}
 	connecting.Wait()
+	return connectErr
+}
+
+// memberResponse classifies the result of a report request, and of a new connection if there was no reply.
+func memberResponse(group Group, server *roster.Server, report *Report, err, connectErr error) Response {
+	inGroup := report.Group.Name == group.Name && report.Group.State != roster.Broken
+	// A list entry that shows the server in the group tells which run of its process joined. An older entry
+	// doesn't, and neither does a report without a start time.
+	otherRun := report.Born != 0 && report.Born != server.Born && (!inGroup || server.Group.Name == group.Name)
 	switch {
 	case errors.Is(err, ErrRefused):
 		return RequestRefused
+	case errors.Is(err, ErrOtherServer):
+		return OtherServer
+	case err != nil && connectErr == nil && errors.IsAny(err, syscall.ECONNRESET, io.EOF, io.ErrUnexpectedEOF):
+		return ConnectionReset
 	case err != nil:
 		return connectResponse(connectErr)
-	case report.Group.Name != group.Name || report.Group.State == roster.Broken:
-		if report.Born != server.Born {
-			return OtherRun
-		}
+	case otherRun:
+		return OtherRun
+	case !inGroup:
 		return NotInGroup
 	}
 	return InGroup
 }
 
-// connectUnlessReplied opens a new connection to a server that has not replied within connectDelay.
-func (controller *Controller) connectUnlessReplied(ctx context.Context, server *roster.Server, replied <-chan struct{}) error {
-	if controller.Connect == nil {
-		return nil
-	}
-	timer := time.NewTimer(connectDelay)
-	defer timer.Stop()
-	select {
-	case <-replied:
-		return nil
-	case <-timer.C:
-		return controller.Connect(ctx, server)
-	}
-}
-
-// connectResponse classifies the result of a new connection to a member without a reply.
+// connectResponse classifies the result of a new connection to a server without a reply.
 func connectResponse(err error) Response {
 	switch {
 	case err == nil:
 		return NoReply
-	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+	case errors.IsAny(err, syscall.ECONNREFUSED, syscall.ECONNRESET):
 		return ConnectionRefused
 	}
 	return NoConnection
 }
 
-// evidence is what an examination of a group has found.
-type evidence struct {
-	responses []Response
-	// asked is how often the members were asked, since startedAt.
-	asked     int
-	startedAt time.Duration
-}
-
 // maxLoggedMembers bounds the members whose responses are logged.
 const maxLoggedMembers = 16
 
-// attributes returns the log attributes of the evidence.
-func (controller *Controller) evidenceAttributes(group Group, found evidence) []any {
+// evidenceAttributes returns the log attributes of what the members said last, and of how often and how
+// long they were asked.
+func (controller *Controller) evidenceAttributes(examined *examination) []any {
 	said := []slog.Attr{}
-	for index, response := range found.responses[:min(len(found.responses), maxLoggedMembers)] {
-		said = append(said, slog.String(group.Members[index], string(response)))
+	last := examined.last
+	for index, response := range last.responses[:min(len(last.responses), maxLoggedMembers)] {
+		said = append(said, slog.String(examined.group.Members[index], string(response)))
 	}
 	return []any{
-		slog.GroupAttrs("Evidence", said...), "Asked", found.asked,
-		"Milliseconds", (controller.Now() - found.startedAt).Milliseconds(), "OthersExamined", controller.examinations.Load() - 1,
+		slog.GroupAttrs("Evidence", said...), "Asked", examined.rounds, "Milliseconds", (controller.Now() - examined.startedAt).Milliseconds(),
+		"ReferencesAsked", last.references.asked, "ReferencesReached", last.references.reached, "OthersExamined", controller.examinedGroups() - 1,
 	}
 }
--- a/internal/fleet/formation/evidence_test.go
+++ b/internal/fleet/formation/evidence_test.go
@@ -2,23 +2,34 @@
 
 import (
 	"bytes"
-	"context"
 	"encoding/json"
 	"log/slog"
-	"os"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
-
-	"hazelslip/internal/fleet/roster"
 )
 
+// logBuffer holds what a controller logs.
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (logged *logBuffer) Write(line []byte) (int, error) {
+	logged.mu.Lock()
+	defer logged.mu.Unlock()
+	return logged.buffer.Write(line)
+}
+
 // lines returns the logged lines with the given message.
-func lines(logged *bytes.Buffer, message string) []map[string]any {
+func lines(logged *logBuffer, message string) []map[string]any {
+	logged.mu.Lock()
+	defer logged.mu.Unlock()
 	found := []map[string]any{}
-	for line := range bytes.Lines(logged.Bytes()) {
+	for line := range bytes.Lines(logged.buffer.Bytes()) {
 		attributes := map[string]any{}
 		if json.Unmarshal(line, &attributes) == nil && attributes["msg"] == message {
 			found = append(found, attributes)
@@ -33,12 +44,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
 		fleet := newFleet(2, 1, 7, 1)
-		node, logged := fleet.nodes[0], &bytes.Buffer{}
+		node, logged := fleet.nodes[0], &logBuffer{}
 		node.controller.Logger = slog.New(slog.NewJSONHandler(logged, nil))
-		node.controller.Connect = func(ctx context.Context, _ *roster.Server) error {
-			<-ctx.Done()
-			return os.ErrDeadlineExceeded
-		}
 		node.setTerm(4096)
 		time.Sleep(8 * time.Second)
 		group := servingGroupOf(node, "large")
--- a/internal/fleet/formation/exclusions.go
+++ b/internal/fleet/formation/exclusions.go
@@ -48,21 +48,30 @@
 func (controller *Controller) recordCompleteGroups(listed []*ListedGroup) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	complete := make(map[string]Group, len(listed))
+	completeGroups := make(map[string]*ListedGroup, len(listed))
 	for _, group := range listed {
 		if group.Complete() {
-			complete[group.Name] = group.Group
+			completeGroups[group.Name] = group
 		} else if previous, ok := controller.lastComplete[group.Name]; ok {
-			complete[group.Name] = previous
+			completeGroups[group.Name] = previous
 		}
 	}
-	controller.lastComplete = complete
+	controller.lastComplete = completeGroups
 }
 
 func (controller *Controller) excludeLost(id string) {
 	controller.exclude(controller.lost, id, lostExclusion)
 }
 
+// endExclusion ends the exclusion of a lost server whose same run replies again.
+func (controller *Controller) endExclusion(server *roster.Server) {
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	if controller.lost[server.ID].startedAt == server.Born {
+		delete(controller.lost, server.ID)
+	}
+}
+
 // excludeSettling excludes a server with an outdated report for a short time.
 func (controller *Controller) excludeSettling(id string) {
 	controller.exclude(controller.settling, id, settlingExclusion)
--- a/internal/fleet/formation/fault_schedules_test.go
+++ b/internal/fleet/formation/fault_schedules_test.go
@@ -37,9 +37,10 @@
 	clearServerFaults       event = "server faults end"
 	restartServer           event = "server 1 restarts under the same ID"
 	suspectGroup            event = "serving groups are suspected of a stall"
+	pauseServer             event = "server 0's process is paused and then carries out the orders it got"
 )
 
-var events = []event{partitionNodes, healPartition, storeUnavailable, storeAvailable, storeRestoredFromBackup, loseReplies, delayOrders, clearServerFaults, restartServer, suspectGroup}
+var events = []event{partitionNodes, healPartition, storeUnavailable, storeAvailable, storeRestoredFromBackup, loseReplies, delayOrders, clearServerFaults, restartServer, suspectGroup, pauseServer}
 
 // termLog is the platform store's log of claimed terms.
 type termLog struct {
@@ -189,6 +190,8 @@
 		cluster.SetFaults(serverID(1), backends.Faults{})
 	case restartServer:
 		cluster.Restart(serverID(1))
+	case pauseServer:
+		simulation.fleet.pauses.pause(serverID(0), pauseTime)
 	case suspectGroup:
 		for _, node := range simulation.fleet.nodes {
 			if group := servingGroupOf(node, "small"); group.Name != "" {
@@ -203,6 +206,8 @@
 	// for orders to be completed after the last event.
 	formationTime = 3500 * time.Millisecond
 	drainTime     = 8 * time.Second
+	// pauseTime is longer than the orders to a server are repeated.
+	pauseTime = 2500 * time.Millisecond
 	// eventInterval is longer than a node takes to notice that the leader is gone.
 	eventInterval = 1100 * time.Millisecond
 )
--- a/internal/fleet/formation/formation.go
+++ b/internal/fleet/formation/formation.go
@@ -143,6 +143,10 @@
 // refusal. Test for it with errors.Is.
 var ErrRefused = errors.New("server refused the report request or order")
 
+// ErrOtherServer marks the error of a report request that another server at the address answered. Test
+// for it with errors.Is.
+var ErrOtherServer = errors.New("another server has the address")
+
 // ServerClient requests reports from servers and sends them orders.
 type ServerClient struct {
 	Report func(ctx context.Context, server *roster.Server) (Report, error)
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"os"
 	"sort"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -57,16 +60,43 @@
 	// backoff. requestsRefused counts the requests and orders that it got.
 	refusingServer  atomic.Pointer[string]
 	requestsRefused atomic.Int64
+	// connections counts the connections that the leader opened in addition to its requests and orders.
+	connections atomic.Int64
+	// refusesConnections reports whether a server's host refuses connections. Nil stands for no server.
+	refusesConnections atomic.Pointer[func(id string) bool]
+	pauses             *pauses
 }
 
+// pauses holds the servers whose processes are paused. Their hosts accept connections meanwhile.
+type pauses struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// pause pauses a server's process.
+func (pauses *pauses) pause(id string, span time.Duration) {
+	pauses.mu.Lock()
+	defer pauses.mu.Unlock()
+	pauses.until[id] = time.Now().Add(span)
+}
+
+// left returns how long a server's process is still paused.
+func (pauses *pauses) left(id string) time.Duration {
+	pauses.mu.Lock()
+	defer pauses.mu.Unlock()
+	return time.Until(pauses.until[id])
+}
+
+var errPaused = errors.New("no response from the paused server")
+
 // isRefusing reports whether a server refuses all requests.
 func (node *node) isRefusing(id string) bool {
 	refusing := node.refusingServer.Load()
 	return refusing != nil && *refusing == id
 }
 
-func newNode(name string, cluster *backends.Cluster, now clock.Now) *node {
-	created := &node{name: name, cluster: cluster, list: roster.New()}
+func newNode(name string, cluster *backends.Cluster, now clock.Now, pauses *pauses) *node {
+	created := &node{name: name, cluster: cluster, list: roster.New(), pauses: pauses}
 	created.view = formation.NewView(now, formation.WithServerList(created.list.Load))
 	logger := slog.New(slog.DiscardHandler)
 	if os.Getenv("HAZELSLIP_LOG") != "" {
@@ -75,16 +105,26 @@
 	created.controller = formation.New(formation.Dependencies{
 		FedByUpstream: func() bool { return false },
 		ServerClient: formation.ServerClient{
-			Report: func(_ context.Context, server *roster.Server) (formation.Report, error) {
+			Report: func(ctx context.Context, server *roster.Server) (formation.Report, error) {
 				time.Sleep(time.Millisecond)
+				if created.pauses.left(server.ID) > 0 {
+					<-ctx.Done()
+					return formation.Report{}, errPaused
+				}
 				if created.isRefusing(server.ID) {
 					created.requestsRefused.Add(1)
 					return formation.Report{}, formation.ErrRefused
 				}
 				return cluster.Report(name, server.ID)
 			},
-			Order: func(_ context.Context, server *roster.Server, order formation.Order) (formation.Result, error) {
+			Order: func(ctx context.Context, server *roster.Server, order formation.Order) (formation.Result, error) {
 				time.Sleep(time.Millisecond)
+				if left := created.pauses.left(server.ID); left > 0 {
+					// The process reads the order once it runs again.
+					time.AfterFunc(left, func() { _, _ = cluster.Order(name, server.ID, order) })
+					<-ctx.Done()
+					return formation.Invalid, errPaused
+				}
 				if created.isRefusing(server.ID) {
 					created.requestsRefused.Add(1)
 					return formation.Invalid, formation.ErrRefused
@@ -94,6 +134,7 @@
 				}
 				return cluster.Order(name, server.ID, order)
 			},
+			Connect: created.connect,
 		},
 		View: created.view, Servers: created.list.Load,
 		Services: func() []formation.Service { return []formation.Service{{Name: service, Engine: engine()}} },
@@ -104,11 +145,27 @@
 		Bounds: formation.Bounds{
 			StallTimeout: 6 * time.Second, LoadWindow: 5 * time.Second, LoadBurstFactor: 1.1,
 		},
-		Now: now, Logger: logger,
+		Random: rand.New(rand.NewPCG(1, uint64(len(name)))),
+		Now:    now, Logger: logger,
 	})
 	return created
 }
 
+// connect opens a connection to a server. A paused process is connected to, a server without power or behind a
+// partition is not.
+func (node *node) connect(ctx context.Context, server *roster.Server) error {
+	node.connections.Add(1)
+	time.Sleep(time.Millisecond)
+	if refuses := node.refusesConnections.Load(); refuses != nil && (*refuses)(server.ID) {
+		return syscall.ECONNREFUSED
+	}
+	if _, err := node.cluster.Report(node.name, server.ID); err == nil {
+		return nil
+	}
+	<-ctx.Done()
+	return os.ErrDeadlineExceeded
+}
+
 func (node *node) currentTerm() int64 {
 	node.mu.Lock()
 	defer node.mu.Unlock()
@@ -160,6 +217,7 @@
 // fleet is a simulated cluster with nodes that read the server list every 0.8 s.
 type fleet struct {
 	cluster *backends.Cluster
+	pauses  *pauses
 	nodes   []*node
 	stop    []func()
 }
@@ -177,9 +235,9 @@
 			cluster.Add(fmt.Sprintf("i-%d-%02d", domain, index), "domain-"+strconv.Itoa(domain), "east", staged)
 		}
 	}
-	created := &fleet{cluster: cluster}
+	created := &fleet{cluster: cluster, pauses: &pauses{until: map[string]time.Time{}}}
 	for index := range count {
-		created.nodes = append(created.nodes, newNode("node-"+strconv.Itoa(index), cluster, now))
+		created.nodes = append(created.nodes, newNode("node-"+strconv.Itoa(index), cluster, now, created.pauses))
 	}
 	for _, node := range created.nodes {
 		for _, other := range created.nodes {
@@ -391,7 +449,7 @@
 	})
 }
 
-// Checks the guarantees under random faults. Servers die, are cut off from one node or the other,
+// Checks the guarantees under random faults. Servers die, are cut off from one node or the other, are paused,
 // lose replies and carry out orders up to twelve seconds late. The leader changes at any time, and
 // at times both nodes believe that they lead. No server may be taken out of a serving group, and no
 // head may serve before all its members were ready.
@@ -429,6 +487,9 @@
 	}
 	server := servers[step%len(servers)]
 	node := fleet.nodes[step/7%2]
+	if step%5 == 0 {
+		fleet.pauses.pause(server.ID, time.Duration(step%70)*100*time.Millisecond)
+	}
 	switch step % 11 {
 	case 0, 1:
 		fleet.cluster.Kill(server.ID)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -52,6 +52,9 @@
 			controller.Counts.Reports.Add(1)
 			report, err := controller.Report(ctx, server)
 			results[index] = reportResult{server: server, report: report, err: err}
+			if err == nil || errors.Is(err, ErrRefused) {
+				controller.endExclusion(server)
+			}
 		})
 	}
 	waiters.Wait()
@@ -73,6 +76,9 @@
 		cancel()
 		controller.Logger.Info("former: order sent.", "Server", server.ID, "Kind", order.Kind.String(),
 			"Group", order.Group, "Model", order.Model, "Term", order.Term, "Result", result.String(), "Error", errorText(err))
+		if err == nil || errors.Is(err, ErrRefused) {
+			controller.endExclusion(server)
+		}
 		switch {
 		case err == nil && result == Outdated:
 			controller.TermOutdated(order.Term)
@@ -94,35 +100,6 @@
 	return err.Error()
 }
 
-// examineGroup requests reports from all members of a group, and ends the group if one is missing.
-func (controller *Controller) examineGroup(term int64, group Group) {
-	controller.examinations.Add(1)
-	defer controller.examinations.Add(-1)
-	found := evidence{asked: 1, startedAt: controller.Now()}
-	found.responses = controller.requestResponses(group)
-	missing := []string{}
-	for index, response := range found.responses {
-		if response != InGroup && response != RequestRefused {
-			missing = append(missing, group.Members[index])
-		}
-	}
-	if len(missing) == 0 {
-		controller.mu.Lock()
-		controller.foundCompleteAt[group.Name] = controller.Now()
-		controller.mu.Unlock()
-		controller.Counts.FoundComplete.Add(1)
-		controller.Logger.Info("former: examined group is complete.", "Group", group.Name, "Model", group.Model)
-		return
-	}
-	controller.Counts.Lost.Add(1)
-	attributes := controller.evidenceAttributes(group, found)
-	controller.Logger.Warn("former: group lost members.", append([]any{"Group", group.Name, "Model", group.Model, "Members", missing}, attributes...)...)
-	for _, id := range missing {
-		controller.excludeLost(id)
-	}
-	controller.endGroup(term, group, missing, attributes...)
-}
-
 // missingMembers returns the given members that don't reply or are not in the group. A member that
 // refuses the request is alive and not missing.
 func (controller *Controller) missingMembers(group Group, ids []string) []string {
@@ -267,8 +244,12 @@
 // after all, the group's streams stall, and each node moves its own streams.
 func (controller *Controller) retireUnlisted(term int64, listed Group) {
 	controller.mu.Lock()
-	group, known := controller.lastComplete[listed.Name]
+	lastComplete, known := controller.lastComplete[listed.Name]
 	controller.mu.Unlock()
+	group := listed
+	if known {
+		group = lastComplete.Group
+	}
 	servers := controller.Servers().Servers
 	shown := slices.DeleteFunc(slices.Clone(group.Members), func(id string) bool { return servers[id] == nil })
 	if !known || len(shown) == len(group.Members) || len(controller.missingMembers(group, shown)) > 0 {
--- /dev/null
+++ b/internal/fleet/formation/silent_test.go
@@ -0,0 +1,309 @@
+package formation_test
+
+import (
+	"log/slog"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/fleet/formation"
+	"hazelslip/internal/fleet/roster"
+)
+
+// servingGroups returns the serving groups of a node.
+func servingGroups(node *node) []formation.Group {
+	return node.view.Serving(node.list.Load(), []formation.Service{{Name: service, Engine: engine()}})
+}
+
+// startLogged makes the first node of a fleet the leader and returns what it logs. The groups have formed on return.
+func startLogged(fleet *fleet) *logBuffer {
+	logged := &logBuffer{}
+	fleet.nodes[0].controller.Logger = slog.New(slog.NewJSONHandler(logged, nil))
+	fleet.nodes[0].setTerm(4096)
+	time.Sleep(8 * time.Second)
+	return logged
+}
+
+// Guards against ending a sound group because a member is silent for a moment. Its process is paused and its host
+// accepts connections. The group must stay open until the member replies again.
+func TestGroupWithAPausedMemberIsKept(t *testing.T) {
+	for _, rank := range []int{0, 2} {
+		for _, span := range []time.Duration{200 * time.Millisecond, time.Second, 5 * time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				fleet := newFleet(2, 1, 7, 1)
+				defer fleet.end()
+				node := fleet.nodes[0]
+				logged := startLogged(fleet)
+				group := servingGroupOf(node, "large")
+				expect.Expect(group.Members).To(gomega.HaveLen(4))
+				orders := node.controller.Counts.Orders.Load()
+				fleet.pauses.pause(group.Members[rank], span)
+				for range 4 {
+					node.controller.Suspect(group.Head(), group.Name)
+					time.Sleep(span / 4)
+				}
+				time.Sleep(time.Second)
+				expect.Expect(servingGroupOf(node, "large").Name).To(gomega.Equal(group.Name))
+				expect.Expect(node.controller.Counts.Lost.Load()).To(gomega.BeZero())
+				expect.Expect(node.controller.Counts.Orders.Load()).To(gomega.Equal(orders))
+				expect.Expect(lines(logged, "former: group kept while members are silent.")).To(gomega.HaveLen(1))
+				again := lines(logged, "former: examined group is complete, all members reply again.")
+				expect.Expect(again).To(gomega.HaveLen(1))
+				expect.Expect(again[0]["Milliseconds"]).To(gomega.BeNumerically(">=", span.Milliseconds()))
+				expect.Expect(again[0]["Milliseconds"]).To(gomega.BeNumerically("<", (span + 700*time.Millisecond).Milliseconds()))
+				expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
+			})
+		}
+	}
+}
+
+// Guards against ending many groups at once because a whole busy machine with their servers is silent for a moment.
+func TestAllGroupsAreKeptWhileAllServersArePaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		logged := startLogged(fleet)
+		before := servingGroups(node)
+		expect.Expect(len(before)).To(gomega.BeNumerically(">=", 7))
+		connections := node.connections.Load()
+		for _, server := range fleet.cluster.Servers(service) {
+			fleet.pauses.pause(server.ID, 4*time.Second)
+		}
+		for range 8 {
+			for _, group := range before {
+				node.controller.Suspect(group.Head(), group.Name)
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		expect.Expect(servingGroups(node)).To(gomega.Equal(before))
+		expect.Expect(node.controller.Counts.Lost.Load()).To(gomega.BeZero())
+		expect.Expect(lines(logged, "former: group kept while members are silent.")).To(gomega.HaveLen(len(before)))
+		// Eight rounds fit into the pause, each with one connection to each member, and none to a reference server.
+		expect.Expect(node.connections.Load() - connections).To(gomega.BeNumerically("<=", 8*30))
+	})
+}
+
+// Guards against a member that never replies again and whose host still accepts connections, as a process that is stuck.
+// Its group is ended once a group without it would have broken by itself. Of several such groups of a model, one is ended
+// within a stall timeout, since the servers may still only be paused.
+func TestGroupsWithStuckMembersAreEndedOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		stuck := []formation.Group{}
+		for _, group := range servingGroups(node) {
+			if group.Model == "small" && len(stuck) < 3 {
+				stuck = append(stuck, group)
+				fleet.pauses.pause(group.Members[1], time.Hour)
+				node.controller.Suspect(group.Head(), group.Name)
+			}
+		}
+		expect.Expect(stuck).To(gomega.HaveLen(3))
+		ended := func() int {
+			count := 0
+			for _, group := range stuck {
+				if node.view.HasEnded(group.Name) {
+					count++
+				}
+			}
+			return count
+		}
+		time.Sleep(5900 * time.Millisecond)
+		expect.Expect(ended()).To(gomega.Equal(0))
+		time.Sleep(1500 * time.Millisecond)
+		expect.Expect(ended()).To(gomega.Equal(1))
+		time.Sleep(4500 * time.Millisecond)
+		expect.Expect(ended()).To(gomega.Equal(1))
+		time.Sleep(1500 * time.Millisecond)
+		expect.Expect(ended()).To(gomega.Equal(2))
+		time.Sleep(6 * time.Second)
+		expect.Expect(ended()).To(gomega.Equal(3))
+		expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against slow recovery from a member that lost power while its fleet is sound: its group is ended within one
+// question, as all reference servers respond.
+func TestGroupThatIsLostAloneIsEndedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		logged := startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		fleet.cluster.Kill(group.Members[2])
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(160 * time.Millisecond)
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeTrue())
+		lost := lines(logged, "former: group lost members.")
+		expect.Expect(lost).To(gomega.HaveLen(1))
+		expect.Expect(lost[0]).To(gomega.HaveKeyWithValue("ReferencesAsked", 6.0))
+		expect.Expect(lost[0]).To(gomega.HaveKeyWithValue("ReferencesReached", 6.0))
+	})
+}
+
+// Guards against slow recovery from a member whose process ended: its host refuses connections, and its group is ended
+// before a question would time out.
+func TestGroupOfAnEndedProcessIsEndedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		fleet.cluster.Crash(group.Members[2], 5*time.Second)
+		refuses := func(id string) bool { return id == group.Members[2] }
+		node.refusesConnections.Store(&refuses)
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(10 * time.Millisecond)
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeTrue())
+	})
+}
+
+// Guards against a partition that refuses connections: the leader reaches a part of a group, and the rest looks like
+// ended processes, as do the reference servers.
+func TestPartitionThatRefusesConnectionsEndsNoGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		refuses := func(id string) bool { return id != group.Members[1] }
+		node.refusesConnections.Store(&refuses)
+		for _, server := range fleet.cluster.Servers(service) {
+			fleet.cluster.SetPartitioned(server.ID, node.name, refuses(server.ID))
+		}
+		for range 10 {
+			node.controller.Suspect(group.Head(), group.Name)
+			time.Sleep(time.Second)
+		}
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
+	})
+}
+
+// Guards against slow recovery where several servers are lost at once: some reference servers are lost, too. The group
+// is ended after three questions.
+func TestGroupIsEndedWhileOtherServersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 1, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		logged := startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		others := slices.DeleteFunc(fleet.cluster.Servers(service), func(server *roster.Server) bool { return server.Group.Name == group.Name })
+		expect.Expect(others).To(gomega.HaveLen(6))
+		fleet.cluster.Kill(others[0].ID)
+		fleet.cluster.Kill(others[3].ID)
+		fleet.cluster.Kill(group.Members[2])
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(900 * time.Millisecond)
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeTrue())
+		lost := lines(logged, "former: group lost members.")
+		expect.Expect(lost).To(gomega.HaveLen(1))
+		expect.Expect(lost[0]).To(gomega.HaveKeyWithValue("ReferencesAsked", 6.0))
+		expect.Expect(lost[0]).To(gomega.HaveKeyWithValue("ReferencesReached", 4.0))
+		expect.Expect(lost[0]).To(gomega.HaveKeyWithValue("Asked", 3.0))
+	})
+}
+
+// Guards against a leader that ends sound groups because its own network is away. It reaches the other members of the
+// group, and few other servers.
+func TestLeaderWithoutANetworkEndsNoGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		for _, server := range fleet.cluster.Servers(service) {
+			if server.Group.Name != group.Name || server.ID == group.Members[2] {
+				fleet.cluster.SetPartitioned(server.ID, node.name, true)
+			}
+		}
+		for range 10 {
+			node.controller.Suspect(group.Head(), group.Name)
+			time.Sleep(time.Second)
+		}
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
+	})
+}
+
+// Guards against more questions to reference servers when more groups are suspected at once.
+func TestReferencesAreSharedByExaminations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 4, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		suspected := servingGroups(node)[:6]
+		for _, group := range suspected {
+			fleet.cluster.Kill(group.Members[1])
+		}
+		connections := node.connections.Load()
+		for _, group := range suspected {
+			node.controller.Suspect(group.Head(), group.Name)
+		}
+		time.Sleep(160 * time.Millisecond)
+		expect.Expect(node.connections.Load() - connections).To(gomega.Equal(int64(len(suspected) + 6)))
+		for _, group := range suspected {
+			expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeTrue())
+		}
+	})
+}
+
+// Guards against a member whose entry is gone from the registry only because its process is paused for longer than the
+// registry keeps an entry without heartbeats.
+func TestGroupWithAPausedMemberWithoutAnEntryIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		fleet.pauses.pause(group.Members[2], 5*time.Second)
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(3 * time.Second)
+		fleet.cluster.Deregister(group.Members[2])
+		time.Sleep(1900 * time.Millisecond)
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
+	})
+}
+
+// Guards against an examination that goes on under a term that another node has taken over.
+func TestExaminationEndsWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		fleet.pauses.pause(group.Members[2], time.Hour)
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(time.Second)
+		node.setTerm(0)
+		time.Sleep(time.Second)
+		reports := node.controller.Counts.Reports.Load()
+		time.Sleep(10 * time.Second)
+		expect.Expect(node.controller.Counts.Reports.Load()).To(gomega.Equal(reports))
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
+	})
+}
