fix(forward): give a run up only for a second one that goes on first

What callers saw: answers were cut in the middle, and requests refused with 502, although their servers were sound and only silent for 0.5 to 3 s.

Cause: dispatch cancelled the calls of a silent group, of a group that was announced lost, of a lost path, of an unreachable data centre and of a silent peer node, before anyone knew whether the request had another place.

Change: dispatch cancels nothing on suspicion. It tells the owner of each call, again and again while the suspicion lasts (Begin takes a second callback). For a stream that may run twice, forward then makes a second run in a goroutine, within max_attempts, the retry budget and the targets that may be picked. The first run stays open. An event of the first ends the second; the first complete event of the second ends the first, and the handler goes on with the second. If the first ends meanwhile, the request waits for the second. A second run that fails is recorded like any failed attempt, and another may follow. Nothing else is ever cancelled for silence. Calls without an event at a group that was announced lost are cancelled as before. A stall is recorded for the quarantine when the call is suspected.

Why it works: the request's state has one mutex, which the handler holds except while it waits for a server or the caller, and the second run except while it connects, sends and reads. Events are forwarded by the handler only, and the hand-over happens under the mutex only if the first run has had no event since the second was sent with its Last-Event-Id, so the events of two runs never mix. A stream in calm needs neither a goroutine nor a channel. When the request ends, the second run is cancelled and its goroutine awaited.

Tests: silence_test.go; against the code before, seven of them fail: an answer is cut or refused in TestSilentRunGoesOnWithoutAnotherPlace, TestUnansweredRunGoesOnWithoutAnotherPlace, TestFirstRunOutlivesFailedSecondRun, TestStreamsOfLostGroupStayUntilAnotherGoesOn, TestRequestThroughSilentPeerGoesOn and TestBothRunsEndAtDeadline (cut after 2.2 s of 5 s); TestFirstRunGoesOnFirst loses the sound first run. All pass with the race detector. The tests of dispatch that expected a cancelled call expect that its owner is told at the same time and that no call is cancelled. Whole nodes: the tests of breaker_fleet, unreached_fleet, quarantine, promptparts, retryuse and standin_test pass, one run each.

--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -14,7 +14,7 @@
 //	table := detour.New("east", detour.Clock(now))
 //	table.RecordReport(detour.Node{Address: "10.0.0.7:7341", DataCentre: "east", Calls: 3})
 //	peer, found := table.Choose("drafts", lost, nil)
-//	call := peer.Begin(0, 0, cancel)
+//	call := peer.Begin(0, 0, cancel, suspect)
 package detour
 
 import (
@@ -205,28 +205,41 @@
 
 // RecordFailure records that a node did not take a request, and excludes the node for failureBackoff.
 func (table *Table) RecordFailure(address string) {
-	table.mu.Lock()
-	defer table.mu.Unlock()
-	if peer, known := table.peers[address]; known {
-		peer.avoidUntil = table.now() + failureBackoff
-	}
+	table.avoid(address)
 }
 
-// Stalled ends the calls through nodes that have sent nothing for too long, and returns the addresses of these nodes.
-// The limit is answerTimeout before the first event of a call, and idleTimeout after it.
+// Stalled suspects the calls through nodes that have sent nothing for too long, keeps new calls away from these nodes,
+// and returns the addresses of those that have newly stalled. The limit is answerTimeout before the first event of a
+// call, and idleTimeout after it.
 func (table *Table) Stalled(idleTimeout, answerTimeout time.Duration) []string {
-	table.mu.Lock()
-	defer table.mu.Unlock()
 	stalled := []string{}
-	for address, peer := range table.peers {
-		if peer.CancelStalled(idleTimeout, answerTimeout) {
-			peer.avoidUntil = table.now() + failureBackoff
-			stalled = append(stalled, address)
+	for _, peer := range table.all() {
+		if peer.SuspectStalled(idleTimeout, answerTimeout) && table.avoid(peer.Address) {
+			stalled = append(stalled, peer.Address)
 		}
 	}
 	return stalled
 }
 
+func (table *Table) all() []*Peer {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	return table.sortedLocked()
+}
+
+// avoid keeps calls away from a node for failureBackoff, and reports whether the node was not avoided before.
+func (table *Table) avoid(address string) bool {
+	table.mu.Lock()
+	defer table.mu.Unlock()
+	peer, known := table.peers[address]
+	if !known {
+		return false
+	}
+	isNew := table.now() >= peer.avoidUntil
+	peer.avoidUntil = table.now() + failureBackoff
+	return isNew
+}
+
 // RecordLostPaths records that a node, in refusing a request, reported that it reaches no server of the service
 // either.
 func (table *Table) RecordLostPaths(address, service string, lost []pathhealth.Destination) {
--- a/internal/policy/dispatch/call.go
+++ b/internal/policy/dispatch/call.go
@@ -29,14 +29,19 @@
 	eventAt        atomic.Int64
 	prefillAtEvent atomic.Int64
 	slowCaller     atomic.Bool
-	// cancel ends the call from another goroutine.
-	cancel func()
+	// cancel ends the call from another goroutine. suspect tells the call's owner that the target may not go on with
+	// the call.
+	cancel  func()
+	suspect func(suspicion Suspicion)
 }
 
 // Begin counts a call with the given number of prompt tokens and the fingerprints of its request and of the parts of
-// its prompt. Other goroutines end the call through cancel.
-func (target *Target) Begin(promptTokens int, fingerprint uint64, cancel func(), parts ...uint64) *Call {
-	call := &Call{target: target, sentAt: target.now(), promptTokens: int64(promptTokens), fingerprint: fingerprint, parts: parts, cancel: cancel}
+// its prompt. Other goroutines end the call through cancel. While the target is suspected, suspect is called again and
+// again from another goroutine, which it must not block; the call itself goes on.
+func (target *Target) Begin(promptTokens int, fingerprint uint64, cancel func(), suspect func(suspicion Suspicion), parts ...uint64) *Call {
+	call := &Call{
+		target: target, sentAt: target.now(), promptTokens: int64(promptTokens), fingerprint: fingerprint, parts: parts, cancel: cancel, suspect: suspect,
+	}
 	target.mu.Lock()
 	defer target.mu.Unlock()
 	target.ownCalls.Add(1)
@@ -160,26 +165,20 @@
 	return canceled
 }
 
-// moveCalls cancels the calls of a target so that they resume elsewhere, and returns their number.
-func (localState *localState) moveCalls(reason Reason) int {
-	now := localState.now()
-	localState.mu.Lock()
-	defer localState.mu.Unlock()
-	for call := range localState.calls {
-		call.moved.CompareAndSwap(nil, &Suspicion{Reason: reason, Silence: call.silence(now)})
-		call.cancel()
-	}
-	return len(localState.calls)
+// GiveUp cancels the call in favour of one at another target.
+func (call *Call) GiveUp(suspicion Suspicion) {
+	call.moved.CompareAndSwap(nil, &suspicion)
+	call.cancel()
 }
 
-// MarkGroupLost gives up a group that has lost a member: the group gets no new calls, and its calls move
-// elsewhere. It returns the number of calls moved.
+// MarkGroupLost records that a group has lost a member: the group gets no new calls, its calls without an event are
+// given up, and the others are suspected. It returns the number of its calls.
 func (board *Board) MarkGroupLost(group string) int {
-	moved := 0
+	calls := 0
 	for _, target := range board.snapshot.Load().targets {
 		if target.Group == group && !target.memberLost.Swap(true) {
-			moved += target.moveCalls(GroupLost)
+			calls += target.giveUpUnanswered(GroupLost) + target.suspectCalls(GroupLost)
 		}
 	}
-	return moved
+	return calls
 }
--- a/internal/policy/dispatch/datacentre.go
+++ b/internal/policy/dispatch/datacentre.go
@@ -171,9 +171,9 @@
 	}
 }
 
-// Done records the result of a probe. If no server answered, the streams that run in the data centre move
-// elsewhere. Done returns the number of calls moved and whether the path has just become lost.
-func (dataCentreProbe *DataCentreProbe) Done(answered bool) (moved int, changed bool) {
+// Done records the result of a probe. If no server answered, the streams that run in the data centre are suspected.
+// Done returns the number of calls suspected and whether the path has just become lost.
+func (dataCentreProbe *DataCentreProbe) Done(answered bool) (suspected int, changed bool) {
 	if answered {
 		dataCentreProbe.path.recordResponse(dataCentreProbe.board.now())
 		return 0, false
@@ -183,10 +183,10 @@
 	}
 	for _, target := range dataCentreProbe.board.snapshot.Load().targets {
 		if target.DataCentre == dataCentreProbe.DataCentre && target.Group != "" {
-			moved += target.moveCalls(DataCentreUnreachable)
+			suspected += target.suspectCalls(DataCentreUnreachable)
 		}
 	}
-	return moved, true
+	return suspected, true
 }
 
 // RecordResponse records that something arrived for a call at the target.
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -11,14 +11,14 @@
 //
 // A group that has lost a member still accepts calls but makes no progress, and no error shows it. The only sign
 // is that all its streams fall silent together. A target with running streams and no event for some time gets no
-// new calls, its streams move to other targets, and the node that repairs groups is notified.
+// new calls, the owners of its streams are told to look for other targets, and the node that repairs groups is notified.
 //
 // # Usage
 //
 //	board := dispatch.New(dispatch.Clock(clock.Boot))
 //	board.Update(pools)
 //	target, verdict := board.Pick("draft/large", dispatch.Criteria{})
-//	call := target.Begin(promptTokens, fingerprint, cancel)
+//	call := target.Begin(promptTokens, fingerprint, cancel, suspect)
 //	defer call.End()
 package dispatch
 
--- a/internal/policy/dispatch/path.go
+++ b/internal/policy/dispatch/path.go
@@ -120,16 +120,16 @@
 	return probes
 }
 
-// MoveCallsOff moves the calls of a lost path elsewhere, except at groups that have just had an event. It
-// returns the number of calls moved.
-func (board *Board) MoveCallsOff(path *pathhealth.Path) int {
-	moved, now := 0, board.now()
+// SuspectCalls suspects the calls of a lost path, except at groups that have just had an event. It returns the number
+// of calls suspected.
+func (board *Board) SuspectCalls(path *pathhealth.Path) int {
+	suspected, now := 0, board.now()
 	for _, target := range board.snapshot.Load().targets {
 		if target.path == path && target.Group != "" && now-time.Duration(target.lastEventAt.Load()) > recentEvent {
-			moved += target.moveCalls(PathLost)
+			suspected += target.suspectCalls(PathLost)
 		}
 	}
-	return moved
+	return suspected
 }
 
 // OwnCalls returns the number of this node's calls at all targets.
@@ -141,10 +141,9 @@
 	return calls
 }
 
-// CancelStalled cancels the calls of a standalone target if nothing has arrived for too long: streaming limits
-// the silence of started streams, unanswered the wait for a first event. It reports whether it cancelled the
-// calls.
-func (target *Target) CancelStalled(streaming, unanswered time.Duration) bool {
+// SuspectStalled suspects the calls of a standalone target if nothing has arrived for too long: streaming limits
+// the silence of started streams, unanswered the wait for a first event. It reports whether it suspects the calls.
+func (target *Target) SuspectStalled(streaming, unanswered time.Duration) bool {
 	if target.ownCalls.Load() == 0 {
 		return false
 	}
@@ -156,6 +155,6 @@
 	if silence < maxSilence {
 		return false
 	}
-	target.moveCalls(PeerSilent)
+	target.suspectCalls(PeerSilent)
 	return true
 }
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -293,12 +293,13 @@
 	// avoidUnansweredAfter is how long calls may wait for their first events, at a group where no stream of this
 	// node runs, before the group is avoided.
 	avoidUnansweredAfter = 900 * time.Millisecond
-	// moveUnansweredAfter is how long such calls wait before they move. An overloaded group is slow, not lost. A
-	// call that moves has used one of its attempts and starts waiting again elsewhere. Callers give up after two
+	// suspectUnansweredAfter is how long such calls wait before they are suspected. An overloaded group is slow, not
+	// lost. A second run uses one of the call's attempts and starts waiting again elsewhere. Callers give up after two
 	// seconds.
-	moveUnansweredAfter = 1600 * time.Millisecond
-	// moveDelay is how much longer streams stay at a stalled group, so that its members can be checked for a loss.
-	moveDelay = 200 * time.Millisecond
+	suspectUnansweredAfter = 1600 * time.Millisecond
+	// suspectDelay is how much longer streams are not suspected at a stalled group, so that its members can be checked
+	// for a loss.
+	suspectDelay = 200 * time.Millisecond
 	// avoidStalledFor is how long a stalled group gets no new calls if it isn't found to have lost a member.
 	avoidStalledFor = 500 * time.Millisecond
 )
@@ -323,20 +324,24 @@
 	return true
 }
 
-// WatchGroups returns the groups that have stalled. It keeps new calls away from them, and moves their streams
-// once they have been silent for longer.
+// WatchGroups returns the groups that have stalled. It keeps new calls away from them, and suspects their calls once
+// they have been silent for longer, or at once if the group is known to have lost a member.
 func (board *Board) WatchGroups() []StalledGroup {
 	now := board.now()
 	stalled := []StalledGroup{}
 	for _, target := range board.snapshot.Load().targets {
-		duration, avoid, move := target.silence(now)
+		duration, avoid, suspect := target.silence(now)
 		if duration < avoid {
 			continue
 		}
 		target.Avoid(avoidStalledFor)
 		group := StalledGroup{Head: target.ID, Group: target.Group, Duration: duration, Calls: int(target.ownCalls.Load()), PathUnhealthy: !target.PathHealthy()}
-		if duration >= move {
-			target.moveCalls(GroupSilent)
+		switch {
+		case target.MemberLost():
+			target.giveUpUnanswered(GroupLost)
+			target.suspectCalls(GroupLost)
+		case duration >= suspect:
+			target.suspectCalls(GroupSilent)
 		}
 		stalled = append(stalled, group)
 	}
@@ -344,17 +349,17 @@
 }
 
 // silence returns how long the calls at a group have been silent, after which silence the group is avoided, and
-// after which its calls move.
-func (target *Target) silence(now time.Duration) (duration, avoid, move time.Duration) {
+// after which its calls are suspected.
+func (target *Target) silence(now time.Duration) (duration, avoid, suspect time.Duration) {
 	if target.Group == "" || target.ownCalls.Load() == 0 {
 		return 0, time.Hour, time.Hour
 	}
 	duration, streaming := target.silentFor(now)
 	if streaming {
 		avoid = target.silenceThreshold(minGroupSilence)
-		return duration, avoid, avoid + moveDelay
+		return duration, avoid, avoid + suspectDelay
 	}
-	return duration, avoidUnansweredAfter, moveUnansweredAfter
+	return duration, avoidUnansweredAfter, suspectUnansweredAfter
 }
 
 // silentFor returns how long nothing has arrived for this node's calls at the target, and whether any started
--- a/internal/policy/dispatch/suspicion.go
+++ b/internal/policy/dispatch/suspicion.go
@@ -2,10 +2,15 @@
 
 import "time"
 
-// Reason is why calls at a target are given up.
+// A call is never cancelled for silence alone: a sound server may be silent for seconds, and only the call's owner
+// knows whether there is another place for the request. The board tells the owner that the target is suspected, and
+// the owner gives the call up once another target goes on with the request. Only calls without an event at a group
+// that lost a member are cancelled at once: nothing was delivered, and the group can't run them.
+
+// Reason is why a target is suspected not to go on with its calls.
 type Reason string
 
-// Reasons for giving up calls.
+// Reasons for suspecting a target.
 const (
 	// GroupSilent: nothing has arrived from the group for too long.
 	GroupSilent Reason = "GroupSilent"
@@ -19,7 +24,7 @@
 	PeerSilent Reason = "PeerSilent"
 )
 
-// Suspicion is why a call was given up, and how long nothing had arrived for it by then.
+// Suspicion is why a call is suspected, and how long nothing has arrived for it.
 type Suspicion struct {
 	Reason  Reason
 	Silence time.Duration
@@ -29,3 +34,47 @@
 func (call *Call) silence(now time.Duration) time.Duration {
 	return now - max(call.sentAt, time.Duration(call.eventAt.Load()))
 }
+
+// Silence returns how long nothing has arrived for the call.
+func (call *Call) Silence() time.Duration {
+	return call.silence(call.target.now())
+}
+
+// suspectCalls tells the owners of a target's calls that the target is suspected, and returns the number of calls that
+// have not been given up before.
+func (localState *localState) suspectCalls(reason Reason) int {
+	now := localState.now()
+	calls := localState.callsKept()
+	for _, call := range calls {
+		call.suspect(Suspicion{Reason: reason, Silence: call.silence(now)})
+	}
+	return len(calls)
+}
+
+// callsKept returns the calls that have not been given up.
+func (localState *localState) callsKept() []*Call {
+	localState.mu.Lock()
+	defer localState.mu.Unlock()
+	kept := make([]*Call, 0, len(localState.calls))
+	for call := range localState.calls {
+		if !call.Moved() {
+			kept = append(kept, call)
+		}
+	}
+	return kept
+}
+
+// giveUpUnanswered cancels the calls that have had no event, and returns their number.
+func (localState *localState) giveUpUnanswered(reason Reason) int {
+	now := localState.now()
+	localState.mu.Lock()
+	defer localState.mu.Unlock()
+	canceled := 0
+	for call := range localState.calls {
+		if !call.started.Load() {
+			call.GiveUp(Suspicion{Reason: reason, Silence: call.silence(now)})
+			canceled++
+		}
+	}
+	return canceled
+}
--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -291,8 +291,8 @@
 	if !valid {
 		return
 	}
-	if moved, unreachable := probe.Done(len(reached) > 0); unreachable {
-		node.logger.Warn("gateway: a data centre is unreachable.", "DataCentre", probe.DataCentre, "Tried", len(probe.Addresses), "CallsMoved", moved)
+	if suspected, unreachable := probe.Done(len(reached) > 0); unreachable {
+		node.logger.Warn("gateway: a data centre is unreachable.", "DataCentre", probe.DataCentre, "Tried", len(probe.Addresses), "CallsSuspected", suspected)
 	}
 }
 
@@ -340,8 +340,8 @@
 	node.requestTargetUpdate()
 }
 
-// handleLostGroup moves the calls of a group that lost a member. Calls that left the group while it was
-// stalled now count as interrupted by a server failure.
+// handleLostGroup gives up the calls of a group that lost a member, or suspects those with events. Calls that were
+// suspected while the group was stalled now count as interrupted by a server failure.
 func (node *Node) handleLostGroup(group string) {
 	for _, fingerprint := range node.quarantine.ConfirmGroupLoss(group) {
 		node.suspectChanged(fingerprint)
--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -46,7 +46,7 @@
 		node.pathsLost.Add(1)
 		node.logger.Warn("gateway: the path to the servers of a service is lost.", "Service", destination.Service, "DataCentre", destination.DataCentre,
 			"Tried", result.Tried, "Reached", result.Reached, "DoubtedMilliseconds", result.UnhealthyFor.Milliseconds(),
-			"CallsMoved", node.board.MoveCallsOff(path), "EndsNotBelieved", len(failures), "ReportsWithheld", suppressed)
+			"CallsSuspected", node.board.SuspectCalls(path), "EndsNotBelieved", len(failures), "ReportsWithheld", suppressed)
 	case pathhealth.Healthy:
 		for _, failure := range failures {
 			if _, isNew := node.quarantine.RecordFailure(failure.subject, failure.run); isNew {
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -40,6 +40,17 @@
 	timedOutWriting atomic.Bool
 	// events is the number of events of the response that were relayed.
 	events int
+	// beside is set while the attempt runs beside the one that the handler waits for. dropped is set once it is not
+	// wanted any more, because the other one goes on.
+	beside, dropped bool
+	// suspected is set once the target of the attempt was suspected.
+	suspected bool
+	// pending holds the bytes that were read and not relayed, and reserved is the part of the node's memory budget that
+	// they take. readErr is the result of the last read. readAhead is set if the handler has not seen that read.
+	pending   []byte
+	reserved  int
+	readErr   error
+	readAhead bool
 	// withheld is set if the call was not sent because the server accepts no calls or the path to the server has
 	// no open connection.
 	withheld bool
@@ -113,21 +124,34 @@
 // the head, because a server that lost power sends nothing at all. If the returned attempt has no reply,
 // exchange.cause holds the reason, and exchange.mayHaveRun is set if the call may have run.
 func (exchange *exchange) send(target *dispatch.Target, timeout time.Duration) *attempt {
-	call := exchange.buildCall(target)
 	exchange.lastTarget = targetInfo{server: target.ID, group: target.Group, calls: target.ActiveCalls()}
 	attempt := exchange.newAttempt(target, timeout)
+	exchange.sendAttempt(attempt)
+	return attempt
+}
+
+// sendAttempt sends the call of a new attempt.
+func (exchange *exchange) sendAttempt(attempt *attempt) {
+	target := attempt.target
+	call := exchange.buildCall(target)
 	call.SetCancel, call.OnResponseHead = attempt.canceler.setCancel, exchange.reportResponseHead(attempt)
 	call.Admit, call.OnConnect = exchange.admitAttempt(attempt), target.RecordConnected
 	call.ReuseOnly = !exchange.ignoreReachability && exchange.forwarder.Board.ReachableByIdleConnection(target)
-	reply, err := exchange.forwarder.Pool.Send(call)
+	reply, err := exchange.sendCall(attempt, exchange.forwarder.Pool, call)
 	if err == nil {
 		exchange.sentAttempts++
 		target.RecordResponse()
 		attempt.Reply = reply
-		return attempt
+		return
 	}
 	exchange.handleSendError(attempt, err)
-	return attempt
+}
+
+// sendCall sends a call and releases the exchange meanwhile.
+func (exchange *exchange) sendCall(attempt *attempt, pool *backendserver.Pool, call *backendserver.Call) (*backendserver.Reply, error) {
+	exchange.wait(attempt)
+	defer exchange.resume(attempt)
+	return pool.Send(call)
 }
 
 // newAttempt starts an attempt that times out after the given time.
@@ -137,7 +161,8 @@
 		exchange.moves[last].Next = target.ID
 	}
 	attempt := &attempt{target: target, canceler: &canceler{}, startedAt: exchange.forwarder.Now()}
-	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel, exchange.partKeys()...)
+	suspect := func(suspicion dispatch.Suspicion) { exchange.suspect(attempt, suspicion) }
+	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel, suspect, exchange.partKeys()...)
 	attempt.timeout = time.AfterFunc(timeout, attempt.expire)
 	attempt.detachCaller = context.AfterFunc(exchange.inbound.Context(), attempt.canceler.cancel)
 	return attempt
@@ -161,6 +186,13 @@
 	if attempt.withheld = errors.Is(err, notice.ErrWithheld) || errors.Is(err, backendserver.ErrNoIdleConnection); attempt.withheld {
 		return
 	}
+	if attempt.dropped {
+		if !errors.Is(err, backendserver.ErrNotSent) {
+			exchange.sentAttempts++
+			exchange.recordRun()
+		}
+		return
+	}
 	canceled := errors.Is(err, errCanceled)
 	if (canceled || errors.Is(err, os.ErrDeadlineExceeded)) && !exchange.callerGone() && !attempt.call.Moved() {
 		target.RecordTimeout(attempt.startedAt)
@@ -198,7 +230,7 @@
 	if attempt.peer != nil || (failed && !attempt.target.PathHealthy()) {
 		return
 	}
-	if failed && (exchange.callerGone() || attempt.timedOutWriting.Load() || attempt.call.Moved() || attempt.call.Quarantined()) {
+	if failed && (exchange.callerGone() || attempt.timedOutWriting.Load() || attempt.call.Moved() || attempt.call.Quarantined() || attempt.dropped) {
 		return
 	}
 	attempt.target.RecordOutcome(failed)
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -96,12 +96,13 @@
 			break
 		}
 		before := exchange.sentAttempts
-		attempt := exchange.sendToPeer(peer)
+		attempt := exchange.newPeerAttempt(peer)
+		exchange.sendToPeer(attempt)
 		if attempt.Reply != nil {
 			ended, sent = exchange.handlePeerReply(attempt, serve)
 		} else {
 			attempt.release()
-			sent = exchange.sentAttempts > before
+			sent = exchange.sentAttempts > before || exchange.second != nil
 		}
 		if ended || sent {
 			return ended, sent
@@ -126,20 +127,25 @@
 	}
 }
 
-// sendToPeer sends the request to a peer node and reads the head of the response.
-func (exchange *exchange) sendToPeer(peer *detour.Peer) *attempt {
-	forwarder := exchange.forwarder
+// newPeerAttempt starts an attempt through a peer node.
+func (exchange *exchange) newPeerAttempt(peer *detour.Peer) *attempt {
 	exchange.lastPeer = peer.Address
 	exchange.excludedPeers = append(exchange.excludedPeers, peer.Address)
 	exchange.lastTarget = targetInfo{calls: peer.ActiveCalls()}
 	attempt := exchange.newAttempt(peer.Target, exchange.peerTimeout())
 	attempt.peer = peer
+	return attempt
+}
+
+// sendToPeer sends the request to the peer node of a new attempt and reads the head of the response.
+func (exchange *exchange) sendToPeer(attempt *attempt) {
+	forwarder, peer := exchange.forwarder, attempt.peer
 	call := exchange.buildCall(peer.Target)
 	call.Server, call.Workspace = "", ""
 	call.Header = call.Header.Clone()
 	call.Header.Set(headerDetour, (&detourOrigin{
 		Sender: forwarder.NodeName, Version: exchange.snapshot.Configuration.Version, KeyDigest: configuration.KeyDigest(exchange.request.Key),
-		Runs: exchange.runs, PartlyDelivered: exchange.responseStarted, DemandCounted: exchange.demandCounted,
+		Runs: exchange.runs + attempt.openBeside(), PartlyDelivered: exchange.responseStarted, DemandCounted: exchange.demandCounted,
 	}).encode())
 	call.SetCancel = attempt.canceler.setCancel
 	call.Admit = func() error {
@@ -149,14 +155,14 @@
 		return nil
 	}
 	forwarder.Counts.DetoursSent.Add(1)
-	reply, err := forwarder.DetourPool.Send(call)
+	reply, err := exchange.sendCall(attempt, forwarder.DetourPool, call)
 	if err == nil {
 		attempt.Reply = reply
-		return attempt
+		return
 	}
 	exchange.recordMove(attempt)
 	exchange.cause = "node " + peer.Address + ": " + err.Error()
-	if !exchange.callerGone() {
+	if !exchange.callerGone() && !attempt.dropped {
 		forwarder.Detours.RecordFailure(peer.Address)
 		forwarder.DetourPool.CloseIdle(peer.Address)
 	}
@@ -164,7 +170,6 @@
 		exchange.sentAttempts++
 		exchange.recordRun()
 	}
-	return attempt
 }
 
 // peerTimeout returns how long to wait for a peer node: as long as the peer waits for two servers if the route is
@@ -179,15 +184,16 @@
 // handlePeerReply handles the response of a peer node.
 func (exchange *exchange) handlePeerReply(attempt *attempt, serve func(attempt *attempt) bool) (ended, sent bool) {
 	before := exchange.sentAttempts
-	fields, err := url.ParseQuery(attempt.Header.Get(headerDetour))
-	if err != nil {
-		fields = url.Values{}
-	}
-	attempt.Header.Del(headerDetour)
-	exchange.applyPeerState(attempt, fields)
+	fields := exchange.takePeerState(attempt)
 	outcome := Outcome(fields.Get(fieldOutcome))
 	exchange.cause = "node " + attempt.peer.Address + ": " + fields.Get(fieldCause)
-	switch detourResult(fields.Get(fieldResult)) {
+	result := detourResult(fields.Get(fieldResult))
+	if result != resultServer && exchange.second != nil {
+		// The second run decides how the request ends.
+		attempt.release()
+		return false, true
+	}
+	switch result {
 	case resultServer:
 		return serve(attempt), true
 	case resultNotRun:
@@ -220,6 +226,17 @@
 	return false, true
 }
 
+// takePeerState removes the state that a peer node returned from the head of the response, and applies it.
+func (exchange *exchange) takePeerState(attempt *attempt) url.Values {
+	fields, err := url.ParseQuery(attempt.Header.Get(headerDetour))
+	if err != nil {
+		fields = url.Values{}
+	}
+	attempt.Header.Del(headerDetour)
+	exchange.applyPeerState(attempt, fields)
+	return fields
+}
+
 // anotherPeerMayAccept reports whether another peer may accept a request that one peer refused with the given
 // outcome.
 func anotherPeerMayAccept(outcome Outcome) bool {
@@ -255,7 +272,7 @@
 		exchange.forwarder.OnNewerVersion(attempt.peer.PeerAddress, version)
 	}
 	if runs, err := strconv.Atoi(fields.Get(fieldRuns)); err == nil {
-		exchange.runs = max(exchange.runs, runs)
+		exchange.runs = max(exchange.runs, runs-attempt.openBeside())
 	}
 	if sentAttempts, err := strconv.Atoi(fields.Get(fieldSentAttempts)); err == nil {
 		exchange.sentAttempts += max(0, sentAttempts)
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -5,8 +5,11 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
 	"hazelslip/internal/policy/memory"
@@ -59,8 +62,19 @@
 	fallback   *response
 	lastTarget targetInfo
 	// moves are the calls that were given up for their targets' silence or loss.
-	moves  []move
-	timing eventTiming
+	moves []move
+	// mu guards the state of a request that is sent to servers. The handler holds it except while it waits for a
+	// server or the caller.
+	mu sync.Mutex
+	// waitingFor is the attempt whose server the handler waits for.
+	waitingFor *attempt
+	// second is the run beside the handler's one, nil if there is none. secondRuns holds its goroutine,
+	// secondRunCount counts such runs. nextSearchAt is when a target for the next one is sought.
+	second         *secondRun
+	secondRuns     conc.WaitGroup
+	secondRunCount int
+	nextSearchAt   time.Duration
+	timing         eventTiming
 	// outcome and cause tell why the request ended as it did.
 	outcome Outcome
 	cause   string
@@ -299,8 +313,16 @@
 		exchange.outcome = Quarantined
 		return false
 	}
-	if !exchange.retryBudget.TryWithdraw() {
+	if !exchange.withdrawRetry() {
 		exchange.outcome = BudgetSpent
+		return false
+	}
+	return true
+}
+
+// withdrawRetry withdraws a retry from the service's budget, and reports whether the budget had one.
+func (exchange *exchange) withdrawRetry() bool {
+	if !exchange.retryBudget.TryWithdraw() {
 		exchange.logRefusedRetry()
 		return false
 	}
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -15,7 +15,7 @@
 
 // recordServerFailure records that a server failed while it was running the call, if the error suggests so.
 func (exchange *exchange) recordServerFailure(attempt *attempt, err error) {
-	if attempt.peer != nil || exchange.callerGone() || attempt.call.Quarantined() || !isServerFailure(attempt, err) {
+	if attempt.peer != nil || exchange.callerGone() || attempt.call.Quarantined() || attempt.dropped || !isServerFailure(attempt, err) {
 		return
 	}
 	movement := attempt.call.Movement()
@@ -24,7 +24,10 @@
 	}
 	forwarder := exchange.forwarder
 	forwarder.Counts.ServerEnds.Add(1)
-	failures := exchange.reportFailures(attempt)
+	if attempt.events == 0 {
+		exchange.endedUnanswered = true
+	}
+	failures := exchange.reportFailures(attempt, attempt.call.Moved())
 	forwarder.Logger.LogAttrs(exchange.inbound.Context(), slog.LevelWarn, "forward: a server failed during a request.",
 		slog.String("RequestID", exchange.request.ID), slog.String("Fingerprint", exchange.fingerprint.String()),
 		slog.Int("Ends", failures), slog.String("Server", attempt.target.ID), slog.String("Group", attempt.target.Group),
@@ -34,24 +37,33 @@
 		slog.Int64("SentMillisecondsAgo", (forwarder.Now()-attempt.startedAt).Milliseconds()), slog.String("Cause", err.Error()))
 }
 
-// reportFailures reports that a target's server failed during the request, and returns the number of such failures.
-// The parts of the prompt are suspected as well unless the server had sent an event: a server that fails under a part
-// fails when it begins to answer.
-func (exchange *exchange) reportFailures(attempt *attempt) int {
-	failures := exchange.reportFailure(attempt, quarantine.Subject{Fingerprint: exchange.fingerprint})
+// recordSuspicion records that the target of an attempt is suspected. A stall counts as a failure only once the loss
+// of the group is confirmed, which may happen long before the run ends.
+func (exchange *exchange) recordSuspicion(attempt *attempt) {
+	if attempt.suspected || attempt.peer != nil || attempt.call.Quarantined() {
+		return
+	}
+	exchange.reportFailures(attempt, true)
+	attempt.suspected = true
+}
+
+// reportFailures reports that a target's server failed, or stalled, during the request, and returns the number of such
+// failures. The parts of the prompt are suspected as well unless the server had sent an event: a server that fails under
+// a part fails when it begins to answer.
+func (exchange *exchange) reportFailures(attempt *attempt, stalled bool) int {
+	failures := exchange.reportFailure(attempt, stalled, quarantine.Subject{Fingerprint: exchange.fingerprint})
 	if attempt.events > 0 {
 		return failures
 	}
-	exchange.endedUnanswered = true
 	for _, part := range exchange.parts {
-		exchange.reportFailure(attempt, quarantine.Subject{Fingerprint: part, Part: true})
+		exchange.reportFailure(attempt, stalled, quarantine.Subject{Fingerprint: part, Part: true})
 	}
 	return failures
 }
 
-// reportFailure reports that a target's server failed under a subject, and returns the number of such failures. The
-// failure of a stalled group counts only once it is confirmed.
-func (exchange *exchange) reportFailure(attempt *attempt, subject quarantine.Subject) int {
+// reportFailure reports that a target's server failed, or stalled, under a subject, and returns the number of such
+// failures. The failure of a stalled group counts only once it is confirmed.
+func (exchange *exchange) reportFailure(attempt *attempt, stalled bool, subject quarantine.Subject) int {
 	list, target := exchange.forwarder.Quarantine, attempt.target
 	if !target.PathHealthy() {
 		// This node may have lost the network path to the server, which ends the calls at all servers there at
@@ -59,8 +71,10 @@
 		exchange.forwarder.OnUnconfirmedFailure(target, subject)
 		return 0
 	}
-	if attempt.call.Moved() && !target.MemberLost() {
-		list.RecordStall(subject, target.Group, target.Key())
+	if stalled && !target.MemberLost() {
+		if !attempt.suspected {
+			list.RecordStall(subject, target.Group, target.Key())
+		}
 		return 0
 	}
 	failures, changed := list.RecordFailure(subject, target.Key())
@@ -100,12 +114,7 @@
 // quarantined reports whether the request may not be sent to any server any more: so many servers failed while
 // running it that the next one would fail too, together with the calls of other callers there.
 func (exchange *exchange) quarantined() bool {
-	verdict, refused := exchange.forwarder.Quarantine.Quarantined(exchange.fingerprint)
-	part := ""
-	for number := 0; number < len(exchange.parts) && !refused; number++ {
-		verdict, refused = exchange.forwarder.Quarantine.Quarantined(exchange.parts[number])
-		part = exchange.request.PromptParts[number]
-	}
+	verdict, part, refused := exchange.quarantineVerdict()
 	if !refused {
 		return false
 	}
@@ -120,6 +129,16 @@
 	return true
 }
 
+// quarantineVerdict reports whether the request is quarantined, why, and for which part of its prompt if it is for one.
+func (exchange *exchange) quarantineVerdict() (verdict quarantine.Verdict, part string, refused bool) {
+	verdict, refused = exchange.forwarder.Quarantine.Quarantined(exchange.fingerprint)
+	for number := 0; number < len(exchange.parts) && !refused; number++ {
+		verdict, refused = exchange.forwarder.Quarantine.Quarantined(exchange.parts[number])
+		part = exchange.request.PromptParts[number]
+	}
+	return verdict, part, refused
+}
+
 // describeVerdict explains why a request is quarantined.
 func describeVerdict(verdict quarantine.Verdict, now time.Duration) string {
 	runs := make([]string, 0, len(verdict.Failures))
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -5,8 +5,8 @@
 // that may have run ends with its server's response, with 502 or 504, or, in the middle of a stream, with a closed
 // connection.
 //
-// A stream whose server stalls or disconnects resumes at another server, after the last complete event that the
-// caller received, within the same response.
+// A stream whose server disconnects resumes at another server, after the last complete event that the caller received,
+// within the same response. So does a stream whose server stalls, once the other server goes on with it.
 //
 // # Usage
 //
@@ -185,6 +185,8 @@
 	if !exchange.resolve() || !exchange.readBody() {
 		return
 	}
+	exchange.mu.Lock()
+	defer exchange.endRuns()
 	if exchange.route.Kind == configuration.Streaming {
 		exchange.serveStream()
 		return
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -81,7 +81,7 @@
 		slog.Int("Attempts", exchange.attempts), slog.Bool("MayHaveRun", exchange.mayHaveRun),
 		slog.String("Via", exchange.lastPeer), slog.String("For", exchange.origin.sender()),
 		slog.String("Server", exchange.lastTarget.server), slog.String("Group", exchange.lastTarget.group), slog.Int("Taken", exchange.lastTarget.calls),
-		slog.Any("Moves", exchange.moves),
+		slog.Any("Moves", exchange.moves), slog.Int("SecondRuns", exchange.secondRunCount),
 		slog.Int64("ConfigurationVersion", exchange.snapshotVersion()),
 		slog.Int64("FirstEventMilliseconds", summary.FirstEvent.Milliseconds()),
 		slog.Int64("LongestPauseMilliseconds", summary.LongestPause.Milliseconds()),
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -38,11 +38,17 @@
 		exchange.finishUnserved()
 		return
 	}
-	for exchange.timeLeft() > minTimeLeft && !exchange.callerGone() && !exchange.quarantined() && exchange.mayRetry() {
-		maxQueued := maxQueuedStreams
-		if exchange.mayHaveRun {
-			maxQueued = maxQueuedResumed
+	for {
+		if second := exchange.awaitSecond(); second != nil {
+			if exchange.handleStreamAttempt(second) {
+				return
+			}
+			continue
 		}
+		if exchange.timeLeft() <= minTimeLeft || exchange.callerGone() || exchange.quarantined() || !exchange.mayRetry() {
+			break
+		}
+		maxQueued := exchange.maxQueued()
 		target, verdict := exchange.pickGroup(maxQueued)
 		if exchange.quarantined() {
 			break
@@ -68,6 +74,14 @@
 	exchange.finishUnserved()
 }
 
+// maxQueued returns how many streams may queue at a group that gets the request.
+func (exchange *exchange) maxQueued() int {
+	if exchange.mayHaveRun {
+		return maxQueuedResumed
+	}
+	return maxQueuedStreams
+}
+
 // recordNoSlot records why the stream got no group, and counts the stream as demand for which its pool has no
 // slot.
 func (exchange *exchange) recordNoSlot(target *dispatch.Target, verdict dispatch.Verdict) {
@@ -146,10 +160,7 @@
 	deadline := exchange.forwarder.Now() + wait
 	var stopWaiting func()
 	for {
-		target, verdict := exchange.forwarder.Board.Pick(exchange.poolName(), dispatch.Criteria{
-			DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.excludedServers, MaxQueued: maxQueued, PreferActive: exchange.mayHaveRun,
-			Urgency: exchange.urgency(), Regions: exchange.regions, ReachableOnly: exchange.reachedOnly(),
-		})
+		target, verdict := exchange.forwarder.Board.Pick(exchange.poolName(), exchange.criteria(maxQueued))
 		if !keepWaiting(verdict) || exchange.backoffOutlastsWait(target, verdict, deadline) || exchange.forwarder.Now()+pollInterval > deadline || exchange.timeLeft() < 2*minTimeLeft || exchange.callerGone() || exchange.quarantined() {
 			return target, verdict
 		}
@@ -162,6 +173,14 @@
 	}
 }
 
+// criteria returns the conditions for the request's next target.
+func (exchange *exchange) criteria(maxQueued int) dispatch.Criteria {
+	return dispatch.Criteria{
+		DataCentre: exchange.forwarder.DataCentre, Exclude: exchange.excludedServers, MaxQueued: maxQueued, PreferActive: exchange.mayHaveRun,
+		Urgency: exchange.urgency(), Regions: exchange.regions, ReachableOnly: exchange.reachedOnly(),
+	}
+}
+
 // backoffOutlastsWait reports whether the wait ends before the backoff of any server does. The caller is then
 // refused at once, unless it already has a part of the response: a new group may form in the meantime.
 func (exchange *exchange) backoffOutlastsWait(target *dispatch.Target, verdict dispatch.Verdict, deadline time.Duration) bool {
@@ -188,6 +207,12 @@
 		exchange.log(http.StatusOK)
 		return true
 	}
+	exchange.recordBrokenStream(attempt, err)
+	return false
+}
+
+// recordBrokenStream records that the stream of an attempt ended before it was complete.
+func (exchange *exchange) recordBrokenStream(attempt *attempt, err error) {
 	exchange.recordMove(attempt)
 	exchange.recordRun()
 	exchange.recordServerFailure(attempt, err)
@@ -196,14 +221,13 @@
 		exchange.cause = "group " + attempt.target.Group + " stalled"
 	}
 	exchange.excludedServers = append(exchange.excludedServers, attempt.target.ID)
-	return false
 }
 
 // handleStreamFailure handles a response other than 200 from a group.
 func (exchange *exchange) handleStreamFailure(attempt *attempt) bool {
 	exchange.excludedServers = append(exchange.excludedServers, attempt.target.ID)
 	exchange.cause = "server " + attempt.target.ID + " responded with status " + strconv.Itoa(attempt.Status)
-	if exchange.responseStarted {
+	if exchange.responseStarted || exchange.second != nil || attempt.beside {
 		exchange.recordResult(attempt, attempt.Status >= http.StatusInternalServerError)
 		exchange.recordRun()
 		return false
@@ -234,46 +258,75 @@
 func (exchange *exchange) relayEvents(attempt *attempt) error {
 	buffer, _ := exchange.forwarder.buffers.Get().(*[copyBufferSize]byte)
 	defer exchange.forwarder.buffers.Put(buffer)
-	pending, reserved := []byte{}, 0
-	defer func() { exchange.reservation.Shrink(int64(reserved)) }()
+	defer exchange.releasePending(attempt)
 	for {
-		n, err := attempt.Read(buffer[:])
-		pending = append(pending, buffer[:n]...)
-		if grown := cap(pending) - reserved; grown > 0 {
-			exchange.reservation.ForceGrow(int64(grown))
-			reserved = cap(pending)
+		if !attempt.readAhead {
+			exchange.readPending(attempt, buffer[:])
+		}
+		attempt.readAhead = false
+		if exchange.second.tookOver() {
+			return errSuperseded
 		}
-		complete := bytes.LastIndex(pending, eventSeparator) + len(eventSeparator)
+		complete := bytes.LastIndex(attempt.pending, eventSeparator) + len(eventSeparator)
 		if complete >= len(eventSeparator) {
-			if err := exchange.forwardEvents(attempt, pending[:complete]); err != nil {
+			if err := exchange.forwardEvents(attempt, attempt.pending[:complete]); err != nil {
 				return err
 			}
-			pending = append(pending[:0], pending[complete:]...)
-			if reserved > maxKeptBuffer && len(pending) == 0 {
-				exchange.reservation.Shrink(int64(reserved))
-				pending, reserved = nil, 0
+			attempt.pending = append(attempt.pending[:0], attempt.pending[complete:]...)
+			if attempt.reserved > maxKeptBuffer && len(attempt.pending) == 0 {
+				exchange.releasePending(attempt)
 			}
 		}
-		switch {
+		switch err := attempt.readErr; {
 		case errors.Is(err, io.EOF):
-			return exchange.checkComplete(attempt, pending)
+			return exchange.checkComplete(attempt)
 		case err != nil:
 			return err
-		case len(pending) > maxEventBytes:
-			return errors.New("event exceeds the size limit")
+		case len(attempt.pending) > maxEventBytes:
+			return errEventTooLong
 		}
 	}
 }
 
+var (
+	// errSuperseded means that a second run went on with the stream first.
+	errSuperseded = errors.New("a second run went on first")
+	// errEventTooLong means that an event exceeds maxEventBytes.
+	errEventTooLong = errors.New("event exceeds the size limit")
+)
+
 var eventSeparator = []byte("\n\n")
 
+// readPending reads what arrives next for an attempt.
+func (exchange *exchange) readPending(attempt *attempt, buffer []byte) {
+	n, err := exchange.readReply(attempt, buffer)
+	attempt.pending, attempt.readErr = append(attempt.pending, buffer[:n]...), err
+	if grown := cap(attempt.pending) - attempt.reserved; grown > 0 {
+		exchange.reservation.ForceGrow(int64(grown))
+		attempt.reserved = cap(attempt.pending)
+	}
+}
+
+// readReply reads from an attempt's server and releases the exchange meanwhile.
+func (exchange *exchange) readReply(attempt *attempt, buffer []byte) (int, error) {
+	exchange.wait(attempt)
+	defer exchange.resume(attempt)
+	return attempt.Read(buffer)
+}
+
+// releasePending frees the memory of what was read for an attempt and not relayed.
+func (exchange *exchange) releasePending(attempt *attempt) {
+	exchange.reservation.Shrink(int64(attempt.reserved))
+	attempt.pending, attempt.reserved = nil, 0
+}
+
 // checkComplete returns an error unless the stream ended as a complete one does. A stream with neither a length nor
 // chunks ends with its connection; one that ends inside an event, or without any, has been broken off.
-func (exchange *exchange) checkComplete(attempt *attempt, pending []byte) error {
+func (exchange *exchange) checkComplete(attempt *attempt) error {
 	switch {
-	case !attempt.Framed() && (len(pending) > 0 || attempt.events == 0):
+	case !attempt.Framed() && (len(attempt.pending) > 0 || attempt.events == 0):
 		return errors.Wrap(io.ErrUnexpectedEOF, "the connection of the stream ended inside an event or without one")
-	case len(pending) > 0:
+	case len(attempt.pending) > 0:
 		return errors.New("stream ended in the middle of an event")
 	case !exchange.responseStarted:
 		return errors.New("stream ended without an event")
@@ -287,6 +340,7 @@
 	if err != nil {
 		return err
 	}
+	exchange.dropSecond()
 	count := bytes.Count(events, eventSeparator)
 	attempt.events += count
 	attempt.call.RecordEvents(count)
@@ -313,8 +367,10 @@
 }
 
 // writeEvents returns once the caller's connection has accepted the events. A slow caller thus slows down the
-// server, and nothing is buffered for the caller on this node.
+// server, and nothing is buffered for the caller on this node. The exchange is released meanwhile.
 func (exchange *exchange) writeEvents(events []byte) error {
+	exchange.mu.Unlock()
+	defer exchange.mu.Lock()
 	if _, err := exchange.writer.Write(events); err != nil {
 		return err
 	}
