fix(formation): a new leader knows which groups were complete before its term

What callers saw: where the leader changes while a member is missing from the registry, streams of that group are cut and go on elsewhere. Under the old leader the group would have finished them.

Cause: a group of which the list lacks a member is drained if the other members are all there, and ended at once if nothing is known of it. Only the leader recorded the groups that it had seen complete, so a new one knew none.

Evidence: TestNewLeaderDrainsGroupWithUnlistedMember, 40 requests a second at eight nodes: with a change of the leader one draft ran twice ("draft-82: status 200, 2 runs"), without one none did.

Change: nodes that don't lead record complete groups, too, with each new server list.

Why it works: the list is the same at all nodes that may lead, and a member that vanishes from it was there before.

TestSilentNodeCostsNothing stands beside it: a leader, another root, a relay and a leaf are not heard by the other nodes for 1 and 3 s. No request is refused, cut or run twice, and no group ends; it passed before this change, with 0.6 and 2 s as well.

Result: both tests passed 10 of 10 times; ./internal/fleet/formation passes.

--- a/internal/fleet/formation/controller.go
+++ b/internal/fleet/formation/controller.go
@@ -192,8 +192,12 @@
 func (controller *Controller) reconcile() {
 	term := controller.Term()
 	servers := controller.Servers()
-	controller.recordLastModels(servers)
+	newList := controller.recordLastModels(servers)
 	if term == 0 || !servers.Known() {
+		if newList {
+			// The next leader must know the members of a group that the list no longer shows complete.
+			controller.recordCompleteGroups(ListedGroups(servers, controller.Services()))
+		}
 		controller.resetPlan()
 		return
 	}
--- a/internal/fleet/formation/exclusions.go
+++ b/internal/fleet/formation/exclusions.go
@@ -9,12 +9,12 @@
 
 // recordLastModels records which model each server runs, for the time after it has left its group:
 // the server list shows the model only while the server is in a group. A server starts its last
-// model fastest, whatever is staged on its host by then.
-func (controller *Controller) recordLastModels(servers *roster.Snapshot) {
+// model fastest, whatever is staged on its host by then. It reports whether the server list is new.
+func (controller *Controller) recordLastModels(servers *roster.Snapshot) bool {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	if controller.lastList == servers {
-		return
+		return false
 	}
 	models := make(map[string]string, len(servers.Servers))
 	listedGroups := map[string]bool{}
@@ -31,6 +31,7 @@
 	}
 	controller.lastList, controller.lastModels = servers, models
 	controller.pruneLocked(listedGroups)
+	return true
 }
 
 // pruneLocked drops ended exclusions and groups that the server list no longer shows, so that
