fix(gateway): a group that was retired is no failure of the requests it stalled

What callers saw: a sound request may be refused for ten minutes. It was at three groups that were silent for a moment, and these groups were retired within six seconds, by a drain or a change of the plan.

Cause: a retired group ends with the same announcement as one that lost a member, and that turns the stalls of its requests into server failures.

Evidence: TestSilenceOfSoundGroupsQuarantinesNothing: ten groups, a request stalled at three of them, all ten retired: 3 failures, quarantined. None if the groups come back, 3 if they have lost members (both before and after).

Change: where a group is known as retired before it is announced lost, its stalls are dropped.

Why it works: a retired group isn't examined while it ends, so its end never says that a member was lost. Leaves are told the end of a group without its reason and go on counting; an answer, from any node, still takes all suspicion back.

--- a/internal/policy/quarantine/stall.go
+++ b/internal/policy/quarantine/stall.go
@@ -33,6 +33,13 @@
 	}
 }
 
+// DropStalls forgets the stalls of a group that was retired. Such a group ends without the loss of a member.
+func (list *List) DropStalls(group string) {
+	list.stallsMu.Lock()
+	defer list.stallsMu.Unlock()
+	list.stalls = slices.DeleteFunc(list.stalls, func(pending stall) bool { return pending.group == group })
+}
+
 // ConfirmGroupLoss records that a group lost a member. It turns the stalls of the group into
 // failures and returns the subjects with a new failure.
 func (list *List) ConfirmGroupLoss(group string) []Fingerprint {
--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -327,12 +327,16 @@
 // the given link, or from this node if the link is nil. Only the node that made the change logs it. Other
 // nodes count it, since every relay would log every change again.
 func (node *Node) applyAnnouncement(announcement formation.Announcement, from *overlay.Link) {
+	retired := node.groupView.IsRetired(announcement.Group.Name)
 	if !node.groupView.Apply(announcement) {
 		return
 	}
 	node.announcementsApplied.Add(1)
 	node.peers.broadcastAnnouncement(announcement, from)
 	if announcement.Change == formation.Lost {
+		if retired {
+			node.quarantine.DropStalls(announcement.Group.Name)
+		}
 		node.peers.catalogue.MarkLost(announcement.Group.Name)
 		node.peers.sendCatalogue()
 		node.handleLostGroup(announcement.Group.Name)
--- /dev/null
+++ b/internal/run/gateway/stalls_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"hazelslip/internal/fleet/formation"
+	"hazelslip/internal/policy/quarantine"
+)
+
+// stalledRequest returns a node where a request has been at three of ten groups that were silent together.
+func stalledRequest(t *testing.T, jumping *jumpingClock) (node *Node, groups []formation.Group, request quarantine.Fingerprint) {
+	node, request = nodeWithGroups(t, 10, Clock(jumping.now)), quarantine.Fingerprint(7)
+	for number := range 10 {
+		groups = append(groups, formation.Group{Name: fmt.Sprintf("g-%d", number), Members: []string{fmt.Sprintf("i-%d", number)}})
+	}
+	for _, group := range groups[:3] {
+		node.quarantine.RecordStall(quarantine.Subject{Fingerprint: request}, group.Name, group.Head()+"/"+group.Name)
+		jumping.advance(500 * time.Millisecond)
+	}
+	return node, groups, request
+}
+
+func (node *Node) failuresOf(request quarantine.Fingerprint) int {
+	suspect, _ := node.quarantine.Suspect(request)
+	return len(suspect.Failures)
+}
+
+// Guards against a request that is quarantined because sound groups were silent together and it was at three of them:
+// the groups come back, or end some seconds later because they were retired, which no request is to blame for.
+func TestSilenceOfSoundGroupsQuarantinesNothing(t *testing.T) {
+	cases := map[string]struct {
+		changes  []formation.Change
+		failures int
+	}{
+		"the groups come back":         {},
+		"the groups are retired":       {changes: []formation.Change{formation.Retired, formation.Lost, formation.Released}},
+		"the groups have lost members": {changes: []formation.Change{formation.Lost, formation.Released}, failures: 3},
+	}
+	for name, ending := range cases {
+		t.Run(name, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			jumping := newJumpingClock()
+			node, groups, request := stalledRequest(t, jumping)
+			for _, change := range ending.changes {
+				for _, group := range groups {
+					node.applyAnnouncement(formation.Announcement{Change: change, Group: group}, nil)
+				}
+				jumping.advance(time.Second)
+			}
+			expect.Expect(node.failuresOf(request)).To(gomega.Equal(ending.failures))
+			_, quarantined := node.quarantine.Quarantined(request)
+			expect.Expect(quarantined).To(gomega.Equal(ending.failures == 3))
+			node.quarantine.RecordSuccess(request)
+			expect.Expect(node.failuresOf(request)).To(gomega.BeZero(), "an answer takes all suspicion back")
+		})
+	}
+}
