fix(forward): give a slow call up only for a second one that answers first

What callers saw: calls of idempotent routes ended with 502 although their servers were about to answer, whenever they took longer than 1.5 times the route's target.

Cause: the first call was cancelled when that time was up, and only then it was checked whether a retry was allowed (BudgetSpent) and whether another server could take it (Full, NoServer).

Change: a slow call gets a second run beside the first, as a silent stream does, within max_attempts, the retry budget and the targets that may be picked. The first response below 500 wins; a response that exceeds the buffer is relayed as it arrives. A failure of the first waits for the second, and is returned if that fails, too. The server is recorded as timed out and avoided at the same time as before, whether or not a second run starts, so that a lost path is found as early. Calls through a peer node have the time for two servers, as before. Both runs have a memory reservation of their own. The exchange is released while a response is read from a server and written to the caller.

--- a/internal/policy/dispatch/suspicion.go
+++ b/internal/policy/dispatch/suspicion.go
@@ -22,6 +22,8 @@
 	DataCentreUnreachable Reason = "DataCentreUnreachable"
 	// PeerSilent: nothing has arrived for too long from the node that the call goes through.
 	PeerSilent Reason = "PeerSilent"
+	// CallSlow: a call has taken longer than calls of its route should.
+	CallSlow Reason = "CallSlow"
 )
 
 // Suspicion is why a call is suspected, and how long nothing has arrived for it.
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -16,6 +16,7 @@
 	"hazelslip/internal/fleet/detour"
 	"hazelslip/internal/peer/backendserver"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/notice"
 )
 
@@ -31,9 +32,11 @@
 	peer     *detour.Peer
 	call     *dispatch.Call
 	canceler *canceler
-	// detachCaller stops watching the caller's connection. timeout ends the call when its time is up.
+	// detachCaller stops watching the caller's connection. timeout ends the call when its time is up. slow suspects a
+	// plain call that takes long, nil for none.
 	detachCaller func() bool
 	timeout      *time.Timer
+	slow         *time.Timer
 	// startedAt is when the attempt started, admittedAt when the call was about to be written.
 	startedAt, admittedAt time.Duration
 	// timedOutWriting is set if the call timed out during a write to the caller.
@@ -43,14 +46,18 @@
 	// beside is set while the attempt runs beside the one that the handler waits for. dropped is set once it is not
 	// wanted any more, because the other one goes on.
 	beside, dropped bool
-	// suspected is set once the target of the attempt was suspected.
+	// suspected is set once the target of the attempt was suspected. replaced is why a slow call was given up for a
+	// second one, nil if it wasn't.
 	suspected bool
+	replaced  *dispatch.Suspicion
 	// pending holds the bytes that were read and not relayed, and reserved is the part of the node's memory budget that
-	// they take. readErr is the result of the last read. readAhead is set if the handler has not seen that read.
-	pending   []byte
-	reserved  int
-	readErr   error
-	readAhead bool
+	// they take in a reservation. readErr is the result of the last read. readAhead is set if the handler has not seen
+	// that read.
+	pending     []byte
+	reserved    int64
+	reservation *memory.Reservation
+	readErr     error
+	readAhead   bool
 	// withheld is set if the call was not sent because the server accepts no calls or the path to the server has
 	// no open connection.
 	withheld bool
@@ -60,6 +67,9 @@
 // call at once, and a late cancellation by a timer or an abandoned group would abort that call.
 func (attempt *attempt) release() {
 	attempt.timeout.Stop()
+	if attempt.slow != nil {
+		attempt.slow.Stop()
+	}
 	attempt.detachCaller()
 	attempt.canceler.disarm()
 	if attempt.Reply != nil {
@@ -133,6 +143,7 @@
 // sendAttempt sends the call of a new attempt.
 func (exchange *exchange) sendAttempt(attempt *attempt) {
 	target := attempt.target
+	exchange.watchSlowness(attempt)
 	call := exchange.buildCall(target)
 	call.SetCancel, call.OnResponseHead = attempt.canceler.setCancel, exchange.reportResponseHead(attempt)
 	call.Admit, call.OnConnect = exchange.admitAttempt(attempt), target.RecordConnected
@@ -160,8 +171,8 @@
 	if last := len(exchange.moves) - 1; last >= 0 && exchange.moves[last].Next == "" {
 		exchange.moves[last].Next = target.ID
 	}
-	attempt := &attempt{target: target, canceler: &canceler{}, startedAt: exchange.forwarder.Now()}
-	suspect := func(suspicion dispatch.Suspicion) { exchange.suspect(attempt, suspicion) }
+	attempt := &attempt{target: target, canceler: &canceler{}, startedAt: exchange.forwarder.Now(), reservation: &exchange.reservation}
+	suspect := func(suspicion dispatch.Suspicion) { _ = exchange.suspect(attempt, suspicion) }
 	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel, suspect, exchange.partKeys()...)
 	attempt.timeout = time.AfterFunc(timeout, attempt.expire)
 	attempt.detachCaller = context.AfterFunc(exchange.inbound.Context(), attempt.canceler.cancel)
@@ -194,7 +205,7 @@
 		return
 	}
 	canceled := errors.Is(err, errCanceled)
-	if (canceled || errors.Is(err, os.ErrDeadlineExceeded)) && !exchange.callerGone() && !attempt.call.Moved() {
+	if (canceled || errors.Is(err, os.ErrDeadlineExceeded)) && !exchange.callerGone() && !attempt.suspected {
 		target.RecordTimeout(attempt.startedAt)
 	}
 	if canceled {
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -20,10 +20,9 @@
 }
 
 const (
-	// minAttemptTimeout is the shortest time that a call of an idempotent route waits for its first server before
-	// the call is sent to another one. The value is many times the usual response time, so that only lost calls
-	// are retried, not slow ones.
-	minAttemptTimeout = 150 * time.Millisecond
+	// minSlowTime is the shortest time after which a call of an idempotent route is sent to a second server. The value
+	// is many times the usual response time, so that only lost calls are sent twice, not slow ones.
+	minSlowTime = 150 * time.Millisecond
 	// maxResponseBytes bounds a plain response that is buffered before delivery.
 	maxResponseBytes = 8 << 20
 	// maxQueuedCalls is how many calls may queue at a plain server.
@@ -45,7 +44,16 @@
 // response never reaches the caller and the call can be retried. A response that does not fit into the memory
 // budget is relayed unbuffered.
 func (exchange *exchange) serveCall() {
-	for exchange.timeLeft() > minTimeLeft && !exchange.callerGone() && !exchange.quarantined() && exchange.mayRetry() {
+	for {
+		if second := exchange.awaitSecond(); second != nil {
+			if exchange.handleCallAttempt(second) {
+				return
+			}
+			continue
+		}
+		if exchange.timeLeft() <= minTimeLeft || exchange.callerGone() || exchange.quarantined() || !exchange.mayRetry() {
+			break
+		}
 		target, verdict := exchange.pickServer()
 		if verdict == dispatch.Unreachable && exchange.mayDetour() {
 			if ended, sent := exchange.sendThroughPeers(exchange.handleCallAttempt); ended {
@@ -61,7 +69,7 @@
 			exchange.recordNoTarget(target, verdict)
 			break
 		}
-		if exchange.handleCallAttempt(exchange.send(target, exchange.attemptTimeout())) {
+		if exchange.handleCallAttempt(exchange.send(target, exchange.timeLeft())) {
 			return
 		}
 	}
@@ -70,7 +78,7 @@
 
 // pickServer picks a server and waits briefly if a permit may arrive or a backoff may end.
 func (exchange *exchange) pickServer() (*dispatch.Target, dispatch.Verdict) {
-	return exchange.pickWithWait(exchange.slotWait(), maxQueuedCalls, func(verdict dispatch.Verdict) bool {
+	return exchange.pickWithWait(exchange.slotWait(), exchange.maxQueued(), func(verdict dispatch.Verdict) bool {
 		return verdict == dispatch.RateLimited || verdict == dispatch.BackedOff
 	})
 }
@@ -137,7 +145,7 @@
 	if received.relayed {
 		return true
 	}
-	if attempt.Status >= http.StatusInternalServerError && exchange.mayRetryFailure() {
+	if attempt.Status >= http.StatusInternalServerError && (exchange.second != nil || exchange.mayRetryFailure()) {
 		exchange.recordRun()
 		exchange.cause = "server " + attempt.target.ID + " responded with status " + strconv.Itoa(attempt.Status)
 		exchange.excludedServers = append(exchange.excludedServers, attempt.target.ID)
@@ -166,11 +174,51 @@
 		exchange.timeLeft() > 4*minTimeLeft
 }
 
-// attemptTimeout returns how long to wait for one server.
-func (exchange *exchange) attemptTimeout() time.Duration {
-	left := exchange.timeLeft()
-	if exchange.route.Kind == configuration.Idempotent && exchange.runs+1 < exchange.route.MaxAttempts {
-		return min(left, max(minAttemptTimeout, exchange.route.Target*3/2))
+// slowTime returns the time after which a call of an idempotent route is slow. A peer node is given the time for two
+// servers.
+func (exchange *exchange) slowTime(attempt *attempt) time.Duration {
+	slow := max(minSlowTime, exchange.route.Target*3/2)
+	if attempt.peer != nil {
+		return 2 * slow
+	}
+	return slow
+}
+
+// watchSlowness suspects a call of an idempotent route once it is slow.
+func (exchange *exchange) watchSlowness(attempt *attempt) {
+	if exchange.route.Kind == configuration.Idempotent && exchange.runs+1 < exchange.route.MaxAttempts && !attempt.beside {
+		attempt.slow = time.AfterFunc(exchange.slowTime(attempt), func() { exchange.suspectSlow(attempt) })
+	}
+}
+
+// suspectSlow suspects a slow call, again and again until it ends.
+func (exchange *exchange) suspectSlow(attempt *attempt) {
+	if exchange.suspect(attempt, dispatch.Suspicion{Reason: dispatch.CallSlow}) {
+		time.AfterFunc(secondSearchInterval, func() { exchange.suspectSlow(attempt) })
+	}
+}
+
+// recordSlowness records that the server, or the peer node, of an attempt has not responded in time: it may have lost
+// power, and the next call would be lost, too.
+func (exchange *exchange) recordSlowness(attempt *attempt) {
+	switch {
+	case attempt.suspected, attempt.Reply != nil:
+	case attempt.peer != nil:
+		exchange.forwarder.Detours.RecordFailure(attempt.peer.Address)
+	default:
+		attempt.target.RecordTimeout(attempt.startedAt)
+		exchange.avoidUnresponsive(attempt)
+	}
+	attempt.suspected = true
+}
+
+// recordFailedCall records that a second call failed.
+func (exchange *exchange) recordFailedCall(attempt *attempt) {
+	exchange.recordResult(attempt, true)
+	exchange.recordRun()
+	if attempt.readErr != nil {
+		exchange.recordMove(attempt)
+		exchange.recordServerFailure(attempt, attempt.readErr)
 	}
-	return left
+	exchange.excludedServers = append(exchange.excludedServers, attempt.target.ID)
 }
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -132,7 +132,7 @@
 	exchange.lastPeer = peer.Address
 	exchange.excludedPeers = append(exchange.excludedPeers, peer.Address)
 	exchange.lastTarget = targetInfo{calls: peer.ActiveCalls()}
-	attempt := exchange.newAttempt(peer.Target, exchange.peerTimeout())
+	attempt := exchange.newAttempt(peer.Target, exchange.timeLeft())
 	attempt.peer = peer
 	return attempt
 }
@@ -140,6 +140,7 @@
 // sendToPeer sends the request to the peer node of a new attempt and reads the head of the response.
 func (exchange *exchange) sendToPeer(attempt *attempt) {
 	forwarder, peer := exchange.forwarder, attempt.peer
+	exchange.watchSlowness(attempt)
 	call := exchange.buildCall(peer.Target)
 	call.Server, call.Workspace = "", ""
 	call.Header = call.Header.Clone()
@@ -172,15 +173,6 @@
 	}
 }
 
-// peerTimeout returns how long to wait for a peer node: as long as the peer waits for two servers if the route is
-// idempotent.
-func (exchange *exchange) peerTimeout() time.Duration {
-	if exchange.route.Kind == configuration.Idempotent {
-		return min(exchange.timeLeft(), 2*exchange.attemptTimeout())
-	}
-	return exchange.timeLeft()
-}
-
 // handlePeerReply handles the response of a peer node.
 func (exchange *exchange) handlePeerReply(attempt *attempt, serve func(attempt *attempt) bool) (ended, sent bool) {
 	before := exchange.sentAttempts
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -115,7 +115,7 @@
 	calls  int
 }
 
-// move is a call that was given up, for the log.
+// move is a call that was given up for one at another target, for the log.
 type move struct {
 	// Server is the server of the call, or the address of the node that the call went through.
 	Server, Group      string
@@ -125,9 +125,13 @@
 	Next string
 }
 
-// recordMove records a call that was given up because its target was silent or lost.
+// recordMove records a call that was given up because its target was slow, silent or lost.
 func (exchange *exchange) recordMove(attempt *attempt) {
-	if movement := attempt.call.Movement(); attempt.call.Moved() {
+	movement := attempt.call.Movement()
+	if attempt.replaced != nil {
+		movement = *attempt.replaced
+	}
+	if movement.Reason != "" {
 		exchange.moves = append(exchange.moves, move{
 			Server: attempt.target.ID, Group: attempt.target.Group, Reason: movement.Reason, SilentMilliseconds: movement.Silence.Milliseconds(),
 		})
--- a/internal/serve/forward/response.go
+++ b/internal/serve/forward/response.go
@@ -16,17 +16,36 @@
 // readResponse buffers a response. A response that is longer than maxResponseBytes or does not fit into the memory
 // budget is relayed unbuffered, because the call has run and can no longer be refused.
 func (exchange *exchange) readResponse(attempt *attempt) (*response, error) {
-	before := exchange.reservation.Bytes()
-	body, err := readLimited(attempt, attempt.Length, maxResponseBytes, &exchange.reservation)
-	if errors.IsAny(err, errMemoryExhausted, errTooLarge) {
-		exchange.relayUnbuffered(attempt, body, exchange.reservation.Bytes()-before)
-		return &response{status: attempt.Status, relayed: true}, nil
+	if !attempt.readAhead {
+		exchange.bufferResponse(attempt)
 	}
-	if err != nil {
-		exchange.reservation.Shrink(exchange.reservation.Bytes() - before)
+	switch err := attempt.readErr; {
+	case exchange.second.tookOver():
+		attempt.releasePending()
+		return nil, errSuperseded
+	case exceedsBuffer(err):
+		exchange.dropSecond()
+		exchange.relayUnbuffered(attempt, attempt.pending, attempt.reserved)
+		return &response{status: attempt.Status, relayed: true}, nil
+	case err != nil:
+		attempt.releasePending()
 		return nil, err
 	}
-	return &response{status: attempt.Status, header: attempt.Header, body: body, reserved: exchange.reservation.Bytes() - before}, nil
+	return &response{status: attempt.Status, header: attempt.Header, body: attempt.pending, reserved: attempt.reserved}, nil
+}
+
+// bufferResponse reads a response as far as it fits into the buffer, and releases the exchange meanwhile.
+func (exchange *exchange) bufferResponse(attempt *attempt) {
+	exchange.wait(attempt)
+	defer exchange.resume(attempt)
+	before := attempt.reservation.Bytes()
+	attempt.pending, attempt.readErr = readLimited(attempt, attempt.Length, maxResponseBytes, attempt.reservation)
+	attempt.reserved = attempt.reservation.Bytes() - before
+}
+
+// exceedsBuffer reports whether a response was not read completely because it does not fit into the buffer.
+func exceedsBuffer(err error) bool {
+	return errors.IsAny(err, errMemoryExhausted, errTooLarge)
 }
 
 // setFallback stores an error response that is delivered if no other server does better.
@@ -55,17 +74,26 @@
 	if received != exchange.fallback {
 		exchange.setFallback(nil)
 	}
+	exchange.dropSecond()
 	exchange.releaseBody()
 	exchange.copyHeaders(received.header)
 	exchange.writer.Header().Set("Content-Length", strconv.Itoa(len(received.body)))
 	exchange.writer.WriteHeader(received.status)
-	if _, err := exchange.writer.Write(received.body); err != nil {
+	if err := exchange.write(received.body); err != nil {
 		exchange.cause = "write the response to the caller: " + err.Error()
 	}
 	exchange.outcome = ServerFailed
 	exchange.log(received.status)
 }
 
+// write writes a part of the response to the caller, and releases the exchange meanwhile.
+func (exchange *exchange) write(part []byte) error {
+	exchange.mu.Unlock()
+	defer exchange.mu.Lock()
+	_, err := exchange.writer.Write(part)
+	return err
+}
+
 // relayUnbuffered relays a response as it arrives, starting with the part already read, for which reserved bytes
 // are counted. It ends the request. If the server disconnects early, relayUnbuffered closes the caller's
 // connection, so that the truncated response does not look complete.
@@ -81,7 +109,7 @@
 	}
 	exchange.responseStarted = true
 	exchange.writer.WriteHeader(attempt.Status)
-	_, err := exchange.writer.Write(read)
+	err := exchange.write(read)
 	exchange.reservation.Shrink(reserved)
 	if err == nil {
 		err = exchange.relayRest(attempt)
@@ -111,8 +139,8 @@
 	defer exchange.forwarder.buffers.Put(buffer)
 	for {
 		attempt.SetDeadline(time.Now().Add(max(exchange.timeLeft(), maxRelayPause)))
-		n, err := attempt.Read(buffer[:])
-		if _, err := exchange.writer.Write(buffer[:n]); err != nil {
+		n, err := exchange.readReply(attempt, buffer[:])
+		if err := exchange.write(buffer[:n]); err != nil {
 			return err
 		}
 		switch {
--- a/internal/serve/forward/secondrun.go
+++ b/internal/serve/forward/secondrun.go
@@ -13,25 +13,25 @@
 	"hazelslip/internal/state/configuration"
 )
 
-// A run is given up only for something better. While the target of a stream's run is suspected, the stream may have a
-// second run at another target. The first run stays open, and the first of the two that goes on wins:
+// A run is given up only for something better. While the target of a run is suspected, or the run is slow, the request
+// may have a second run at another target. The first run stays open, and the first of the two that goes on wins:
 //
-//   - An event of the first run ends the second one.
-//   - The first complete event of the second run ends the first one, and the second takes over.
+//   - An event of the first run, or its response to a plain call, ends the second one.
+//   - The first complete event of the second run, or its response, ends the first one, and the second takes over.
 //   - If the first run ends, the request waits for the second one instead of starting a third.
-//   - If the second run ends without an event, another one may follow while the suspicion lasts.
+//   - If the second run fails, another one may follow while the suspicion lasts.
 //
-// The handler relays the first run, and a goroutine makes the second one until its first complete event. The mutex of
-// the exchange guards the request's state. Both release it while they wait for the network, so that a stream whose
-// target is not suspected needs neither a goroutine nor a channel.
+// The handler relays the first run, and a goroutine makes the second one until it goes on. The mutex of the exchange
+// guards the request's state. Both release it while they wait for the network, so that a stream whose target is not
+// suspected needs neither a goroutine nor a channel.
 
 // secondSearchInterval is the time between two searches for a target of a second run, if the last one found none.
 const secondSearchInterval = 100 * time.Millisecond
 
 // secondRun is a run beside the one that the handler waits for.
 type secondRun struct {
-	first     *attempt
-	suspicion dispatch.Suspicion
+	first  *attempt
+	reason dispatch.Reason
 	// attempt is the call, nil while no target was found.
 	attempt *attempt
 	// dropped is set once the first run has gone on or the request has ended.
@@ -66,22 +66,28 @@
 }
 
 // suspect starts a second run if the handler waits for the suspected attempt. It runs on the goroutine that watches
-// the targets and never waits: while the handler works on the request, its run goes on.
-func (exchange *exchange) suspect(attempt *attempt, suspicion dispatch.Suspicion) {
+// the targets and never waits: while the handler works on the request, its run goes on. It returns false once the
+// attempt has ended.
+func (exchange *exchange) suspect(attempt *attempt, suspicion dispatch.Suspicion) (open bool) {
 	if !exchange.mu.TryLock() {
-		return
+		return true
 	}
 	defer exchange.mu.Unlock()
 	if exchange.waitingFor != attempt || exchange.callerGone() {
-		return
+		return false
+	}
+	if suspicion.Reason == dispatch.CallSlow {
+		exchange.recordSlowness(attempt)
+	} else {
+		exchange.recordSuspicion(attempt)
 	}
-	exchange.recordSuspicion(attempt)
 	if exchange.second != nil || exchange.forwarder.Now() < exchange.nextSearchAt || !exchange.mayRunTwice(attempt) {
-		return
+		return true
 	}
-	second := &secondRun{first: attempt, suspicion: suspicion, done: make(chan struct{})}
+	second := &secondRun{first: attempt, reason: suspicion.Reason, done: make(chan struct{})}
 	exchange.second = second
 	exchange.secondRuns.Go(func() { exchange.runSecond(second) })
+	return true
 }
 
 // mayRunTwice reports whether a second run may start beside an attempt, as far as that does not depend on the retry
@@ -89,10 +95,10 @@
 func (exchange *exchange) mayRunTwice(first *attempt) bool {
 	route := exchange.route
 	switch _, _, quarantined := exchange.quarantineVerdict(); {
-	case route.Kind != configuration.Streaming, !route.Repeatable(), exchange.runs+1 >= route.MaxAttempts, exchange.timeLeft() <= minTimeLeft, quarantined:
+	case !route.Repeatable(), exchange.runs+1 >= route.MaxAttempts, exchange.timeLeft() <= minTimeLeft, quarantined:
 		return false
-	case exchange.responseStarted && !exchange.request.Resumes:
-		// Without event IDs, no server can go on after the last delivered event.
+	case exchange.responseStarted && (route.Kind != configuration.Streaming || !exchange.request.Resumes):
+		// Without event IDs, no server can go on after what was delivered.
 		return false
 	case first.events == 0 || exchange.endedUnanswered:
 		return !slices.ContainsFunc(exchange.parts, exchange.forwarder.Quarantine.NearlyQuarantined)
@@ -100,7 +106,18 @@
 	return true
 }
 
-// runSecond makes a second run until its first complete event.
+// giveUp ends an attempt in favour of a second one. A slow call counts as timed out, not as interrupted by a loss.
+func (attempt *attempt) giveUp(reason dispatch.Reason) {
+	suspicion := dispatch.Suspicion{Reason: reason, Silence: attempt.call.Silence()}
+	if reason == dispatch.CallSlow {
+		attempt.replaced = &suspicion
+		attempt.canceler.cancel()
+		return
+	}
+	attempt.call.GiveUp(suspicion)
+}
+
+// runSecond makes a second run until it goes on.
 func (exchange *exchange) runSecond(second *secondRun) {
 	defer close(second.done)
 	exchange.mu.Lock()
@@ -113,7 +130,7 @@
 	}
 	switch {
 	case second.takesOver && !second.firstEnded:
-		second.first.call.GiveUp(dispatch.Suspicion{Reason: second.suspicion.Reason, Silence: second.first.call.Silence()})
+		second.first.giveUp(second.reason)
 	case !second.takesOver:
 		exchange.second = nil
 		if !second.firstEnded {
@@ -152,30 +169,39 @@
 }
 
 func (exchange *exchange) beginSecond(second *secondRun, attempt *attempt) {
-	attempt.beside = true
+	// Both runs reserve memory at the same time.
+	reservation := exchange.forwarder.Memory.NewReservation(exchange.workspace, exchange.soleWorkspace())
+	attempt.beside, attempt.reservation = true, &reservation
 	second.attempt = attempt
 	exchange.secondRunCount++
 }
 
-// followSecond reads a second run until its first complete event, and reports whether the handler is to go on with it.
-// If not, the attempt is recorded and released.
+// followSecond reads a second run until it goes on, and reports whether the handler is to go on with it. If not, the
+// attempt is recorded and released.
 func (exchange *exchange) followSecond(second *secondRun) (takesOver bool) {
-	attempt := second.attempt
-	if attempt.Reply == nil {
-		attempt.release()
-		return false
-	}
+	attempt, streams := second.attempt, exchange.route.Kind == configuration.Streaming
 	defer func() {
 		if !takesOver {
-			exchange.releasePending(attempt)
+			attempt.reservation.Release()
 			attempt.release()
 		}
 	}()
+	if attempt.Reply == nil {
+		if !streams && !attempt.dropped {
+			exchange.avoidUnresponsive(attempt)
+		}
+		return false
+	}
 	if attempt.peer != nil && detourResult(exchange.takePeerState(attempt).Get(fieldResult)) != resultServer {
 		exchange.mayHaveRun = true
 		return false
 	}
-	if attempt.Status == http.StatusOK && !attempt.NotRun {
+	switch {
+	case attempt.NotRun:
+	case !streams:
+		attempt.readAhead = true
+		exchange.bufferResponse(attempt)
+	case attempt.Status == http.StatusOK:
 		exchange.readFirstEvent(attempt)
 	}
 	switch {
@@ -186,6 +212,8 @@
 		return true
 	case attempt.NotRun:
 		exchange.recordRefusal(attempt)
+	case !streams:
+		exchange.recordFailedCall(attempt)
 	case attempt.Status != http.StatusOK:
 		exchange.handleStreamFailure(attempt)
 	default:
@@ -208,10 +236,15 @@
 	}
 }
 
-// goesOn reports whether an attempt has gone on with the stream: a complete event has arrived, or the end of a stream
-// whose events have all been delivered.
+// goesOn reports whether an attempt goes on with the request: the response to a plain call has arrived, a complete event
+// of a stream, or the end of a stream whose events have all been delivered.
 func (exchange *exchange) goesOn(attempt *attempt) bool {
-	if attempt.NotRun || attempt.Status != http.StatusOK {
+	switch {
+	case attempt.NotRun:
+		return false
+	case exchange.route.Kind != configuration.Streaming:
+		return attempt.Status < http.StatusInternalServerError && (attempt.readErr == nil || exceedsBuffer(attempt.readErr))
+	case attempt.Status != http.StatusOK:
 		return false
 	}
 	return bytes.Contains(attempt.pending, eventSeparator) || (errors.Is(attempt.readErr, io.EOF) && exchange.checkComplete(attempt) == nil)
@@ -244,11 +277,14 @@
 	if !second.takesOver {
 		return nil
 	}
-	second.attempt.beside = false
+	attempt := second.attempt
+	exchange.reservation.ForceGrow(attempt.reservation.Bytes())
+	attempt.reservation.Release()
+	attempt.beside, attempt.reservation = false, &exchange.reservation
 	if last := len(exchange.moves) - 1; last >= 0 && exchange.moves[last].Next == "" {
-		exchange.moves[last].Next = second.attempt.target.ID
+		exchange.moves[last].Next = attempt.target.ID
 	}
-	return second.attempt
+	return attempt
 }
 
 // endRuns ends what runs when the handler ends, and releases the exchange.
@@ -258,6 +294,7 @@
 	exchange.mu.Unlock()
 	exchange.secondRuns.Wait()
 	if second.tookOver() {
+		second.attempt.reservation.Release()
 		second.attempt.release()
 	}
 }
--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -21,7 +21,7 @@
 	"hazelslip/internal/state/configuration"
 )
 
-// streamRig is a rig with several groups. The n-th run of a request behaves as the n-th script says, whatever group
+// streamRig is a rig with several groups, whose servers also take plain calls. The n-th run of a request behaves as the n-th script says, whatever group
 // it runs at.
 type streamRig struct {
 	*rig
@@ -70,13 +70,14 @@
 }
 
 func (streamRig *streamRig) setGroups(t *testing.T, groups int) {
-	specs := []dispatch.Spec{}
+	specs, plain := []dispatch.Spec{}, []dispatch.Spec{}
 	for number := range groups {
 		address := fmt.Sprintf("group-%d:1", number)
 		streamRig.serve(t, address, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { streamRig.serveRun(writer, request, address) }))
 		specs = append(specs, dispatch.Spec{ID: fmt.Sprintf("s-%d", number), Group: fmt.Sprintf("g-%d", number), Address: address, Slots: 8, PassTime: 40 * time.Millisecond})
+		plain = append(plain, dispatch.Spec{ID: fmt.Sprintf("s-%d", number), Address: address, Slots: 8})
 	}
-	streamRig.board.Update(map[string][]dispatch.Spec{forward.PoolName("writers", "m"): specs})
+	streamRig.board.Update(map[string][]dispatch.Spec{forward.PoolName("writers", "m"): specs, forward.PoolName("ledger", ""): plain})
 }
 
 func (streamRig *streamRig) watch() {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/state/configuration"
 )
 
 const (
@@ -74,9 +75,12 @@
 	exchange.finishUnserved()
 }
 
-// maxQueued returns how many streams may queue at a group that gets the request.
+// maxQueued returns how many calls may queue at a target that gets the request.
 func (exchange *exchange) maxQueued() int {
-	if exchange.mayHaveRun {
+	switch {
+	case exchange.route.Kind != configuration.Streaming:
+		return maxQueuedCalls
+	case exchange.mayHaveRun:
 		return maxQueuedResumed
 	}
 	return maxQueuedStreams
@@ -242,7 +246,7 @@
 	if received.relayed {
 		return true
 	}
-	if attempt.Status >= http.StatusInternalServerError && exchange.mayRetryFailure() {
+	if attempt.Status >= http.StatusInternalServerError && (exchange.second != nil || exchange.mayRetryFailure()) {
 		exchange.recordRun()
 		exchange.setFallback(received)
 		return false
@@ -258,7 +262,7 @@
 func (exchange *exchange) relayEvents(attempt *attempt) error {
 	buffer, _ := exchange.forwarder.buffers.Get().(*[copyBufferSize]byte)
 	defer exchange.forwarder.buffers.Put(buffer)
-	defer exchange.releasePending(attempt)
+	defer attempt.releasePending()
 	for {
 		if !attempt.readAhead {
 			exchange.readPending(attempt, buffer[:])
@@ -274,7 +278,7 @@
 			}
 			attempt.pending = append(attempt.pending[:0], attempt.pending[complete:]...)
 			if attempt.reserved > maxKeptBuffer && len(attempt.pending) == 0 {
-				exchange.releasePending(attempt)
+				attempt.releasePending()
 			}
 		}
 		switch err := attempt.readErr; {
@@ -301,9 +305,9 @@
 func (exchange *exchange) readPending(attempt *attempt, buffer []byte) {
 	n, err := exchange.readReply(attempt, buffer)
 	attempt.pending, attempt.readErr = append(attempt.pending, buffer[:n]...), err
-	if grown := cap(attempt.pending) - attempt.reserved; grown > 0 {
-		exchange.reservation.ForceGrow(int64(grown))
-		attempt.reserved = cap(attempt.pending)
+	if grown := int64(cap(attempt.pending)) - attempt.reserved; grown > 0 {
+		attempt.reservation.ForceGrow(grown)
+		attempt.reserved += grown
 	}
 }
 
@@ -315,8 +319,8 @@
 }
 
 // releasePending frees the memory of what was read for an attempt and not relayed.
-func (exchange *exchange) releasePending(attempt *attempt) {
-	exchange.reservation.Shrink(int64(attempt.reserved))
+func (attempt *attempt) releasePending() {
+	attempt.reservation.Shrink(attempt.reserved)
 	attempt.pending, attempt.reserved = nil, 0
 }
 
