test(formation): pauses come from the simulated servers

Cause: the fake of the package had its own list of paused servers. The simulated cluster knows pauses, too, and which process has ended, so the tests of both levels can use the same.

Change: tests pause servers with Cluster.Pause. Connections to a server follow from its ProcessState; the host of a crashed one refuses them, and no test sets this itself. A paused member now makes its head stall in the simulation, so the test of members that are stuck for good has heads without calls, which don't notice. Verdicts and bounds are the same.

--- a/internal/fleet/formation/fault_schedules_test.go
+++ b/internal/fleet/formation/fault_schedules_test.go
@@ -191,7 +191,7 @@
 	case restartServer:
 		cluster.Restart(serverID(1))
 	case pauseServer:
-		simulation.fleet.pauses.pause(serverID(0), pauseTime)
+		cluster.Pause(pauseTime, serverID(0))
 	case suspectGroup:
 		for _, node := range simulation.fleet.nodes {
 			if group := servingGroupOf(node, "small"); group.Name != "" {
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -64,27 +64,6 @@
 	connections atomic.Int64
 	// refusesConnections reports whether a server's host refuses connections. Nil stands for no server.
 	refusesConnections atomic.Pointer[func(id string) bool]
-	pauses             *pauses
-}
-
-// pauses holds the servers whose processes are paused. Their hosts accept connections meanwhile.
-type pauses struct {
-	mu    sync.Mutex
-	until map[string]time.Time
-}
-
-// pause pauses a server's process.
-func (pauses *pauses) pause(id string, span time.Duration) {
-	pauses.mu.Lock()
-	defer pauses.mu.Unlock()
-	pauses.until[id] = time.Now().Add(span)
-}
-
-// left returns how long a server's process is still paused.
-func (pauses *pauses) left(id string) time.Duration {
-	pauses.mu.Lock()
-	defer pauses.mu.Unlock()
-	return time.Until(pauses.until[id])
 }
 
 var errPaused = errors.New("no response from the paused server")
@@ -95,8 +74,8 @@
 	return refusing != nil && *refusing == id
 }
 
-func newNode(name string, cluster *backends.Cluster, now clock.Now, pauses *pauses) *node {
-	created := &node{name: name, cluster: cluster, list: roster.New(), pauses: pauses}
+func newNode(name string, cluster *backends.Cluster, now clock.Now) *node {
+	created := &node{name: name, cluster: cluster, list: roster.New()}
 	created.view = formation.NewView(now, formation.WithServerList(created.list.Load))
 	logger := slog.New(slog.DiscardHandler)
 	if os.Getenv("HAZELSLIP_LOG") != "" {
@@ -107,7 +86,7 @@
 		ServerClient: formation.ServerClient{
 			Report: func(ctx context.Context, server *roster.Server) (formation.Report, error) {
 				time.Sleep(time.Millisecond)
-				if created.pauses.left(server.ID) > 0 {
+				if state, _ := cluster.ProcessState(server.ID); state == backends.ProcessPaused {
 					<-ctx.Done()
 					return formation.Report{}, errPaused
 				}
@@ -119,9 +98,9 @@
 			},
 			Order: func(ctx context.Context, server *roster.Server, order formation.Order) (formation.Result, error) {
 				time.Sleep(time.Millisecond)
-				if left := created.pauses.left(server.ID); left > 0 {
+				if state, remaining := cluster.ProcessState(server.ID); state == backends.ProcessPaused {
 					// The process reads the order once it runs again.
-					time.AfterFunc(left, func() { _, _ = cluster.Order(name, server.ID, order) })
+					time.AfterFunc(remaining, func() { _, _ = cluster.Order(name, server.ID, order) })
 					<-ctx.Done()
 					return formation.Invalid, errPaused
 				}
@@ -151,16 +130,21 @@
 	return created
 }
 
-// connect opens a connection to a server. A paused process is connected to, a server without power or behind a
-// partition is not.
+// connect opens a connection to a server. The host of a paused process accepts it, that of an ended one refuses it. A
+// connection to a host without power or behind a partition times out.
 func (node *node) connect(ctx context.Context, server *roster.Server) error {
 	node.connections.Add(1)
 	time.Sleep(time.Millisecond)
 	if refuses := node.refusesConnections.Load(); refuses != nil && (*refuses)(server.ID) {
 		return syscall.ECONNREFUSED
 	}
-	if _, err := node.cluster.Report(node.name, server.ID); err == nil {
+	_, err := node.cluster.Report(node.name, server.ID)
+	state, _ := node.cluster.ProcessState(server.ID)
+	switch {
+	case err == nil || state == backends.ProcessPaused:
 		return nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return err
 	}
 	<-ctx.Done()
 	return os.ErrDeadlineExceeded
@@ -217,7 +201,6 @@
 // fleet is a simulated cluster with nodes that read the server list every 0.8 s.
 type fleet struct {
 	cluster *backends.Cluster
-	pauses  *pauses
 	nodes   []*node
 	stop    []func()
 }
@@ -235,9 +218,9 @@
 			cluster.Add(fmt.Sprintf("i-%d-%02d", domain, index), "domain-"+strconv.Itoa(domain), "east", staged)
 		}
 	}
-	created := &fleet{cluster: cluster, pauses: &pauses{until: map[string]time.Time{}}}
+	created := &fleet{cluster: cluster}
 	for index := range count {
-		created.nodes = append(created.nodes, newNode("node-"+strconv.Itoa(index), cluster, now, created.pauses))
+		created.nodes = append(created.nodes, newNode("node-"+strconv.Itoa(index), cluster, now))
 	}
 	for _, node := range created.nodes {
 		for _, other := range created.nodes {
@@ -488,7 +471,7 @@
 	server := servers[step%len(servers)]
 	node := fleet.nodes[step/7%2]
 	if step%5 == 0 {
-		fleet.pauses.pause(server.ID, time.Duration(step%70)*100*time.Millisecond)
+		fleet.cluster.Pause(time.Duration(step%70)*100*time.Millisecond, server.ID)
 	}
 	switch step % 11 {
 	case 0, 1:
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -41,7 +41,7 @@
 				group := servingGroupOf(node, "large")
 				expect.Expect(group.Members).To(gomega.HaveLen(4))
 				orders := node.controller.Counts.Orders.Load()
-				fleet.pauses.pause(group.Members[rank], span)
+				fleet.cluster.Pause(span, group.Members[rank])
 				for range 4 {
 					node.controller.Suspect(group.Head(), group.Name)
 					time.Sleep(span / 4)
@@ -73,7 +73,7 @@
 		expect.Expect(len(before)).To(gomega.BeNumerically(">=", 7))
 		connections := node.connections.Load()
 		for _, server := range fleet.cluster.Servers(service) {
-			fleet.pauses.pause(server.ID, 4*time.Second)
+			fleet.cluster.Pause(4*time.Second, server.ID)
 		}
 		for range 8 {
 			for _, group := range before {
@@ -98,13 +98,15 @@
 		expect := gomega.NewWithT(t)
 		fleet := newFleet(1, 3, 10, 1)
 		defer fleet.end()
+		// The heads have no calls, so that their groups don't break by themselves.
+		fleet.cluster.HeadsIdle = true
 		node := fleet.nodes[0]
 		startLogged(fleet)
 		stuck := []formation.Group{}
 		for _, group := range servingGroups(node) {
 			if group.Model == "small" && len(stuck) < 3 {
 				stuck = append(stuck, group)
-				fleet.pauses.pause(group.Members[1], time.Hour)
+				fleet.cluster.Pause(time.Hour, group.Members[1])
 				node.controller.Suspect(group.Head(), group.Name)
 			}
 		}
@@ -164,8 +166,6 @@
 		startLogged(fleet)
 		group := servingGroupOf(node, "large")
 		fleet.cluster.Crash(group.Members[2], 5*time.Second)
-		refuses := func(id string) bool { return id == group.Members[2] }
-		node.refusesConnections.Store(&refuses)
 		node.controller.Suspect(group.Head(), group.Name)
 		time.Sleep(10 * time.Millisecond)
 		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeTrue())
@@ -278,7 +278,7 @@
 		node := fleet.nodes[0]
 		startLogged(fleet)
 		group := servingGroupOf(node, "large")
-		fleet.pauses.pause(group.Members[2], 5*time.Second)
+		fleet.cluster.Pause(5*time.Second, group.Members[2])
 		node.controller.Suspect(group.Head(), group.Name)
 		time.Sleep(3 * time.Second)
 		fleet.cluster.Deregister(group.Members[2])
@@ -296,7 +296,7 @@
 		node := fleet.nodes[0]
 		startLogged(fleet)
 		group := servingGroupOf(node, "large")
-		fleet.pauses.pause(group.Members[2], time.Hour)
+		fleet.cluster.Pause(time.Hour, group.Members[2])
 		node.controller.Suspect(group.Head(), group.Name)
 		time.Sleep(time.Second)
 		node.setTerm(0)
