--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -133,6 +133,13 @@
 	return slices.Clone(cluster.servers[id].group.members)
 }
 
+// Group returns the name of the server's group, empty for none.
+func (cluster *Cluster) Group(id string) string {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	return cluster.servers[id].group.name
+}
+
 // Violations describes each violation of the group protocol: a head that was opened before all members were ready, a
 // server that left a serving group to join another one, or an epoch with two groups.
 func (cluster *Cluster) Violations() []string {
