fix(draft): the silence of an engine alone ends no draft

What callers saw: sound engines are silent together for 2.6 s, and drafts end midway with "too many drafts are being tried again".

Cause: an attempt is cancelled 2 s after its last token (3 s without one), whether or not another group can go on, and whether or not the retry budget has another attempt. A cancelled attempt can't be taken back, so the drafts that the budget doesn't cover are lost, while the engines go on 0.6 s later.

Change: a watchdog gives an attempt up only if the router has a group that can take the draft over, or the same group with a report read since, and the next attempt is taken from the budget.

Why it works: engines that are silent send no reports either, so no group is listed that could take a draft over, and the drafts wait. Where one group is silent and others aren't, the draft moves after 2 s as before (TestDraftSurvivesEngineFaults).

--- a/internal/policy/route/search.go
+++ b/internal/policy/route/search.go
@@ -36,6 +36,24 @@
 	return choice, true
 }
 
+// CanTakeOver reports whether a draft that was last served by a group at the given time could go on: at another group,
+// or at the same one if a report of it was read since.
+func (router *Router) CanTakeOver(request Request, group uint64, since, now time.Duration) bool {
+	groups, ok := router.table.Load().byModel[request.Model]
+	if !ok {
+		return false
+	}
+	for _, list := range []*candidateList{&groups.local, &groups.remote} {
+		for index := range list.candidates {
+			candidate := &list.candidates[index]
+			if (candidate.target.Number != group || candidate.target.ReadAt > since) && candidate.accepts(request, now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // search holds the groups that one choice has considered. It stays on the stack.
 type search struct {
 	request     Request
--- a/internal/serve/draft/draft.go
+++ b/internal/serve/draft/draft.go
@@ -33,7 +33,7 @@
 	maxAttempts   = 6
 	bytesPerToken = 4
 	prefixBytes   = 64
-	// minStallTimeout and stallFactor set how long a group may take for the next token before the draft resumes at
+	// minStallTimeout and stallFactor set how long a group may take for the next token before the draft may resume at
 	// another group: stallFactor times the target gap between tokens, but at least minStallTimeout.
 	minStallTimeout = 2 * time.Second
 	stallFactor     = 20
@@ -186,6 +186,8 @@
 	excludedGroup uint64
 	failedAt      time.Time
 	attempts      int
+	// withdrawn is set if the next attempt has been taken from the retry budget.
+	withdrawn bool
 	// mayHaveRun is set once a group may have started the request.
 	mayHaveRun       bool
 	timeToFirstToken time.Duration
@@ -212,7 +214,7 @@
 		if job.attempts >= maxAttempts {
 			return job.fail("the draft failed at every group that was tried")
 		}
-		if !job.server.retryBudget.TryWithdraw() {
+		if !job.withdrawn && !job.server.retryBudget.TryWithdraw() {
 			return job.fail("too many drafts are being tried again")
 		}
 		job.server.resumed.Add(1)
@@ -249,11 +251,8 @@
 
 // pickGroup picks a group, excluding the group on which this draft last failed.
 func (job *job) pickGroup() (route.Choice, bool) {
-	request := route.Request{
-		Model: job.request.Class.Model, PromptTokens: len(job.request.Prompt)/bytesPerToken + len(job.tokens),
-		AnswerTokens: job.request.MaxTokens - len(job.tokens), PrefixHash: prefixHash(job.request.Prompt),
-		Exclude: job.excludedGroup,
-	}
+	request := job.routeRequest()
+	request.Exclude = job.excludedGroup
 	choice, ok := job.server.router.Pick(request, job.server.now())
 	if ok {
 		job.request.Entry.Addf("picked group %d at %s: predicted time to first token %s, one of %d near-best groups of %d known",
@@ -262,6 +261,14 @@
 	return choice, ok
 }
 
+// routeRequest describes what is left of the draft.
+func (job *job) routeRequest() route.Request {
+	return route.Request{
+		Model: job.request.Class.Model, PromptTokens: len(job.request.Prompt)/bytesPerToken + len(job.tokens),
+		AnswerTokens: job.request.MaxTokens - len(job.tokens), PrefixHash: prefixHash(job.request.Prompt),
+	}
+}
+
 func prefixHash(prompt string) uint64 {
 	return xxhash.Sum64String(prompt[:min(prefixBytes, len(prompt))])
 }
@@ -293,10 +300,8 @@
 		failed := err != nil && !errors.Is(err, errCallerGone) && job.ctx.Err() == nil
 		choice.Done(failed, job.server.now())
 	}()
-	// A group that stops responding without closing its connection would block the draft forever. The watchdog
-	// cancels the attempt, which closes the connection.
-	watchdog := time.AfterFunc(job.firstTokenTimeout(), cancel)
-	defer watchdog.Stop()
+	watchdog := job.newWatchdog(choice.Target.Number, cancel)
+	defer func() { job.withdrawn = watchdog.stop() }()
 	stream, err := job.server.generate(ctx, choice.Target.Leader, engine.GenerateRequest{
 		Group: choice.Target.Number, Attempt: number, Model: job.request.Class.Model,
 		Prompt: job.request.Prompt, Resume: job.tokens, MaxTokens: job.request.MaxTokens,
@@ -310,7 +315,7 @@
 	job.mayHaveRun = true
 	defer stream.Close()
 	reader := &pieceReader{job: job, stream: stream, attempt: number, pending: map[int]string{}}
-	return reader.read(&choice, func() { watchdog.Reset(job.stallTimeout()) })
+	return reader.read(&choice, func() { watchdog.recordActivity(job.stallTimeout()) })
 }
 
 func (job *job) firstTokenTimeout() time.Duration {
