fix(replica): a report that nobody has read is no silence of the server

What callers saw: a sound group may be retired at the first plan after its domain has not been read for a while, and a new one loads its weights for half a minute.

Cause: a member without a fresh report counted as unresponsive for as long as its report was old. Where the node was stopped, or no node read the domain, the age is above the grace period at once, although no read has failed.

Evidence: TestReportThatNobodyReadIsNoSilence: two members read 0.05 s ago, the third 20 s ago, a spare server: the plan retires the group. It waits if a read of the third has failed for 2 s, and retires it after a minute (both before and after).

Change: such a member counts as unresponsive for StaleAfter, as one that was never read. A read that fails starts the grace period.

--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -194,7 +194,8 @@
 		unresponsive := now - server.UnresponsiveSince
 		return &Missing{Address: address, UnresponsiveFor: unresponsive}, fmt.Sprintf("member %s does not answer", address)
 	case server.Age(now) >= StaleAfter:
-		return &Missing{Address: address, UnresponsiveFor: server.Age(now)}, fmt.Sprintf("member %s has no fresh report", address)
+		// No read has failed. The age of the report only shows that nobody has read a newer one.
+		return &Missing{Address: address, UnresponsiveFor: StaleAfter}, fmt.Sprintf("member %s has no fresh report", address)
 	case server.Report.Group == 0:
 		return &Missing{Address: address, Departed: true}, fmt.Sprintf("member %s is in no group", address)
 	case server.Report.Group != group.Number:
