fix(node): a pause of the node itself is no silence of servers and peers

What callers saw: a node that was stopped for some seconds retires a group of which a member had just missed a report, and takes over the domains of all other nodes.

Cause: the time since a server's first failed read, and since a peer's last answer, counted the pause, in which the node asked nobody.

Evidence: TestPausedNodesRetireNoGroup, nine engines in two groups with a spare one; one engine is paused for 4 s, the nodes jump by 8 s meanwhile: "a group was retired", cause "a member has not answered for 11s", with a grace period of 6 s.

Change: the loop that assembles the groups has a PauseDetector and moves the times of servers and peers on before it looks at them. Plans read what that loop has assembled.

--- a/internal/run/node/silence_test.go
+++ b/internal/run/node/silence_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -55,3 +56,33 @@
 		server.SetFaults(engine.Faults{Paused: paused})
 	}
 }
+
+// Guards against nodes that were stopped for a while and retire groups when they run again, because a member of each had
+// just missed a report before the pause, or because nobody has read one meanwhile.
+func TestPausedNodesRetireNoGroup(t *testing.T) {
+	// With the spare engine, the other members of a group could form another one.
+	shape := smallShape(0)
+	shape.Engines = 9
+	for _, silent := range []int{0, 1, 5} {
+		withFleet(t, shape, func(_ *testing.T, running *fleet.Fleet, g *gomega.WithT) {
+			time.Sleep(10 * time.Second)
+			before := groupNumbers(running)
+			running.Environment.Engines[silent].SetFaults(engine.Faults{Paused: true})
+			time.Sleep(2500 * time.Millisecond)
+			running.JumpClock(8 * time.Second)
+			time.Sleep(1500 * time.Millisecond)
+			running.Environment.Engines[silent].SetFaults(engine.Faults{})
+			time.Sleep(20 * time.Second)
+			g.Expect(groupNumbers(running)).To(gomega.Equal(before), "engine %d", silent)
+		})
+	}
+}
+
+func groupNumbers(running *fleet.Fleet) []uint64 {
+	numbers := []uint64{}
+	for _, group := range running.Nodes[0].State().Groups {
+		numbers = append(numbers, group.Number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
--- a/internal/run/node/view.go
+++ b/internal/run/node/view.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"hazelslip/internal/common/clock"
 	"hazelslip/internal/fleet/member"
 	"hazelslip/internal/fleet/replica"
 	"hazelslip/internal/policy/repair"
@@ -27,18 +28,31 @@
 	node.GoNamed("view", func() {
 		ticker := time.NewTicker(viewInterval)
 		defer ticker.Stop()
+		pauses := clock.NewPauseDetector(node.now)
 		for {
+			pauses.Schedule(viewInterval)
 			select {
 			case <-node.Stopping:
 				return
 			case <-ticker.C:
 			case <-node.serverStatuses.Changed():
 			}
+			if pause := pauses.Observe(); pause > 0 {
+				node.recordPause(pause)
+			}
 			node.updateView()
 		}
 	})
 }
 
+// recordPause discounts a pause of this process from the silence of servers and peers. A process that was stopped, or
+// got no processor time, has asked nobody meanwhile.
+func (node *Node) recordPause(pause time.Duration) {
+	node.logger.Warn("node: this node did not run for a while.", "Milliseconds", pause.Milliseconds())
+	node.serverStatuses.RecordPause(pause)
+	node.members.RecordPause(pause)
+}
+
 func (node *Node) updateView() {
 	now := node.now()
 	node.members.Refresh()
--- a/internal/testlib/fleet/fleet.go
+++ b/internal/testlib/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,8 +43,10 @@
 	Nodes       []*node.Node
 	Settings    []settings.Node
 
-	t          *testing.T
-	now        clock.Now
+	t   *testing.T
+	now clock.Now
+	// jumped is how far the clock of the nodes is ahead of the time of the bubble.
+	jumped     atomic.Int64
 	logger     *slog.Logger
 	client     *http.Client
 	nodeStarts uint64
@@ -59,9 +62,11 @@
 	}
 	transport := &http.Transport{DialContext: memoryNetwork.Dialer("caller"), DisableKeepAlives: true}
 	fleet := &Fleet{
-		Environment: environment, Network: memoryNetwork, t: t, now: clock.Virtual(), Settings: environment.Settings(),
+		Environment: environment, Network: memoryNetwork, t: t, Settings: environment.Settings(),
 		logger: slog.New(slog.NewTextHandler(io.Discard, nil)), client: &http.Client{Transport: transport},
 	}
+	virtual := clock.Virtual()
+	fleet.now = func() time.Duration { return virtual() + time.Duration(fleet.jumped.Load()) }
 	for index := range fleet.Settings {
 		fleet.Settings[index].Stopping = settings.Stopping{NoticeSeconds: 1, DrainSeconds: 60}
 	}
@@ -104,6 +109,11 @@
 	fleet.Nodes[index] = nil
 }
 
+// JumpClock moves the clock of all nodes on, as it is for processes that were stopped for that span.
+func (fleet *Fleet) JumpClock(span time.Duration) {
+	fleet.jumped.Add(int64(span))
+}
+
 // Stop stops the nodes and the environment. Stop must be called inside the bubble.
 func (fleet *Fleet) Stop() {
 	stops := conc.NewWaitGroup()
