fix(pathhealth): servers that get no calls show that a path works

What callers saw: a request that crashes servers reached 6 to 60 more of them than allowed at nodes of small fleets, and calls went through other nodes while the servers were near.

Cause: a path was probed at the heads that get calls alone. Where one or two of them had ended, nobody else was asked, the path was taken for lost, and the crash was not counted.

Change: a probe also draws from the servers that the list shows for the service and the data centre: other members and free ones. The suspicion itself still follows from the servers that get calls. Leaves have no list and probe as before.

Why it works: a lost path affects all servers at once; ended servers leave the others connectable.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -160,6 +160,8 @@
 	now          clock.Now
 	serverRecord func(run ratelimit.Run) *notice.Record
 	paths        *pathhealth.Paths
+	// witnesses returns all known servers of a path.
+	witnesses func(destination pathhealth.Destination) []Witness
 	// hasIdleConnection reports whether there is an open connection to an address that carries no call.
 	hasIdleConnection func(address string) bool
 	drainStatus       func(dataCentre string) *drain.Status
@@ -215,6 +217,11 @@
 	return func(board *Board) { board.paths = paths }
 }
 
+// Witnesses sets the source of all known servers of a path, those included that get no calls.
+func Witnesses(list func(destination pathhealth.Destination) []Witness) Option {
+	return func(board *Board) { board.witnesses = list }
+}
+
 // IdleConnections sets the function that reports whether an idle connection to an address is open.
 func IdleConnections(idle func(address string) bool) Option {
 	return func(board *Board) { board.hasIdleConnection = idle }
@@ -241,6 +248,7 @@
 func New(options ...Option) *Board {
 	board := &Board{
 		random: rand.IntN, now: clock.Boot, serverRecord: notice.New(ratelimit.New()).Record, targets: map[string]*Target{}, slotTimes: map[string]*slotTime{},
+		witnesses:         func(pathhealth.Destination) []Witness { return nil },
 		hasIdleConnection: func(string) bool { return false }, drainStatus: drain.New().Status, nodeCount: func() int { return 1 }, countedNodes: func() int { return 1 },
 	}
 	board.snapshot.Store(&snapshot{})
--- a/internal/policy/dispatch/path.go
+++ b/internal/policy/dispatch/path.go
@@ -103,16 +103,27 @@
 	Addresses map[string]string
 }
 
+// Witness is a server that gets no calls from this node. Whether it accepts connections shows whether the path to it
+// works.
+type Witness struct {
+	ID, Address string
+}
+
 // DuePathProbes returns the probes that are due on suspected and lost paths.
 func (board *Board) DuePathProbes() []PathProbe {
-	due := board.paths.DueProbes()
-	if len(due) == 0 {
+	if !board.paths.AnyUnhealthy() {
 		return nil
 	}
 	addresses := map[string]string{}
 	for _, target := range board.snapshot.Load().targets {
 		addresses[target.ID] = target.Address
 	}
+	for _, path := range board.paths.All() {
+		if path.Status() != pathhealth.Healthy {
+			path.SetWitnesses(board.findWitnesses(path.Destination, addresses))
+		}
+	}
+	due := board.paths.DueProbes()
 	probes := make([]PathProbe, 0, len(due))
 	for _, probe := range due {
 		probes = append(probes, PathProbe{Probe: probe, Addresses: addresses})
@@ -120,6 +131,18 @@
 	return probes
 }
 
+// findWitnesses returns the servers of a path that get no calls, and adds their addresses.
+func (board *Board) findWitnesses(destination pathhealth.Destination, addresses map[string]string) []string {
+	ids := []string{}
+	for _, witness := range board.witnesses(destination) {
+		if _, known := addresses[witness.ID]; !known {
+			addresses[witness.ID] = witness.Address
+			ids = append(ids, witness.ID)
+		}
+	}
+	return ids
+}
+
 // SuspectCalls suspects the calls of a lost path, except at groups that have just had an event. It returns the number
 // of calls suspected.
 func (board *Board) SuspectCalls(path *pathhealth.Path) int {
--- a/internal/policy/pathhealth/path.go
+++ b/internal/policy/pathhealth/path.go
@@ -25,8 +25,8 @@
 	connectFailed, broken map[string]struct{}
 	// activeAt holds when each server last sent something since the path stopped being healthy.
 	activeAt map[string]time.Duration
-	// servers are all servers of the path, as last set by SetServers.
-	servers []string
+	// servers are the servers of the path that get calls, as last set by SetServers. witnesses are its other servers.
+	servers, witnesses []string
 	// reachedAt holds when each server was last connected to since the path stopped being healthy.
 	reachedAt map[string]time.Duration
 	// unhealthySince is when the path became suspected, probedAt is when its servers were last probed, and
@@ -62,13 +62,21 @@
 	return !known || path.paths.now()-at > reachedTTL
 }
 
-// SetServers replaces the list of servers of the path.
+// SetServers replaces the list of servers of the path that get calls.
 func (path *Path) SetServers(servers []string) {
 	path.mu.Lock()
 	defer path.mu.Unlock()
 	path.servers = servers
 }
 
+// SetWitnesses replaces the list of the other servers of the path. They get no calls from this node, but they can be
+// connected to: where few servers get calls, these may all have ended while the path works.
+func (path *Path) SetWitnesses(witnesses []string) {
+	path.mu.Lock()
+	defer path.mu.Unlock()
+	path.witnesses = witnesses
+}
+
 // touch records that a server sent something. It reports whether more has to be recorded, which is not the case while
 // the path is healthy and has no recorded failures.
 func (path *Path) touch(now time.Duration) bool {
--- a/internal/policy/pathhealth/pathhealth_test.go
+++ b/internal/policy/pathhealth/pathhealth_test.go
@@ -183,3 +183,30 @@
 	fixture.path.RecordConnectFailure(serverName(1), fixture.now)
 	expect.Expect(fixture.path.Status()).To(gomega.Equal(pathhealth.Healthy), "the path was found healthy just before")
 }
+
+// Guards against a path that is taken for lost because the only servers that get calls have ended, while the other
+// members of their groups and free servers accept connections.
+func TestEndedServersAreNoLostPath(t *testing.T) {
+	for _, called := range []int{1, 2} {
+		for _, reachable := range []bool{true, false} {
+			expect := gomega.NewWithT(t)
+			fixture := newFixture(called)
+			fixture.setReachable(0)
+			witnesses := []string{"w-1", "w-2", "w-3", "w-4", "w-5", "w-6"}
+			for _, witness := range witnesses {
+				fixture.reachable[witness] = reachable
+			}
+			fixture.path.SetWitnesses(witnesses)
+			for server := range called {
+				fixture.path.RecordConnectFailure(serverName(server), fixture.now)
+			}
+			expect.Expect(fixture.path.Status()).To(gomega.Equal(pathhealth.Suspected))
+			fixture.runProbes(0)
+			expected := pathhealth.Lost
+			if reachable {
+				expected = pathhealth.Healthy
+			}
+			expect.Expect(fixture.path.Status()).To(gomega.Equal(expected), "%d called, others reachable: %t", called, reachable)
+		}
+	}
+}
--- a/internal/policy/pathhealth/probe.go
+++ b/internal/policy/pathhealth/probe.go
@@ -51,7 +51,7 @@
 
 // sampleLocked returns up to count servers of the path, chosen at random.
 func (path *Path) sampleLocked(count int) []string {
-	remaining := append([]string{}, path.servers...)
+	remaining := append(append([]string{}, path.servers...), path.witnesses...)
 	chosen := []string{}
 	for len(remaining) > 0 && len(chosen) < count {
 		index := path.paths.random(len(remaining))
@@ -138,14 +138,14 @@
 		switch {
 		case !probe.provesLost(len(reached)):
 			path.markHealthyLocked(now)
-		case path.silenceOnly && len(path.servers) > len(probe.Servers):
+		case path.silenceOnly && len(path.servers)+len(path.witnesses) > len(probe.Servers):
 			path.probedAt = 0
 		default:
 			path.status.Store(int32(Lost))
 		}
 		path.silenceOnly = false
 	case Lost:
-		proven := path.lastProbePassed || len(path.servers) <= len(probe.Servers)
+		proven := path.lastProbePassed || len(path.servers)+len(path.witnesses) <= len(probe.Servers)
 		path.lastProbePassed = len(reached) == len(probe.Servers)
 		if proven && (len(probe.Servers)-len(reached))*lostDenominator <= len(probe.Servers) {
 			path.markHealthyLocked(now)
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -205,7 +205,7 @@
 	node.demand = demand.New(demand.Clock(node.now))
 	node.retries = node.newRetryCounts()
 	node.detours = newDetours(node)
-	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices), dispatch.Demand(node.demand), dispatch.Paths(node.detours.paths),
+	node.board = dispatch.New(dispatch.Clock(node.now), dispatch.DataCentre(settings.DataCentre), dispatch.Notices(node.notices), dispatch.Demand(node.demand), dispatch.Paths(node.detours.paths), dispatch.Witnesses(node.listedServers),
 		dispatch.IdleConnections(func(address string) bool { return node.pool.HasIdle(address) }),
 		dispatch.Drains(node.drains.Status), dispatch.ColdShare(node.Incarnation, func() int { return node.peers.budgetNodes() }),
 		dispatch.CountedNodes(func() int { return int(node.peers.reportingNodes.Load()) }))
--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -21,6 +21,18 @@
 	run     string
 }
 
+// listedServers returns the servers of a path that the server list shows, whether they get calls or not. A leaf has no
+// server list.
+func (node *Node) listedServers(destination pathhealth.Destination) []dispatch.Witness {
+	listed := []dispatch.Witness{}
+	for _, server := range node.servers.Load().ByService[destination.Service] {
+		if server.DataCentre == destination.DataCentre {
+			listed = append(listed, dispatch.Witness{ID: server.ID, Address: server.Address})
+		}
+	}
+	return listed
+}
+
 // probe connects to servers of a path.
 func (detours *detours) probe(probe *dispatch.PathProbe) {
 	connects := func(server string) bool { return detours.node.pool.CanConnect(probe.Addresses[server], probeTimeout) }
