fix(formation): a closing head that is silent has not closed

What callers saw: a group with a draining server was ended under its streams if its head was paused, or refused requests, for a moment.

Cause: one report without a reply from a closing head was taken for the end of its calls. An order to close without a reply, or a refused one, ended the group at once.

Change: the head is polled by the same evidence as a suspected group. It has closed if it says so. It is lost by a proof, or if it has no connection while reference servers do. Otherwise the wait goes on, for 9 s at most as before. The order to close is repeated for as long. A node that has lost its term stops. Verdicts are about the members that were asked, by ID, so that they serve questions to some members, too.

--- a/internal/fleet/formation/evidence.go
+++ b/internal/fleet/formation/evidence.go
@@ -66,7 +66,7 @@
 // connection as well: a report may go over a kept connection, which doesn't tell a host without power
 // from a process that is paused.
 func (controller *Controller) requestRound(group Group, ids []string) (*round, []answer) {
-	asked := &round{startedAt: controller.Now()}
+	asked := &round{startedAt: controller.Now(), ids: ids}
 	answers := make([]answer, len(ids))
 	once, members, referenceWaiters := sync.Once{}, conc.WaitGroup{}, conc.WaitGroup{}
 	asking := &question{group: group, startedAt: asked.startedAt, askReferences: func(dataCentre string) {
@@ -193,10 +193,10 @@
 	said := []slog.Attr{}
 	last := examined.last
 	for index, response := range last.responses[:min(len(last.responses), maxLoggedMembers)] {
-		said = append(said, slog.String(examined.group.Members[index], string(response)))
+		said = append(said, slog.String(last.ids[index], string(response)))
 	}
 	return []any{
 		slog.GroupAttrs("Evidence", said...), "Asked", examined.rounds, "Milliseconds", (controller.Now() - examined.startedAt).Milliseconds(),
-		"ReferencesAsked", last.references.asked, "ReferencesReached", last.references.reached, "OthersExamined", controller.examinedGroups() - 1,
+		"ReferencesAsked", last.references.asked, "ReferencesReached", last.references.reached, "OthersExamined", controller.othersExamined(examined.group.Name),
 	}
 }
--- a/internal/fleet/formation/examine.go
+++ b/internal/fleet/formation/examine.go
@@ -6,52 +6,52 @@
 	"hazelslip/internal/fleet/roster"
 )
 
-// examination is the repeated question to the members of a group until the evidence decides.
+// examination is the repeated question to members of a group until the evidence decides.
 type examination struct {
 	group     Group
+	ids       []string
 	startedAt time.Duration
 	judge     *judge
 	// rounds counts the questions so far. last is the last one.
 	rounds int
 	last   *round
-	// keptLogged is set once the log tells that the group is kept.
-	keptLogged bool
 }
 
-// examineGroup asks the members of a suspected group until all reply or one is lost, and ends the group
-// in that case. A member that is silent may only be paused. The group stays open meanwhile and keeps its
-// streams, since an end can't be taken back.
-func (controller *Controller) examineGroup(term int64, group Group) {
-	examined := &examination{group: group, startedAt: controller.Now(), judge: newJudge(len(group.Members), controller.Bounds.StallTimeout)}
+// examine asks members of a group until all reply or one is lost. It returns undecided if this node no longer
+// leads, or as soon as goOn is false. A member that is silent may only be paused. The group stays as it is
+// meanwhile and keeps its streams, since an end can't be taken back.
+func (controller *Controller) examine(term int64, group Group, ids []string, goOn func() bool) (*examination, verdict) {
+	examined := &examination{group: group, ids: ids, startedAt: controller.Now(), judge: newJudge(controller.Bounds.StallTimeout, maxExaminationPause)}
 	controller.setExamining(group, true)
 	defer controller.setExamining(group, false)
 	pause := minExaminationPause
 	for {
-		found := controller.decide(examined)
-		switch {
-		case found == complete:
-			controller.finishComplete(examined)
-			return
-		case found == lost:
-			controller.endLost(term, examined, "former: group lost members.")
-			return
-		case found == overdue && controller.takeSuspicion(group):
-			controller.endLost(term, examined, "former: group has members that are silent for too long.")
-			return
+		examined.last, _ = controller.requestRound(group, ids)
+		examined.rounds++
+		found := examined.judge.decide(examined.last)
+		if found == complete || found == lost || (found == overdue && controller.takeSuspicion(group)) {
+			return examined, found
+		}
+		if examined.rounds == 1 {
+			controller.Logger.Info("former: group kept while members are silent.",
+				append([]any{"Group", group.Name, "Model", group.Model}, controller.evidenceAttributes(examined)...)...)
 		}
-		controller.logKept(examined)
-		if !controller.Sleep(pause) || controller.Term() != term || !controller.isExaminable(group) {
-			return
+		if !controller.Sleep(pause) || controller.Term() != term || !goOn() {
+			return examined, undecided
 		}
 		pause = min(2*pause, maxExaminationPause)
 	}
 }
 
-// decide asks the members once more.
-func (controller *Controller) decide(examined *examination) verdict {
-	examined.last, _ = controller.requestRound(examined.group, examined.group.Members)
-	examined.rounds++
-	return examined.judge.decide(examined.last)
+// examineGroup examines all members of a suspected group, and ends the group if one is lost.
+func (controller *Controller) examineGroup(term int64, group Group) {
+	examined, found := controller.examine(term, group, group.Members, func() bool { return controller.isExaminable(group) })
+	switch found {
+	case complete:
+		controller.finishComplete(examined)
+	case lost, overdue:
+		controller.endLost(term, examined, found)
+	}
 }
 
 // isExaminable reports whether a group has neither ended nor begun to drain.
@@ -79,10 +79,15 @@
 	delete(controller.examining, group.Name)
 }
 
-func (controller *Controller) examinedGroups() int {
+// othersExamined returns how many other groups are being examined.
+func (controller *Controller) othersExamined(group string) int {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	return len(controller.examining)
+	others := len(controller.examining)
+	if _, ok := controller.examining[group]; ok {
+		others--
+	}
+	return others
 }
 
 // takeSuspicion reports whether a group may be ended on the suspicion that a silent member is lost. One
@@ -110,29 +115,25 @@
 
 // endLost ends a group. Members that are lost are not used for a while. A member that didn't reply is not
 // ordered to leave, since its order would only time out.
-func (controller *Controller) endLost(term int64, examined *examination, message string) {
+func (controller *Controller) endLost(term int64, examined *examination, found verdict) {
 	group := examined.group
 	controller.Counts.Lost.Add(1)
 	missing := []string{}
 	for index, response := range examined.last.responses {
 		if !response.isReply() {
-			missing = append(missing, group.Members[index])
+			missing = append(missing, examined.ids[index])
 		}
 	}
+	message := "former: group lost members."
+	if found == overdue {
+		message = "former: group has members that are silent for too long."
+	}
 	attributes := controller.evidenceAttributes(examined)
 	controller.Logger.Warn(message, append([]any{"Group", group.Name, "Model", group.Model, "Members", missing}, attributes...)...)
-	for _, index := range examined.judge.lost() {
-		controller.excludeLost(group.Members[index])
+	for _, id := range missing {
+		if examined.judge.isLost(id) {
+			controller.excludeLost(id)
+		}
 	}
 	controller.endGroup(term, group, missing, attributes...)
 }
-
-// logKept logs once that a group without a reply of all members is kept.
-func (controller *Controller) logKept(examined *examination) {
-	if examined.keptLogged {
-		return
-	}
-	examined.keptLogged = true
-	controller.Logger.Info("former: group kept while members are silent.", append([]any{"Group", examined.group.Name, "Model", examined.group.Model},
-		controller.evidenceAttributes(examined)...)...)
-}
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -64,6 +64,46 @@
 	connections atomic.Int64
 	// refusesConnections reports whether a server's host refuses connections. Nil stands for no server.
 	refusesConnections atomic.Pointer[func(id string) bool]
+	// editReport, if set, changes a server's report on its way to the node.
+	editReport atomic.Pointer[func(id string, report *formation.Report)]
+
+	ordersMu sync.Mutex
+	orders   []sentOrder
+}
+
+// sentOrder is an order that a node sent, whether or not it arrived.
+type sentOrder struct {
+	at     time.Time
+	server string
+	formation.Order
+}
+
+// ordersOf returns the orders of a kind that the node sent for a group.
+func (node *node) ordersOf(kind formation.OrderKind, group string) []sentOrder {
+	node.ordersMu.Lock()
+	defer node.ordersMu.Unlock()
+	found := []sentOrder{}
+	for _, order := range node.orders {
+		if order.Kind == kind && order.Group == group {
+			found = append(found, order)
+		}
+	}
+	return found
+}
+
+func (node *node) recordOrder(server string, order formation.Order) {
+	node.ordersMu.Lock()
+	defer node.ordersMu.Unlock()
+	node.orders = append(node.orders, sentOrder{at: time.Now(), server: server, Order: order})
+}
+
+// report requests a server's report.
+func (node *node) report(id string) (formation.Report, error) {
+	report, err := node.cluster.Report(node.name, id)
+	if edit := node.editReport.Load(); edit != nil && err == nil {
+		(*edit)(id, &report)
+	}
+	return report, err
 }
 
 var errPaused = errors.New("no response from the paused server")
@@ -94,9 +134,10 @@
 					created.requestsRefused.Add(1)
 					return formation.Report{}, formation.ErrRefused
 				}
-				return cluster.Report(name, server.ID)
+				return created.report(server.ID)
 			},
 			Order: func(ctx context.Context, server *roster.Server, order formation.Order) (formation.Result, error) {
+				created.recordOrder(server.ID, order)
 				time.Sleep(time.Millisecond)
 				if state, remaining := cluster.ProcessState(server.ID); state == backends.ProcessPaused {
 					// The process reads the order once it runs again.
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -13,6 +13,8 @@
 const (
 	// orderAttempts is the number of times that an order without a reply is sent.
 	orderAttempts = 3
+	// orderTimeout bounds one attempt.
+	orderTimeout = 2 * callTimeout
 	// maxJoinFailures is the number of consecutive failed reports of a joining member after which
 	// the group is abandoned.
 	maxJoinFailures = 2
@@ -20,7 +22,8 @@
 	// of its slowest member. Concurrent loads slow each other down. It also bounds the wait for a
 	// staged model.
 	joinGrace = 30 * time.Second
-	// maxCloseTime is how long a closing head may take to finish its calls.
+	// maxCloseTime is how long a closing head may take to finish its calls, and how long it is ordered to
+	// close if it doesn't reply.
 	maxCloseTime = 9 * time.Second
 	// releaseMargin is added to the stall timeout when waiting to release the members of a group
 	// with an unreachable head.
@@ -70,7 +73,7 @@
 		if controller.Term() != order.Term {
 			return Outdated, nil
 		}
-		ctx, cancel := controller.ContextWithTimeout(2 * callTimeout)
+		ctx, cancel := controller.ContextWithTimeout(orderTimeout)
 		controller.Counts.Orders.Add(1)
 		result, err := controller.Order(ctx, server, order)
 		cancel()
@@ -220,11 +223,31 @@
 		controller.endGroup(term, group, nil)
 		return
 	}
-	result, err := controller.sendOrder(head, Order{Kind: Close, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
-	if err == nil && result.Taken() {
-		controller.awaitClosed(group)
+	if controller.closeHead(term, group, head) {
+		controller.awaitClosed(term, group)
+	}
+	if controller.Term() == term {
+		controller.endGroup(term, group, nil)
+	}
+}
+
+// closeHead orders a head to close and reports whether it has accepted. A head that doesn't reply, or
+// refuses the order, is ordered again unless it is lost: its streams go on.
+func (controller *Controller) closeHead(term int64, group Group, head *roster.Server) bool {
+	judge := newJudge(controller.Bounds.StallTimeout, orderAttempts*orderTimeout+closePollInterval)
+	deadline := controller.Now() + maxCloseTime
+	for {
+		result, err := controller.sendOrder(head, Order{Kind: Close, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
+		if err == nil {
+			return result.Taken()
+		}
+		if asked, _ := controller.requestRound(group, []string{head.ID}); judge.decide(asked) == lost {
+			return false
+		}
+		if controller.Now() >= deadline || !controller.Sleep(closePollInterval) || controller.Term() != term {
+			return false
+		}
 	}
-	controller.endGroup(term, group, nil)
 }
 
 // resumeEnding ends a group that another node was ending. A group that was only closed may still
@@ -291,13 +314,18 @@
 	}
 }
 
-// awaitClosed waits until a closing head has finished its calls.
-func (controller *Controller) awaitClosed(group Group) {
+// awaitClosed waits until a closing head has finished its calls or is lost. A head that doesn't reply may
+// still have calls.
+func (controller *Controller) awaitClosed(term int64, group Group) {
+	judge := newJudge(controller.Bounds.StallTimeout, closePollInterval)
 	deadline := controller.Now() + maxCloseTime
-	for controller.Now() < deadline && controller.Sleep(closePollInterval) {
-		result := controller.requestReports([]string{group.Head()})[0]
-		state := result.report.Group.State
-		if result.err != nil || (state != roster.Closing && state != roster.Open) {
+	for controller.Now() < deadline && controller.Sleep(closePollInterval) && controller.Term() == term {
+		asked, answers := controller.requestRound(group, []string{group.Head()})
+		if judge.decide(asked) == lost {
+			return
+		}
+		state := answers[0].report.Group.State
+		if answers[0].Response == InGroup && state != roster.Closing && state != roster.Open {
 			return
 		}
 	}
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -307,3 +307,112 @@
 		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
 	})
 }
+
+// keepClosing makes the head of a group report that it is closing for a while after it was ordered to close, as a head
+// with streams does. It returns a function that tells when the head has closed.
+func (node *node) keepClosing(group formation.Group, span time.Duration) (closedAt func() time.Time) {
+	ordered := func() time.Time {
+		closes := node.ordersOf(formation.Close, group.Name)
+		if len(closes) == 0 {
+			return time.Time{}
+		}
+		return closes[len(closes)-1].at
+	}
+	edit := func(id string, report *formation.Report) {
+		if id == group.Head() && report.Group.Name == group.Name && time.Since(ordered()) < span {
+			report.Group.State = roster.Closing
+		}
+	}
+	node.editReport.Store(&edit)
+	return func() time.Time { return ordered().Add(span) }
+}
+
+// expectLeftOnlyAfter expects that the members of a group were ordered to leave, and only after a time.
+func expectLeftOnlyAfter(expect *gomega.WithT, node *node, group formation.Group, closedAt time.Time) {
+	leaves := node.ordersOf(formation.Leave, group.Name)
+	expect.Expect(leaves).NotTo(gomega.BeEmpty())
+	expect.Expect(leaves[0].at.Sub(closedAt)).To(gomega.BeNumerically(">=", 0))
+	expect.Expect(leaves[0].at.Sub(closedAt)).To(gomega.BeNumerically("<", 2*time.Second))
+	expect.Expect(node.view.MembersFree(group.Name)).To(gomega.BeTrue())
+}
+
+// Guards against streams that are cut because the head of a closing group is silent for a moment, or refuses a report
+// request. Neither means that it has finished its calls.
+func TestClosingGroupIsNotEndedWhileItsHeadIsSilent(t *testing.T) {
+	for name, disturb := range map[string]func(fleet *fleet, head string){
+		"paused": func(fleet *fleet, head string) { fleet.cluster.Pause(time.Second, head) },
+		"refuses requests": func(fleet *fleet, head string) {
+			fleet.nodes[0].refusingServer.Store(&head)
+			time.Sleep(time.Second)
+			fleet.nodes[0].refusingServer.Store(nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				fleet := newFleet(2, 1, 7, 1)
+				defer fleet.end()
+				node := fleet.nodes[0]
+				startLogged(fleet)
+				group := servingGroupOf(node, "large")
+				closedAt := node.keepClosing(group, 5*time.Second)
+				fleet.cluster.Drain(group.Members[2])
+				time.Sleep(3 * time.Second)
+				expect.Expect(node.ordersOf(formation.Close, group.Name)).To(gomega.HaveLen(1))
+				disturb(fleet, group.Head())
+				time.Sleep(6 * time.Second)
+				expectLeftOnlyAfter(expect, node, group, closedAt())
+			})
+		})
+	}
+}
+
+// Guards against streams that are cut because the head of a group that is to be closed doesn't reply to the order, or
+// refuses it, for a moment.
+func TestGroupIsNotEndedWhileItsHeadIsSilentToTheOrderToClose(t *testing.T) {
+	for name, disturb := range map[string]func(fleet *fleet, head string){
+		"paused": func(fleet *fleet, head string) { fleet.cluster.Pause(4*time.Second, head) },
+		"refuses requests": func(fleet *fleet, head string) {
+			fleet.nodes[0].refusingServer.Store(&head)
+			time.AfterFunc(4*time.Second, func() { fleet.nodes[0].refusingServer.Store(nil) })
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				fleet := newFleet(2, 1, 7, 1)
+				defer fleet.end()
+				node := fleet.nodes[0]
+				startLogged(fleet)
+				group := servingGroupOf(node, "large")
+				closedAt := node.keepClosing(group, 3*time.Second)
+				fleet.cluster.Drain(group.Members[2])
+				disturb(fleet, group.Head())
+				time.Sleep(9 * time.Second)
+				expectLeftOnlyAfter(expect, node, group, closedAt())
+			})
+		})
+	}
+}
+
+// Guards against slow recovery from a head that dies while its group closes or is to be closed.
+func TestClosingGroupWithoutItsHeadIsEndedAtOnce(t *testing.T) {
+	for name, delay := range map[string]time.Duration{"closing": 3 * time.Second, "to be closed": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				fleet := newFleet(2, 1, 7, 1)
+				defer fleet.end()
+				node := fleet.nodes[0]
+				startLogged(fleet)
+				group := servingGroupOf(node, "large")
+				node.keepClosing(group, 8*time.Second)
+				fleet.cluster.Drain(group.Members[2])
+				time.Sleep(delay)
+				fleet.cluster.Kill(group.Head())
+				time.Sleep(2500 * time.Millisecond)
+				expect.Expect(node.ordersOf(formation.Leave, group.Name)).NotTo(gomega.BeEmpty())
+			})
+		})
+	}
+}
--- a/internal/fleet/formation/verdict.go
+++ b/internal/fleet/formation/verdict.go
@@ -58,11 +58,13 @@
 	return 2*references.reached > references.asked
 }
 
-// round is one question to all members of a group.
+// round is one question to members of a group.
 type round struct {
 	startedAt time.Duration
 	// took is how long the members were waited for by this node's clock.
-	took      time.Duration
+	took time.Duration
+	// ids are the members that were asked, responses what each of them said.
+	ids       []string
 	responses []Response
 	// references are asked only if a member has no connection, or a late one.
 	references references
@@ -114,26 +116,29 @@
 type judge struct {
 	// stallTimeout is how long a group without one of its members keeps accepting calls.
 	stallTimeout time.Duration
-	members      []memberRecord
+	// maxPause is the longest pause between two rounds.
+	maxPause time.Duration
+	members  map[string]*memberRecord
 	// lastEndedAt is the end of the last round.
 	lastEndedAt time.Duration
 }
 
-func newJudge(members int, stallTimeout time.Duration) *judge {
-	return &judge{stallTimeout: stallTimeout, members: make([]memberRecord, members)}
+func newJudge(stallTimeout, maxPause time.Duration) *judge {
+	return &judge{stallTimeout: stallTimeout, maxPause: maxPause, members: map[string]*memberRecord{}}
 }
 
-// decide adds a round and returns what the evidence says now.
+// decide adds a round and returns what the evidence about the members that were asked says now.
 func (judge *judge) decide(round *round) verdict {
 	anyLost, anySilent, anyOverdue := false, false, false
 	endedAt := round.startedAt + round.took
 	// This node was not scheduled between the rounds. What it saw before is out of date.
-	outdated := round.startedAt-judge.lastEndedAt > maxExaminationPause+maxRoundDelay
+	outdated := round.startedAt-judge.lastEndedAt > judge.maxPause+maxRoundDelay
 	judge.lastEndedAt = endedAt
 	for index, response := range round.responses {
-		member := &judge.members[index]
-		if outdated {
-			*member = memberRecord{}
+		member := judge.members[round.ids[index]]
+		if member == nil || outdated {
+			member = &memberRecord{}
+			judge.members[round.ids[index]] = member
 		}
 		member.update(response, round)
 		anyLost = anyLost || member.lost
@@ -207,15 +212,10 @@
 	}
 }
 
-// lost returns the indices of the members that are lost.
-func (judge *judge) lost() []int {
-	found := []int{}
-	for index := range judge.members {
-		if judge.members[index].lost {
-			found = append(found, index)
-		}
-	}
-	return found
+// isLost reports whether a member was found lost.
+func (judge *judge) isLost(id string) bool {
+	member := judge.members[id]
+	return member != nil && member.lost
 }
 
 // suspicionLimit bounds how many groups of a model are ended although a silent member may only be paused.
--- a/internal/fleet/formation/verdict_test.go
+++ b/internal/fleet/formation/verdict_test.go
@@ -21,7 +21,7 @@
 
 // said is a round in which the second of two members gave the response.
 func said(response Response, reached, asked int) round {
-	return round{took: callTimeout, responses: []Response{InGroup, response}, references: references{asked: asked, reached: reached}}
+	return round{took: callTimeout, ids: []string{"a", "b"}, responses: []Response{InGroup, response}, references: references{asked: asked, reached: reached}}
 }
 
 // times repeats a round.
@@ -34,8 +34,8 @@
 }
 
 // decideAll returns the verdict of each round. Rounds begin a pause of 0.6 s after the previous one has ended.
-func decideAll(rounds ...[]round) (verdicts []verdict, lostMembers []int) {
-	judge := newJudge(2, testStallTimeout)
+func decideAll(rounds ...[]round) (verdicts []verdict, lostMembers []bool) {
+	judge := newJudge(testStallTimeout, maxExaminationPause)
 	now := time.Hour
 	for _, group := range rounds {
 		for _, asked := range group {
@@ -44,7 +44,7 @@
 			verdicts = append(verdicts, judge.decide(&asked))
 		}
 	}
-	return verdicts, judge.lost()
+	return verdicts, []bool{judge.isLost("a"), judge.isLost("b")}
 }
 
 // Guards against a group that is ended without a proof, and against one that is kept after a proof. The table has what a
@@ -100,11 +100,7 @@
 			for index, before := range verdicts[:last] {
 				expect.Expect(before).To(gomega.Equal(undecided), "round %d", index)
 			}
-			expected := []int{}
-			if test.expected == lost {
-				expected = []int{1}
-			}
-			expect.Expect(lostMembers).To(gomega.Equal(expected))
+			expect.Expect(lostMembers).To(gomega.Equal([]bool{false, test.expected == lost}))
 		})
 	}
 }
@@ -155,7 +151,7 @@
 // arrived unseen.
 func TestPauseOfThisNodeIsNotSilenceOfMembers(t *testing.T) {
 	expect := gomega.NewWithT(t)
-	judge := newJudge(2, testStallTimeout)
+	judge := newJudge(testStallTimeout, maxExaminationPause)
 	silent := said(NoReply, 0, 0)
 	silent.startedAt = time.Hour
 	expect.Expect(judge.decide(&silent)).To(gomega.Equal(undecided))
