fix(formation): a group that lacks a list entry is drained although a member is silent

Cause: one report without a reply of a listed member was taken for its loss.

Change: the listed members are examined like those of a suspected group. All reply: the group is drained. One is lost: it is ended, with the same line and evidence. One is silent: the group is kept until it replies. If the missing entry is back by then, the group stays.

Evidence: TestGroupWithAnUnlistedAndASilentMemberIsDrained fails before (no order to close was sent) and passes.

--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -103,22 +103,6 @@
 	return err.Error()
 }
 
-// missingMembers returns the given members that don't reply or are not in the group. A member that
-// refuses the request is alive and not missing.
-func (controller *Controller) missingMembers(group Group, ids []string) []string {
-	missing := []string{}
-	for index, result := range controller.requestReports(ids) {
-		if errors.Is(result.err, ErrRefused) {
-			continue
-		}
-		inGroup := result.report.Group.Name == group.Name && result.report.Group.State != roster.Broken
-		if result.err != nil || !inGroup {
-			missing = append(missing, ids[index])
-		}
-	}
-	return missing
-}
-
 // endGroup ends a group and releases its members once the head has left. An unreachable head may
 // still serve on the other side of a network partition. In that case the reachable members leave,
 // which stalls the head, and after the stall timeout the head no longer serves. If no member can be
@@ -261,7 +245,7 @@
 }
 
 // retireUnlisted ends a group of which the server list doesn't show all members. If all listed
-// members are in the group, the unlisted ones may only be cut off from the registry and still
+// members reply that they are in the group, the unlisted ones may only be cut off from the registry and still
 // serve, so the group is drained. When such groups were ended immediately, all streams of a dozen
 // groups moved within the same second and used up the fleet's retry budget. If a member is dead
 // after all, the group's streams stall, and each node moves its own streams.
@@ -275,10 +259,22 @@
 	}
 	servers := controller.Servers().Servers
 	shown := slices.DeleteFunc(slices.Clone(group.Members), func(id string) bool { return servers[id] == nil })
-	if !known || len(shown) == len(group.Members) || len(controller.missingMembers(group, shown)) > 0 {
+	if !known || len(shown) == len(group.Members) {
 		controller.endGroup(term, listed, nil)
 		return
 	}
+	lacksMembers := func() bool {
+		servers = controller.Servers().Servers
+		return slices.ContainsFunc(group.Members, func(id string) bool { return servers[id] == nil })
+	}
+	examined, found := controller.examine(term, group, shown, lacksMembers)
+	switch {
+	case found == lost || found == overdue:
+		controller.endLost(term, examined, found)
+		return
+	case found == undecided || !lacksMembers():
+		return
+	}
 	controller.Logger.Info("former: retiring group because the server list lacks some of its members.",
 		"Group", group.Name, "Model", group.Model, "Members", group.Members, "Shown", shown)
 	if servers[group.Head()] != nil {
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -416,3 +416,23 @@
 		})
 	}
 }
+
+// Guards against a group that is ended, with its streams, because one member is not in the registry and another one is
+// silent for a moment. The group must be closed first.
+func TestGroupWithAnUnlistedAndASilentMemberIsDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		closedAt := node.keepClosing(group, time.Second)
+		fleet.cluster.Deregister(group.Members[3])
+		time.Sleep(2 * time.Second)
+		fleet.cluster.Pause(2500*time.Millisecond, group.Members[2])
+		time.Sleep(8 * time.Second)
+		expect.Expect(node.ordersOf(formation.Close, group.Name)).NotTo(gomega.BeEmpty())
+		expectLeftOnlyAfter(expect, node, group, closedAt())
+	})
+}
