fix(formation): a joining member that is silent doesn't end the forming group

What callers saw: a model stayed without a group for longer. A group that formed while one of its members was silent for 0.3 s was given up, with loads of up to many seconds, and the member wasn't used for 4 s.

Cause: two reports in a row without a reply were taken for the loss of a member.

Change: joining members are judged like those of a suspected group. A member that is lost, or silent for the stall timeout, ends the forming group. One that refuses report requests goes on joining. The time in which a group must be ready bounds the wait as before.

--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -138,10 +138,10 @@
 		}
 	}
 	deadline := controller.Now() + expected + joinGrace
-	failures := map[string]int{}
+	judge := newJudge(controller.Bounds.StallTimeout, firstReadyPoll)
 	waiting := group.Members
 	for controller.Now() < deadline && controller.Sleep(pause) {
-		waiting = controller.notReady(group, waiting, failures)
+		waiting = controller.notReady(group, waiting, judge)
 		if waiting == nil {
 			return false
 		}
@@ -160,24 +160,31 @@
 	readyPollInterval = 150 * time.Millisecond
 )
 
-// notReady returns the members that are still joining, or nil if the group can't become ready.
-func (controller *Controller) notReady(group Group, ids []string, failures map[string]int) []string {
+// notReady returns the members that are still joining, or nil if the group can't become ready. A member that
+// doesn't reply may only be paused, and goes on with its load after that.
+func (controller *Controller) notReady(group Group, ids []string, judge *judge) []string {
 	waiting := []string{}
-	for index, result := range controller.requestReports(ids) {
+	asked, answers := controller.requestRound(group, ids)
+	judge.decide(asked)
+	for index, answer := range answers {
 		id := ids[index]
-		membership := result.report.Group
-		switch {
-		case result.err != nil:
-			failures[id]++
-			if failures[id] >= maxJoinFailures {
-				controller.excludeLost(id)
+		switch answer.Response {
+		case NotInGroup, OtherRun:
+			return nil
+		case InGroup:
+			if answer.report.Group.Epoch != group.Epoch {
 				return nil
 			}
+			if answer.report.Group.State == roster.Joining {
+				waiting = append(waiting, id)
+			}
+		case RequestRefused:
 			waiting = append(waiting, id)
-		case membership.Name != group.Name || membership.Epoch != group.Epoch || membership.State == roster.Broken:
-			return nil
-		case membership.State == roster.Joining:
-			failures[id] = 0
+		default:
+			if judge.isLost(id) || judge.isOverdue(id) {
+				controller.excludeLost(id)
+				return nil
+			}
 			waiting = append(waiting, id)
 		}
 	}
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -15,9 +15,6 @@
 	orderAttempts = 3
 	// orderTimeout bounds one attempt.
 	orderTimeout = 2 * callTimeout
-	// maxJoinFailures is the number of consecutive failed reports of a joining member after which
-	// the group is abandoned.
-	maxJoinFailures = 2
 	// joinGrace is the time that a group may take to become ready in addition to the expected time
 	// of its slowest member. Concurrent loads slow each other down. It also bounds the wait for a
 	// staged model.
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -436,3 +436,25 @@
 		expectLeftOnlyAfter(expect, node, group, closedAt())
 	})
 }
+
+// Guards against a group that is given up while it forms because one of its members is silent for a moment.
+func TestFormingGroupOutlastsAPauseOfAMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		time.Sleep(2 * time.Second)
+		node.setTerm(4096)
+		time.Sleep(500 * time.Millisecond)
+		for _, server := range fleet.cluster.Servers(service) {
+			if server.Group.State == roster.Joining {
+				fleet.cluster.Pause(2*time.Second, server.ID)
+			}
+		}
+		time.Sleep(6 * time.Second)
+		expect.Expect(node.controller.Counts.Abandoned.Load()).To(gomega.BeZero())
+		expect.Expect(fleet.cluster.CompleteGroups()["large"]).To(gomega.Equal(1))
+		expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
+	})
+}
--- a/internal/fleet/formation/verdict.go
+++ b/internal/fleet/formation/verdict.go
@@ -109,7 +109,8 @@
 	unreached int
 	// resets counts the rounds in a row in which the connection of the report was reset.
 	resets int
-	lost   bool
+	// lost and overdue are what the last round has shown.
+	lost, overdue bool
 }
 
 // judge decides about one group from the rounds of questions to its members.
@@ -143,7 +144,8 @@
 		member.update(response, round)
 		anyLost = anyLost || member.lost
 		anySilent = anySilent || !response.isReply()
-		anyOverdue = anyOverdue || (member.silent && !round.isVoid() && endedAt-member.silentSince >= judge.stallTimeout)
+		member.overdue = member.silent && !round.isVoid() && endedAt-member.silentSince >= judge.stallTimeout
+		anyOverdue = anyOverdue || member.overdue
 	}
 	switch {
 	case anyLost:
@@ -218,6 +220,12 @@
 	return member != nil && member.lost
 }
 
+// isOverdue reports whether a member was silent for too long as of its last round.
+func (judge *judge) isOverdue(id string) bool {
+	member := judge.members[id]
+	return member != nil && member.overdue
+}
+
 // suspicionLimit bounds how many groups of a model are ended although a silent member may only be paused.
 type suspicionLimit struct {
 	endedAt map[string]time.Duration
