fix(forward): silence on a path in doubt is a stall, and no failure

What callers saw: a sound request may be refused for ten minutes, because it was at three groups that were silent together for a moment.

Cause: when all servers of a service are silent, the path to them is suspected and probed. What happens to requests meanwhile is kept, and counts once the path is found healthy, but as a failure of the server also where the server has only been silent. On a healthy path silence counts only once the group is known to have lost a member.

Evidence: TestSilenceOnSuspectedPathIsNoFailure: a request at three groups that are silent while their path is probed and found healthy: 3 failures, which is quarantine. 0 if the groups come back, 3 if they are lost (before or after the probe) or their connections closed.

Change: what is kept says whether the server was only silent. It then becomes a stall, or a failure if the group was announced lost in the meantime.

Result: the test passes; gateway and forward with -race, and -run 'Quarantin|Harmful|Harmless|Crash|Unreach' of ./platform/standin.

--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -15,10 +15,11 @@
 const maxUncertainFailures = 256
 
 // uncertainFailure is a server failure during a request that may have been a failure of the path to the
-// server.
+// server. If the server has only been silent, a healthy path makes it a stall, and no failure.
 type uncertainFailure struct {
 	subject quarantine.Subject
-	run     string
+	target  *dispatch.Target
+	stalled bool
 }
 
 // listedServers returns the servers of a path that the server list shows, whether they get calls or not. A leaf has no
@@ -61,7 +62,12 @@
 			"CallsSuspected", node.board.SuspectCalls(path), "EndsNotBelieved", len(failures), "ReportsWithheld", suppressed)
 	case pathhealth.Healthy:
 		for _, failure := range failures {
-			if _, isNew := node.quarantine.RecordFailure(failure.subject, failure.run); isNew {
+			target := failure.target
+			if failure.stalled && !target.MemberLost() {
+				node.quarantine.RecordStall(failure.subject, target.Group, target.Key())
+				continue
+			}
+			if _, isNew := node.quarantine.RecordFailure(failure.subject, target.Key()); isNew {
 				node.suspectChanged(failure.subject.Fingerprint)
 			}
 		}
@@ -72,14 +78,14 @@
 	}
 }
 
-// deferFailure keeps a possible server failure during a request until the state of the path to the server is
-// known.
-func (detours *detours) deferFailure(target *dispatch.Target, subject quarantine.Subject) {
+// deferFailure keeps a possible server failure, or a stall, during a request until the state of the path to the server
+// is known.
+func (detours *detours) deferFailure(target *dispatch.Target, subject quarantine.Subject, stalled bool) {
 	path := target.Path()
 	detours.mu.Lock()
 	defer detours.mu.Unlock()
 	if path.Status() == pathhealth.Suspected && len(detours.uncertainFailures[path]) < maxUncertainFailures {
-		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{subject: subject, run: target.Key()})
+		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{subject: subject, target: target, stalled: stalled})
 	}
 }
 
--- a/internal/run/gateway/stalls_test.go
+++ b/internal/run/gateway/stalls_test.go
@@ -8,6 +8,8 @@
 	"github.com/onsi/gomega"
 
 	"hazelslip/internal/fleet/formation"
+	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/pathhealth"
 	"hazelslip/internal/policy/quarantine"
 )
 
@@ -59,3 +61,52 @@
 		})
 	}
 }
+
+// Guards against a request that is quarantined because sound groups were silent together while the path to them was in
+// doubt. The path turns out to be healthy, which says nothing about the groups: only their loss does.
+func TestSilenceOnSuspectedPathIsNoFailure(t *testing.T) {
+	cases := map[string]struct {
+		stalled  bool
+		lost     []formation.Change
+		failures int
+	}{
+		"silent and back":                   {stalled: true},
+		"silent and lost":                   {stalled: true, lost: []formation.Change{formation.Lost}, failures: 3},
+		"the connections to servers closed": {failures: 3},
+	}
+	for name, ending := range cases {
+		t.Run(name, func(t *testing.T) {
+			for _, lostBeforeProbe := range []bool{false, true} {
+				expect := gomega.NewWithT(t)
+				jumping := newJumpingClock()
+				node, request := nodeWithGroups(t, 3, Clock(jumping.now)), quarantine.Fingerprint(7)
+				jumping.advance(time.Second)
+				path := node.detours.paths.Get(pathhealth.Destination{})
+				path.RecordSilence(300 * time.Millisecond)
+				expect.Expect(path.Status()).To(gomega.Equal(pathhealth.Suspected))
+				announce := func() {
+					for number := range 3 {
+						for _, change := range ending.lost {
+							node.applyAnnouncement(formation.Announcement{Change: change, Group: formation.Group{Name: fmt.Sprintf("g-%d", number)}}, nil)
+						}
+					}
+				}
+				taken := []string{}
+				for range 3 {
+					target, _ := node.board.Pick("drafts/m", dispatch.Criteria{Exclude: taken})
+					taken = append(taken, target.ID)
+					node.detours.deferFailure(target, quarantine.Subject{Fingerprint: request}, ending.stalled)
+				}
+				if lostBeforeProbe {
+					announce()
+				}
+				probe := node.board.DuePathProbes()[0]
+				result := probe.Complete(probe.Servers)
+				node.detours.pathChanged(path, &result)
+				expect.Expect(path.Status()).To(gomega.Equal(pathhealth.Healthy))
+				announce()
+				expect.Expect(node.failuresOf(request)).To(gomega.Equal(ending.failures))
+			}
+		})
+	}
+}
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -68,7 +68,7 @@
 	if !target.PathHealthy() {
 		// This node may have lost the network path to the server, which ends the calls at all servers there at
 		// once.
-		exchange.forwarder.OnUnconfirmedFailure(target, subject)
+		exchange.forwarder.OnUnconfirmedFailure(target, subject, stalled)
 		return 0
 	}
 	if stalled && !target.MemberLost() {
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -101,8 +101,8 @@
 	NodeName       string
 	OnNewerVersion func(address string, version int64)
 	// OnUnconfirmedFailure is called for a request, and for each part of its prompt, during which a server may have
-	// failed while the path to the server is suspected.
-	OnUnconfirmedFailure func(target *dispatch.Target, subject quarantine.Subject)
+	// failed while the path to the server is suspected. stalled is set if the server has only been silent.
+	OnUnconfirmedFailure func(target *dispatch.Target, subject quarantine.Subject, stalled bool)
 	// OnServerFailure is called for a server that refused or dropped a call of a group.
 	OnServerFailure func(target *dispatch.Target, culprit string)
 	Logger          *slog.Logger
@@ -146,7 +146,7 @@
 		dependencies.Memory = memory.New(0)
 	}
 	if dependencies.OnUnconfirmedFailure == nil {
-		dependencies.OnUnconfirmedFailure = func(*dispatch.Target, quarantine.Subject) {}
+		dependencies.OnUnconfirmedFailure = func(*dispatch.Target, quarantine.Subject, bool) {}
 	}
 	return &Forwarder{Dependencies: dependencies, buffers: sync.Pool{New: func() any { return new([copyBufferSize]byte) }}}
 }
