fix(forward): a begun answer has all of the caller's time

What callers saw: an answer whose servers were silent for a while ended 15 ms before the request's deadline, in the middle.

Cause: the margin that a node keeps to send a failure in time was taken from answers that had begun, too. They can only be cut.

Change: with its first event an answer gets the time up to the deadline itself.

--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -168,7 +168,7 @@
 	if exchange.origin == nil {
 		exchange.retryBudget.RecordRequest()
 	}
-	exchange.deadline = exchange.computeDeadline()
+	exchange.deadline = exchange.computeDeadline(responseMargin)
 	return true
 }
 
@@ -254,14 +254,14 @@
 	return services[0].Name
 }
 
-// computeDeadline returns the earlier of the caller's deadline and the route's timeout.
-func (exchange *exchange) computeDeadline() time.Duration {
+// computeDeadline returns the earlier of the caller's deadline, less a margin, and the route's timeout.
+func (exchange *exchange) computeDeadline(margin time.Duration) time.Duration {
 	limit := time.Duration(0)
 	if exchange.route.Timeout > 0 {
 		limit = exchange.arrived + exchange.route.Timeout
 	}
 	if exchange.request.TimeLeft > 0 {
-		callerLimit := exchange.arrived + exchange.request.TimeLeft - responseMargin
+		callerLimit := exchange.arrived + exchange.request.TimeLeft - margin
 		if limit == 0 || callerLimit < limit {
 			limit = callerLimit
 		}
@@ -272,6 +272,13 @@
 	return limit
 }
 
+// useAllTime gives a response that has begun the caller's time to the end. The margin only serves a response that the
+// node may still have to send itself.
+func (exchange *exchange) useAllTime(attempt *attempt) {
+	exchange.deadline = exchange.computeDeadline(0)
+	attempt.timeout.Reset(exchange.timeLeft())
+}
+
 // defaultTimeout bounds requests for which neither the caller nor the route sets a time limit.
 const defaultTimeout = 60 * time.Second
 
--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -348,6 +348,18 @@
 	})
 }
 
+// Guards against a begun answer that is cut before the caller's time is over.
+func TestBegunAnswerHasAllOfTheCallersTime(t *testing.T) {
+	withStreams(t, 1, []func(run *run){pauses(3, 1790*time.Millisecond, 4)}, func(expect *gomega.WithT, rig *streamRig) {
+		request := rig.request(0, "/draft/1", bodyOfLength(10))
+		request.Header.Set("Left", "2000")
+		result := rig.do(request)
+		expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(result.body).To(gomega.Equal(answer(4)))
+		expect.Expect(result.duration).To(gomega.BeNumerically("~", 1990*time.Millisecond, time.Millisecond))
+	})
+}
+
 // Guards against events of two servers that are joined out of order or delivered twice, when both runs go on at about
 // the same time.
 func TestRunsAreNeverJoined(t *testing.T) {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -354,6 +354,7 @@
 		// The headers are written only now: an error response sent instead must not carry the server's headers.
 		exchange.copyHeaders(attempt.Header)
 		exchange.responseStarted = true
+		exchange.useAllTime(attempt)
 		exchange.writer.WriteHeader(http.StatusOK)
 	}
 	attempt.call.PauseReading()
