fix(formation): a group that was given up before its first order is not ended

What callers saw: a model stayed without a group for up to 9 s where one free server was silent for a moment.

Cause: if a server didn't reply to the first report request, its group was given up by ordering all its servers to leave, although none had been ordered to join. The silent one can't be ordered, so the others were kept from use until a head would have stalled.

Change: a group for which no order was sent is only recorded as given up.

Evidence: TestSilentFreeServerDelaysNoOtherGroup: orders to leave before, none now.

--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -23,13 +23,23 @@
 		controller.mu.Unlock()
 	}()
 	reports, ok := controller.requestMemberReports(members)
-	if !ok || !controller.joinAll(term, group, reports) || !controller.awaitReady(service, group, reports) {
+	if !ok {
+		// No order was sent, so no member has to leave.
+		controller.recordAbandoned(group)
+		return
+	}
+	if !controller.joinAll(term, group, reports) || !controller.awaitReady(service, group, reports) {
 		controller.abandonGroup(term, group)
 		return
 	}
 	controller.openGroup(term, group)
 }
 
+func (controller *Controller) recordAbandoned(group Group) {
+	controller.Counts.Abandoned.Add(1)
+	controller.Logger.Warn("former: group formation failed.", "Group", group.Name, "Model", group.Model, "Members", group.Members)
+}
+
 // requestMemberReports requests reports from servers that are to form a group. The second result
 // states whether all of them may join.
 func (controller *Controller) requestMemberReports(members []string) ([]reportResult, bool) {
@@ -194,8 +204,7 @@
 // abandonGroup ends a group that this node did not open. Its head must still leave the group before
 // the members are used again: another node may see the group ready and open it.
 func (controller *Controller) abandonGroup(term int64, group Group) {
-	controller.Counts.Abandoned.Add(1)
-	controller.Logger.Warn("former: group formation failed.", "Group", group.Name, "Model", group.Model, "Members", group.Members)
+	controller.recordAbandoned(group)
 	controller.endGroup(term, group, nil)
 }
 
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -458,3 +458,24 @@
 		expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
 	})
 }
+
+// Guards against free servers that are kept from forming a group for seconds because one of them is silent for a moment.
+// No order was sent to any of them, so there is nothing to take back.
+func TestSilentFreeServerDelaysNoOtherGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		time.Sleep(2 * time.Second)
+		fleet.cluster.Pause(1500*time.Millisecond, "i-0-02")
+		node.setTerm(4096)
+		time.Sleep(6 * time.Second)
+		expect.Expect(fleet.cluster.CompleteGroups()["large"]).To(gomega.Equal(1))
+		node.ordersMu.Lock()
+		defer node.ordersMu.Unlock()
+		for _, order := range node.orders {
+			expect.Expect(order.Kind).NotTo(gomega.Equal(formation.Leave))
+		}
+	})
+}
