fix(formation): short breaks between the pauses of a member are seen

What callers saw: a sound group was ended, and its answers cut, after six seconds of pauses in a row with some tenths of a second between them.

Cause: a silent member was asked in rounds of 0.15 s with up to 0.6 s between them. Each of the rounds met a pause, so that the member seemed to be silent for as long as a group without it would take to break.

Evidence: TestGroupWithAMemberThatPausesOftenIsKept fails before (running for 150 ms between pauses of 1.73 s).

Change: a question to each silent member is under way between the rounds, too. A reply starts the evidence against it anew.

Result: the package passes, with the race detector too.

--- a/internal/fleet/formation/examine.go
+++ b/internal/fleet/formation/examine.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"hazelslip/internal/fleet/roster"
 )
 
@@ -36,13 +38,47 @@
 			controller.Logger.Info("former: group kept while members are silent.",
 				append([]any{"Group", group.Name, "Model", group.Model}, controller.evidenceAttributes(examined)...)...)
 		}
-		if !controller.Sleep(pause) || controller.Term() != term || !goOn() {
+		if !controller.awaitSilent(examined, pause) || controller.Term() != term || !goOn() {
 			return examined, undecided
 		}
 		pause = min(2*pause, maxExaminationPause)
 	}
 }
 
+// awaitSilent waits between two rounds with a question to each silent member under way. A process that runs for a moment
+// only answers what has waited, so that short breaks between its pauses are seen. It returns false if this node stops.
+func (controller *Controller) awaitSilent(examined *examination, pause time.Duration) bool {
+	waiters := conc.WaitGroup{}
+	replied := make([]bool, len(examined.ids))
+	for index, id := range examined.ids {
+		if !examined.judge.isSilent(id) {
+			continue
+		}
+		waiters.Go(func() { replied[index] = controller.repliesWithin(examined.group, id, pause) })
+	}
+	running := controller.Sleep(pause)
+	waiters.Wait()
+	for index, id := range examined.ids {
+		if replied[index] {
+			examined.judge.recordReply(id)
+		}
+	}
+	return running
+}
+
+// repliesWithin reports whether a member of a group replies within a timeout.
+func (controller *Controller) repliesWithin(group Group, id string, timeout time.Duration) bool {
+	server, ok := controller.Servers().Servers[id]
+	if !ok {
+		return false
+	}
+	ctx, cancel := controller.ContextWithTimeout(timeout)
+	defer cancel()
+	controller.Counts.Reports.Add(1)
+	report, err := controller.Report(ctx, server)
+	return memberResponse(group, server, &report, err, nil).isReply()
+}
+
 // examineGroup examines all members of a suspected group, and ends the group if one is lost.
 func (controller *Controller) examineGroup(term int64, group Group) {
 	examined, found := controller.examine(term, group, group.Members, func() bool { return controller.isExaminable(group) })
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// Guards against ending a sound group because a member is paused again and again, and each question meets a pause.
+func TestGroupWithAMemberThatPausesOftenIsKept(t *testing.T) {
+	for _, running := range []time.Duration{20 * time.Millisecond, 150 * time.Millisecond} {
+		for _, paused := range []time.Duration{550 * time.Millisecond, 1730 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				fleet := newFleet(2, 1, 7, 1)
+				defer fleet.end()
+				node := fleet.nodes[0]
+				startLogged(fleet)
+				group := servingGroupOf(node, "large")
+				for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(paused + running) {
+					fleet.cluster.Pause(paused, group.Members[2])
+					node.controller.Suspect(group.Head(), group.Name)
+				}
+				expect.Expect(servingGroupOf(node, "large").Name).To(gomega.Equal(group.Name), "%v of %v", running, paused)
+				expect.Expect(node.controller.Counts.Lost.Load()).To(gomega.BeZero())
+			})
+		}
+	}
+}
+
 // Guards against ending many groups at once because a whole busy machine with their servers is silent for a moment.
 func TestAllGroupsAreKeptWhileAllServersArePaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/formation/verdict.go
+++ b/internal/fleet/formation/verdict.go
@@ -214,6 +214,17 @@
 	}
 }
 
+// recordReply records that a member replied between two rounds.
+func (judge *judge) recordReply(id string) {
+	delete(judge.members, id)
+}
+
+// isSilent reports whether a member did not reply in the last round.
+func (judge *judge) isSilent(id string) bool {
+	member := judge.members[id]
+	return member != nil && member.silent
+}
+
 // isLost reports whether a member was found lost.
 func (judge *judge) isLost(id string) bool {
 	member := judge.members[id]
