--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -241,7 +241,7 @@
 	if attempt.peer != nil || (failed && !attempt.target.PathHealthy()) {
 		return
 	}
-	if failed && (exchange.callerGone() || attempt.timedOutWriting.Load() || attempt.call.Moved() || attempt.call.Quarantined() || attempt.dropped) {
+	if failed && (exchange.callerGone() || attempt.timedOutWriting.Load() || attempt.call.Moved() || attempt.call.Quarantined()) {
 		return
 	}
 	attempt.target.RecordOutcome(failed)
--- a/internal/serve/forward/call.go
+++ b/internal/serve/forward/call.go
@@ -145,7 +145,7 @@
 	if received.relayed {
 		return true
 	}
-	if attempt.Status >= http.StatusInternalServerError && (exchange.second != nil || exchange.mayRetryFailure()) {
+	if attempt.Status >= http.StatusInternalServerError && exchange.mayRetryFailure() {
 		exchange.recordRun()
 		exchange.cause = "server " + attempt.target.ID + " responded with status " + strconv.Itoa(attempt.Status)
 		exchange.excludedServers = append(exchange.excludedServers, attempt.target.ID)
--- a/internal/serve/forward/failure.go
+++ b/internal/serve/forward/failure.go
@@ -15,7 +15,7 @@
 
 // recordServerFailure records that a server failed while it was running the call, if the error suggests so.
 func (exchange *exchange) recordServerFailure(attempt *attempt, err error) {
-	if attempt.peer != nil || exchange.callerGone() || attempt.call.Quarantined() || attempt.dropped || !isServerFailure(attempt, err) {
+	if attempt.peer != nil || exchange.callerGone() || attempt.call.Quarantined() || !isServerFailure(attempt, err) {
 		return
 	}
 	movement := attempt.call.Movement()
--- a/internal/serve/forward/rig_test.go
+++ b/internal/serve/forward/rig_test.go
@@ -45,6 +45,7 @@
 	board   *dispatch.Board
 	table   *configuration.Table
 	window  *retry.WindowBudget
+	list    *quarantine.List
 
 	mu                 sync.Mutex
 	outcomes           map[forward.Outcome]int
@@ -83,11 +84,11 @@
 		return dial(ctx, "tcp", address)
 	}))
 	window := retrybudget.New(1000, now)
-	rig.table, rig.window = table, window
+	rig.table, rig.window, rig.list = table, window, quarantine.New(quarantine.Clock(now))
 	forwarder := forward.New(forward.Dependencies{
 		Configuration: table, Board: rig.board, Pool: rig.pool, DecodeRequest: decode, Memory: rig.memory, Now: now,
 		RetryBudget: func(string) *retry.WindowBudget { return window }, Stopping: func() bool { return false },
-		RetryScheduler: ratelimit.NewRetryScheduler(now), Quarantine: quarantine.New(quarantine.Clock(now)), OnQuarantineChange: func(quarantine.Fingerprint) {},
+		RetryScheduler: ratelimit.NewRetryScheduler(now), Quarantine: rig.list, OnQuarantineChange: func(quarantine.Fingerprint) {},
 		OnResponseHead: func(forward.ResponseHead) {}, OnServerFailure: func(*dispatch.Target, string) {}, OnRequestEnd: rig.recordSummary, NodeCount: func() int { return 1 },
 		RequestPermits: func() {}, Logger: slog.New(slog.NewTextHandler(rig, nil)),
 	})
@@ -124,6 +125,7 @@
 	}
 	left, _ := strconv.Atoi(inbound.Header.Get("Left"))
 	request.TimeLeft = time.Duration(left) * time.Millisecond
+	request.PromptParts = inbound.Header.Values("Part")
 	forward.StripHopByHop(request.Header)
 	return request
 }
--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -17,6 +17,7 @@
 
 	"hazelslip/internal/fleet/detour"
 	"hazelslip/internal/policy/dispatch"
+	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/serve/forward"
 	"hazelslip/internal/state/configuration"
 )
@@ -44,6 +45,9 @@
 	startedAt, endedAt time.Time
 }
 
+// streamMemory is the memory budget of the rig, which suffices for every test.
+const streamMemory = 64 << 20
+
 // watchInterval is how often the rig checks its groups, as a node does.
 const watchInterval = 40 * time.Millisecond
 
@@ -52,21 +56,22 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		rig := &streamRig{scripts: scripts, stopped: make(chan struct{})}
-		rig.rig = newRig(t, 0, func(http.ResponseWriter, *http.Request) {})
+		rig.rig = newRig(t, streamMemory, func(http.ResponseWriter, *http.Request) {})
 		rig.setGroups(t, groups)
 		rig.watching.Go(rig.watch)
-		defer rig.close()
 		expect := gomega.NewWithT(t)
+		defer func() { expect.Expect(rig.close()).To(gomega.BeZero(), "memory is reserved after the end") }()
 		check(expect, rig)
 		time.Sleep(100 * time.Millisecond)
 		expect.Expect(rig.openRuns()).To(gomega.BeZero(), "a run goes on after its request has ended")
 	})
 }
 
-func (streamRig *streamRig) close() {
+// close stops everything and returns the bytes that the memory budget still holds.
+func (streamRig *streamRig) close() int64 {
 	close(streamRig.stopped)
 	streamRig.watching.Wait()
-	streamRig.shutdown()
+	return streamRig.shutdown()
 }
 
 func (streamRig *streamRig) setGroups(t *testing.T, groups int) {
@@ -194,6 +199,12 @@
 	return body
 }
 
+// fingerprint returns the fingerprint of the requests that draft sends.
+func (streamRig *streamRig) fingerprint() quarantine.Fingerprint {
+	body, _ := io.ReadAll(bodyOfLength(10))
+	return quarantine.NewFingerprint(quarantine.Request{Workspace: "workspace-0", Method: http.MethodPost, Host: "h.example", Target: "/draft/1", Body: body})
+}
+
 // draft sends a stream request.
 func (streamRig *streamRig) draft() callResult {
 	return streamRig.do(streamRig.request(0, "/draft/1", bodyOfLength(10)))
@@ -228,12 +239,13 @@
 const lastEvent = 9
 
 // expectAnswer sends a stream request and expects the complete answer from the given number of runs.
-func (streamRig *streamRig) expectAnswer(expect *gomega.WithT, runs int) {
+func (streamRig *streamRig) expectAnswer(expect *gomega.WithT, runs int) callResult {
 	result := streamRig.draft()
 	time.Sleep(time.Millisecond)
 	expect.Expect(result.err).NotTo(gomega.HaveOccurred())
 	expect.Expect(result.body).To(gomega.Equal(answer(lastEvent)))
 	expect.Expect(streamRig.runCount()).To(gomega.Equal(runs))
+	return result
 }
 
 // Guards against answers that are cut because a sound server is silent for some seconds and there is no other place for
@@ -307,7 +319,9 @@
 	for name, second := range map[string]func(run *run){"error": fails, "break": breaks(-1, 100*time.Millisecond)} {
 		withStreams(t, 3, []func(run *run){pauses(3, time.Second, lastEvent), second, sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
 			rig.expectAnswer(expect, 2)
-			expect.Expect(rig.linesWith("a request ended")).To(gomega.HaveLen(1), name)
+			ended := rig.linesWith("a request ended")
+			expect.Expect(ended).To(gomega.HaveLen(1), name)
+			expect.Expect(ended[0]).To(gomega.And(gomega.ContainSubstring(`Cause=""`), gomega.ContainSubstring(" Group="+rig.groupOf(0))))
 		})
 	}
 	empty := func(*run) {}
@@ -325,6 +339,132 @@
 	})
 }
 
+// Guards against an end of the stream that is held back by a second run, and against a stream that waits for its end
+// although another server says that all events have been delivered.
+func TestStreamEndsAfterSilence(t *testing.T) {
+	silentEnd := func(run *run) {
+		run.send(lastEvent)
+		run.pause(time.Second)
+	}
+	withStreams(t, 2, []func(run *run){silentEnd, waits(time.Minute, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		expect.Expect(rig.expectAnswer(expect, 2).duration).To(gomega.BeNumerically("<", 1500*time.Millisecond))
+	})
+	withStreams(t, 2, []func(run *run){silentEnd, sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		expect.Expect(rig.expectAnswer(expect, 2).duration).To(gomega.BeNumerically("<", time.Second))
+	})
+}
+
+// Guards against a third run, beyond the attempts of the route, after the second run was ended because the first went
+// on: the second server may have begun to work, whether or not it has sent a head.
+func TestEndedSecondRunCountsAsAttempt(t *testing.T) {
+	first := func(run *run) {
+		run.send(3)
+		run.pause(700 * time.Millisecond)
+		run.send(6)
+		panic(http.ErrAbortHandler)
+	}
+	for _, second := range []func(run *run){waits(time.Minute, lastEvent), func(run *run) {
+		_ = http.NewResponseController(run.writer).Flush()
+		run.pause(time.Minute)
+	}} {
+		withStreams(t, 3, []func(run *run){first, second, sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+			result := rig.draft()
+			expect.Expect(result.err).To(gomega.HaveOccurred())
+			expect.Expect(result.body).To(gomega.Equal(answer(6)))
+			expect.Expect(rig.runCount()).To(gomega.Equal(2))
+		})
+	}
+}
+
+// Guards against a second run of a stream whose events have no IDs: no server can go on after the last one.
+func TestStreamWithoutEventIDsRunsOnce(t *testing.T) {
+	script := func(run *run) {
+		for range 3 {
+			_, _ = io.WriteString(run.writer, "data: x\n\n")
+			_ = http.NewResponseController(run.writer).Flush()
+			run.pause(time.Second)
+		}
+	}
+	withStreams(t, 3, []func(run *run){script}, func(expect *gomega.WithT, rig *streamRig) {
+		result := rig.draft()
+		expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(result.body).To(gomega.Equal(strings.Repeat("data: x\n\n", 3)))
+		expect.Expect(rig.runCount()).To(gomega.Equal(1))
+	})
+}
+
+// Guards against a stall that is not counted when the loss of its group is confirmed while the run is still open, and
+// against one that counts twice.
+func TestSilentRunIsRecordedAsStall(t *testing.T) {
+	for _, confirmedAt := range []time.Duration{300 * time.Millisecond, time.Second} {
+		withStreams(t, 1, []func(run *run){pauses(3, 2*time.Second, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+			confirmed := 0
+			rig.watching.Go(func() {
+				time.Sleep(160*time.Millisecond + confirmedAt)
+				confirmed = len(rig.list.ConfirmGroupLoss(rig.groupOf(0)))
+			})
+			rig.expectAnswer(expect, 1)
+			if confirmedAt < 400*time.Millisecond {
+				expect.Expect(confirmed).To(gomega.BeZero(), "the group is not suspected yet")
+			} else {
+				expect.Expect(confirmed).To(gomega.Equal(1))
+			}
+		})
+	}
+}
+
+// Guards against silent runs that fill the list of stalls: each is recorded once.
+func TestSilentRunIsRecordedAsOneStall(t *testing.T) {
+	withStreams(t, 1, []func(run *run){pauses(3, 4500*time.Millisecond, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		streams := conc.WaitGroup{}
+		for range 8 {
+			streams.Go(func() { rig.draft() })
+		}
+		time.Sleep(4500 * time.Millisecond)
+		rig.list.RecordStall(quarantine.Subject{Fingerprint: 1}, "other", "run")
+		expect.Expect(rig.list.ConfirmGroupLoss("other")).To(gomega.HaveLen(1))
+		streams.Wait()
+	})
+}
+
+// Guards against a second run of a request that makes servers fail, and against the first run of such a request that is
+// lost with the second one, which is cancelled before its first event.
+func TestQuarantinedRequestHasNoSecondRun(t *testing.T) {
+	for _, at := range []time.Duration{100 * time.Millisecond, 800 * time.Millisecond} {
+		withStreams(t, 3, []func(run *run){pauses(3, 2*time.Second, lastEvent), waits(time.Minute, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+			rig.watching.Go(func() {
+				time.Sleep(at)
+				fingerprint := rig.fingerprint()
+				rig.list.Quarantine(fingerprint)
+				rig.board.CancelUnanswered(uint64(fingerprint))
+			})
+			runs := 1
+			if at > 600*time.Millisecond {
+				runs = 2
+			}
+			rig.expectAnswer(expect, runs)
+		})
+	}
+}
+
+// Guards against a server that is risked for a request without an event, one of whose prompt parts is quarantined after
+// one more failure.
+func TestNearlyQuarantinedPartHasNoSecondRun(t *testing.T) {
+	for until, runs := range map[int]int{-1: 1, 3: 2} {
+		withStreams(t, 3, []func(run *run){pauses(until, 2*time.Second, lastEvent), waits(time.Minute, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+			part := quarantine.Subject{Fingerprint: quarantine.NewPartFingerprint("p"), Part: true}
+			rig.list.RecordFailure(part, "run-1")
+			rig.list.RecordFailure(part, "run-2")
+			request := rig.request(0, "/draft/1", bodyOfLength(10))
+			request.Header.Set("Part", "p")
+			result := rig.do(request)
+			expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+			expect.Expect(result.body).To(gomega.Equal(answer(lastEvent)))
+			expect.Expect(rig.runCount()).To(gomega.Equal(runs))
+		})
+	}
+}
+
 // Guards against runs that go on after the caller has left while both were open.
 func TestBothRunsEndWhenCallerLeaves(t *testing.T) {
 	withStreams(t, 2, []func(run *run){pauses(3, time.Minute, lastEvent), waits(time.Minute, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
@@ -477,3 +617,27 @@
 		<-left
 	})
 }
+
+// Guards against more runs than the route allows, when the second run goes through a peer node that does not know of the
+// first.
+func TestPeerCountsTheOpenRun(t *testing.T) {
+	runs := 0
+	withWatchedPair(t, func(run *run) {
+		runs++
+		breaks(-1, 0)(run)
+	}, func(expect *gomega.WithT, pair *nodePair) {
+		pair.board.Update(map[string][]dispatch.Spec{forward.PoolName("writers", "m"): {
+			{ID: "s", Group: "g", Address: serverAddress, Slots: 9}, {ID: "t", Group: "h", Address: serverAddress, Slots: 9}, {ID: "u", Group: "i", Address: serverAddress, Slots: 9},
+		}})
+		pair.serve(t, "frozen:1", http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-request.Context().Done()
+		}))
+		pair.peers.RecordReport(detour.Node{Address: "frozen:1"})
+		time.AfterFunc(time.Second, func() { pair.peers.RecordReport(detour.Node{Address: detourAddress}) })
+		request := pair.request(0, "/draft/1", bodyOfLength(10))
+		request.URL.Host = firstAddress
+		pair.do(request)
+		expect.Expect(runs).To(gomega.Equal(1))
+	})
+}
--- a/internal/serve/forward/slowcall_test.go
+++ b/internal/serve/forward/slowcall_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/serve/forward"
 )
 
 // answers returns a script that responds after a pause.
@@ -111,3 +114,59 @@
 		})
 	}
 }
+
+// Guards against servers that lost power or the path to them, and that are found only when their callers' time is up,
+// because no call may be sent twice.
+func TestSlowServersAreRecordedWithoutASecondCall(t *testing.T) {
+	withStreams(t, 3, []func(run *run){answers(http.StatusOK, 4*time.Second, "late")}, func(expect *gomega.WithT, rig *streamRig) {
+		calls := conc.WaitGroup{}
+		for range 12 {
+			calls.Go(func() { rig.do(rig.request(0, "/ping/1", bodyOfLength(10))) })
+		}
+		time.Sleep(time.Millisecond)
+		for rig.window.TryWithdraw() {
+		}
+		avoided := func() int {
+			count := 0
+			for _, target := range rig.board.State()[forward.PoolName("ledger", "")] {
+				if target.Avoided {
+					count++
+				}
+			}
+			return count
+		}
+		time.Sleep(1400 * time.Millisecond)
+		expect.Expect(avoided()).To(gomega.BeZero())
+		expect.Expect(rig.board.Paths().AnyUnhealthy()).To(gomega.BeFalse())
+		time.Sleep(200 * time.Millisecond)
+		expect.Expect(avoided()).To(gomega.Equal(3))
+		expect.Expect(rig.board.Paths().AnyUnhealthy()).To(gomega.BeTrue())
+		calls.Wait()
+		expect.Expect(rig.runCount()).To(gomega.Equal(12))
+		expect.Expect(rig.outcomeCount(forward.Answered)).To(gomega.Equal(12))
+	})
+}
+
+// Guards against a second server that works on while the caller slowly reads the first server's response, and against a
+// second server's response that takes no part of the memory budget while the caller reads it.
+func TestSecondCallAndSlowCaller(t *testing.T) {
+	body := strings.Repeat("x", 3<<20)
+	for name, scripts := range map[string][]func(run *run){
+		"first":  {answers(http.StatusOK, 2*time.Second, body), answers(http.StatusOK, time.Minute, "")},
+		"second": {answers(http.StatusOK, time.Minute, ""), answers(http.StatusOK, time.Second, body)},
+	} {
+		withStreams(t, 2, scripts, func(expect *gomega.WithT, rig *streamRig) {
+			response, err := rig.callers.Do(rig.request(0, "/ping/1", bodyOfLength(10)))
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			defer response.Body.Close()
+			time.Sleep(100 * time.Millisecond)
+			expect.Expect(rig.runCount()).To(gomega.Equal(2))
+			expect.Expect(rig.openRuns()).To(gomega.BeZero(), name)
+			held, _, _ := rig.memory.Totals()
+			expect.Expect(held).To(gomega.BeNumerically(">=", len(body)), name)
+			read, err := io.ReadAll(response.Body)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			expect.Expect(string(read) == body).To(gomega.BeTrue(), name)
+		})
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -231,7 +231,7 @@
 func (exchange *exchange) handleStreamFailure(attempt *attempt) bool {
 	exchange.excludedServers = append(exchange.excludedServers, attempt.target.ID)
 	exchange.cause = "server " + attempt.target.ID + " responded with status " + strconv.Itoa(attempt.Status)
-	if exchange.responseStarted || exchange.second != nil || attempt.beside {
+	if exchange.responseStarted || attempt.beside {
 		exchange.recordResult(attempt, attempt.Status >= http.StatusInternalServerError)
 		exchange.recordRun()
 		return false
@@ -246,7 +246,7 @@
 	if received.relayed {
 		return true
 	}
-	if attempt.Status >= http.StatusInternalServerError && (exchange.second != nil || exchange.mayRetryFailure()) {
+	if attempt.Status >= http.StatusInternalServerError && exchange.mayRetryFailure() {
 		exchange.recordRun()
 		exchange.setFallback(received)
 		return false
