test(soak): the longest pause of the soak itself is part of its result

Change: while faults are injected, a meter sleeps for 5 ms at a time; the longest time by which it overslept is printed with the result.

Not measured with the meter yet.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -15,7 +15,7 @@
 )
 
 type soakCommand struct {
-	Seed     uint64        `default:"1" help:"Seed of the first plan."`
+	Seed     uint64        `default:"1" help:"Seed of the first plan. In plans of even seeds, servers stay sound: they are silent around planned work."`
 	Seeds    int           `default:"1" help:"Number of plans to run one after the other, with consecutive seeds."`
 	Length   time.Duration `default:"20s" help:"Time during which faults are injected, for each plan."`
 	Nodes    int           `default:"4" help:"Number of nodes."`
@@ -74,8 +74,8 @@
 	case err != nil:
 		return false, errors.Wrapf(err, "seed %d", seed)
 	}
-	_, _ = fmt.Fprintf(outputs.Out, "seed %d: %d faults, %d requests, %d complete responses, %d cut, by status %v, %d guarantees violated\n",
-		report.Seed, report.Faults, report.Requests, report.Complete, report.Cut, report.Statuses, len(report.Violations))
+	_, _ = fmt.Fprintf(outputs.Out, "seed %d: %d faults, %d requests, %d complete responses, %d cut, by status %v, paused for up to %s, %d guarantees violated\n",
+		report.Seed, report.Faults, report.Requests, report.Complete, report.Cut, report.Statuses, report.LongestPause.Round(time.Millisecond), len(report.Violations))
 	if len(report.Violations) == 0 {
 		return false, errors.Wrap(os.RemoveAll(folder), "remove logs")
 	}
--- a/internal/run/soak/busy.go
+++ b/internal/run/soak/busy.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -22,6 +23,39 @@
 	running []*exec.Cmd
 }
 
+// pauseMeter measures for how long this process was not scheduled at a time.
+type pauseMeter struct {
+	worker  conc.WaitGroup
+	done    chan struct{}
+	longest time.Duration
+}
+
+// pauseInterval is how long the meter sleeps between two looks at the clock.
+const pauseInterval = 5 * time.Millisecond
+
+func startPauseMeter() *pauseMeter {
+	meter := &pauseMeter{done: make(chan struct{})}
+	meter.worker.Go(func() {
+		for {
+			start := time.Now()
+			select {
+			case <-meter.done:
+				return
+			case <-time.After(pauseInterval):
+				meter.longest = max(meter.longest, time.Since(start)-pauseInterval)
+			}
+		}
+	})
+	return meter
+}
+
+// stop returns the longest pause.
+func (meter *pauseMeter) stop() time.Duration {
+	close(meter.done)
+	meter.worker.Wait()
+	return meter.longest
+}
+
 // startBusy starts as many busy processes as the options say. Each keeps one processor busy, with normal priority, and
 // ends by itself if nothing ends it before.
 func startBusy(options Options) (*busyProcesses, error) {
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -79,6 +79,9 @@
 	Cut int
 	// Statuses counts requests by response status. Status 0 means that the connection failed.
 	Statuses map[int]int
+	// LongestPause is how long the soak itself was not scheduled at a time while faults were injected. Nodes and
+	// proxies paused for about as long.
+	LongestPause time.Duration
 	// Violations describes the violated guarantees. It is empty if every check passed.
 	Violations []string
 }
@@ -215,7 +218,7 @@
 		announcers.Go(func() { runner.announceRandomly(noticeCtx, announcement, runner.checkedServer(plan.Seed), random) })
 	}
 	injections := conc.WaitGroup{}
-	start := time.Now()
+	meter, start := startPauseMeter(), time.Now()
 	_, _ = fmt.Fprintf(runner.options.Out, "the load starts at %s\n", start.UTC().Format(time.RFC3339Nano))
 	for _, fault := range plan.Faults {
 		select {
@@ -228,6 +231,7 @@
 		injections.Go(func() { runner.inject(ctx, fault) })
 	}
 	injections.Wait()
+	longestPause := meter.stop()
 	busy.stop()
 	stopNotices()
 	announcers.Wait()
@@ -248,7 +252,7 @@
 	if err != nil {
 		return Report{}, errors.Wrap(err, "fetch the stand-in's observations")
 	}
-	report := Report{Seed: plan.Seed, Faults: len(plan.Faults), Requests: len(results), Statuses: map[int]int{}}
+	report := Report{Seed: plan.Seed, Faults: len(plan.Faults), Requests: len(results), Statuses: map[int]int{}, LongestPause: longestPause}
 	for number := range results {
 		report.Statuses[results[number].Status]++
 		if results[number].Complete {
