fix(dispatch): a group that goes on gets calls at once

What callers saw: all groups of a model are silent for a moment, and new requests are refused with NoServer for half a second after their events go on.

Cause: a silent group gets no new calls for 0.5 s from the last check that found it silent. An event, which shows that the group is complete, did not end that. Where all groups were silent, none was left.

Evidence: TestGroupsThatGoOnGetCallsAtOnce: three groups silent for 0.4 s, one has an event: NoTarget.

Change: the time for which a group is avoided because its streams are silent stands apart from the one after failed calls, and an event ends it. A group where calls only wait for their first event is avoided as before, since such an event shows no free room.

--- a/internal/policy/dispatch/admit.go
+++ b/internal/policy/dispatch/admit.go
@@ -40,7 +40,7 @@
 
 // Avoided reports whether new calls are kept away from the target.
 func (target *Target) Avoided(now time.Duration) bool {
-	return target.memberLost.Load() || time.Duration(target.avoidUntil.Load()) > now
+	return target.memberLost.Load() || time.Duration(max(target.avoidUntil.Load(), target.silentUntil.Load())) > now
 }
 
 // coldLimit returns the number of calls per second that this node may send to a cold target.
--- a/internal/policy/dispatch/call.go
+++ b/internal/policy/dispatch/call.go
@@ -59,6 +59,9 @@
 func (call *Call) RecordEvents(count int) {
 	now := call.target.now()
 	call.target.lastEventAt.Store(int64(now))
+	if call.target.silentUntil.Load() != 0 {
+		call.target.silentUntil.Store(0)
+	}
 	call.target.dataCentrePath.recordResponse(now)
 	call.target.path.RecordActivity(call.target.ID)
 	if !call.started.Swap(true) {
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -115,8 +115,10 @@
 	// lastEventAt is when the last event of any call arrived.
 	pausedStreams atomic.Int32
 	lastEventAt   atomic.Int64
-	// avoidUntil is the time until which the target gets new calls only if there is no other target.
-	avoidUntil atomic.Int64
+	// avoidUntil is the time until which the target gets no new calls. silentUntil is the same for a group whose streams
+	// are silent; an event ends it.
+	avoidUntil  atomic.Int64
+	silentUntil atomic.Int64
 	// memberLost reports that the group was found to have lost a member.
 	memberLost atomic.Bool
 	breaker    breaker
--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -334,7 +334,7 @@
 		if duration < avoid {
 			continue
 		}
-		target.Avoid(avoidStalledFor)
+		target.avoidSilent(now)
 		group := StalledGroup{Head: target.ID, Group: target.Group, Duration: duration, Calls: int(target.ownCalls.Load()), PathUnhealthy: !target.PathHealthy()}
 		switch {
 		case target.MemberLost():
@@ -348,6 +348,16 @@
 	return stalled
 }
 
+// avoidSilent keeps new calls away from a silent group. An event of a stream shows that the group goes on. The first
+// event of an overloaded group, where calls have waited for long, shows no free room.
+func (target *Target) avoidSilent(now time.Duration) {
+	if target.readableStreams() > 0 {
+		target.silentUntil.Store(int64(now + avoidStalledFor))
+		return
+	}
+	target.Avoid(avoidStalledFor)
+}
+
 // silence returns how long the calls at a group have been silent, after which silence the group is avoided, and
 // after which its calls are suspected.
 func (target *Target) silence(now time.Duration) (duration, avoid, suspect time.Duration) {
