fix(forward): an answer through another node has all of the caller's time

What callers saw: a begun answer that went through another node ended 20 ms before the request's deadline.

Cause: the node that forwards a request took its own margin off the time that it passed on, and the other node took another one.

Change: the other node gets the caller's time, rounded up to milliseconds, and keeps its own margin for its own failures.

--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -143,6 +143,7 @@
 	exchange.watchSlowness(attempt)
 	call := exchange.buildCall(peer.Target)
 	call.Server, call.Workspace = "", ""
+	call.TimeLeft = exchange.peerTimeLeft()
 	call.Header = call.Header.Clone()
 	call.Header.Set(headerDetour, (&detourOrigin{
 		Sender: forwarder.NodeName, Version: exchange.snapshot.Configuration.Version, KeyDigest: configuration.KeyDigest(exchange.request.Key),
@@ -173,6 +174,13 @@
 	}
 }
 
+// peerTimeLeft returns the caller's time for a peer node, which keeps its own margin. It is rounded up to the unit in
+// which it is sent, so that the peer cuts no answer before this node does.
+func (exchange *exchange) peerTimeLeft() time.Duration {
+	left := exchange.computeDeadline(0) - exchange.forwarder.Now()
+	return (left + time.Millisecond - 1).Truncate(time.Millisecond)
+}
+
 // handlePeerReply handles the response of a peer node.
 func (exchange *exchange) handlePeerReply(attempt *attempt, serve func(attempt *attempt) bool) (ended, sent bool) {
 	before := exchange.sentAttempts
--- a/internal/serve/forward/detour_test.go
+++ b/internal/serve/forward/detour_test.go
@@ -67,7 +67,11 @@
 	pair.peers = detour.New("", detour.Clock(now))
 	dial := pair.network.Dialer("first")
 	pool := backendserver.New(backendserver.Codec{
-		Encode: func(call *backendserver.Call) http.Header { return call.Header },
+		Encode: func(call *backendserver.Call) http.Header {
+			header := call.Header.Clone()
+			header.Set("Left", strconv.FormatInt(call.TimeLeft.Milliseconds(), 10))
+			return header
+		},
 		Decode: func(*backendserver.Call, int, http.Header) backendserver.DecodedHead {
 			return backendserver.DecodedHead{}
 		},
@@ -307,3 +311,18 @@
 		expect.Expect(result.body).To(gomega.Equal("id: 0\ndata: a\n\n"))
 	})
 }
+
+// Guards against a begun answer that the node it goes through cuts before the caller's time is over.
+func TestBegunDetouredAnswerHasAllOfTheCallersTime(t *testing.T) {
+	withNodePair(t, func(writer http.ResponseWriter, _ *http.Request) {
+		writer.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(writer, "id: 0\ndata: a\n\n")
+		_ = http.NewResponseController(writer).Flush()
+		time.Sleep(1990 * time.Millisecond)
+		_, _ = io.WriteString(writer, "id: 1\ndata: b\n\n")
+	}, func(expect *gomega.WithT, pair *nodePair) {
+		result := pair.sendThroughFirst("/draft/1", func(request *http.Request) { request.Header.Set("Left", "2000") })
+		expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(result.body).To(gomega.Equal("id: 0\ndata: a\n\nid: 1\ndata: b\n\n"))
+	})
+}
