fix(forward): keep the last run of a partly delivered answer at a group that is announced lost

What callers saw: an answer was cut in the middle when its first group had broken off and the next one was announced lost before the first event there, also if that group was sound: the run was cancelled, and no attempt was left.

Cause: calls without an event at a group that is announced lost are cancelled, since the group can't run them and the request may be refused early. A partly delivered answer can't be refused, only cut.

Change: a call that goes on with a partly delivered answer is kept and suspected instead (Call.KeepAtLoss), so that it may have a second run. A second run itself is cancelled only if another one may follow.

Now complete with the first group broken off before, or during, the kept run; with three attempts, a third group goes on within 1 s and 2 s. TestSlowServersAreRecordedWithoutASecondCall sends 40 calls in place of 12, since in one of nine runs no call had been drawn for one of the three servers.

--- a/internal/policy/dispatch/call.go
+++ b/internal/policy/dispatch/call.go
@@ -22,6 +22,8 @@
 	ended atomic.Bool
 	// moved is why the call was cancelled in favour of another target, nil if it wasn't.
 	moved atomic.Pointer[Suspicion]
+	// keptAtLoss reports that the call goes on if its group is announced lost before the first event.
+	keptAtLoss atomic.Bool
 	// quarantined reports that the call was cancelled because its request is quarantined.
 	quarantined atomic.Bool
 	// eventAt is when the last event arrived, prefillAtEvent the expected prefill time of the target's pending
@@ -168,6 +170,12 @@
 	return canceled
 }
 
+// KeepAtLoss makes the call go on if its group is announced lost before the first event. It is for a call that goes on
+// with a partly delivered response: cancelling it cuts the response, and the group may be sound.
+func (call *Call) KeepAtLoss() {
+	call.keptAtLoss.Store(true)
+}
+
 // GiveUp cancels the call in favour of one at another target.
 func (call *Call) GiveUp(suspicion Suspicion) {
 	call.moved.CompareAndSwap(nil, &suspicion)
@@ -175,7 +183,7 @@
 }
 
 // MarkGroupLost records that a group has lost a member: the group gets no new calls, its calls without an event are
-// given up, and the others are suspected. It returns the number of its calls.
+// given up unless they are kept, and the others are suspected. It returns the number of its calls.
 func (board *Board) MarkGroupLost(group string) int {
 	calls := 0
 	for _, target := range board.snapshot.Load().targets {
--- a/internal/policy/dispatch/dispatch_test.go
+++ b/internal/policy/dispatch/dispatch_test.go
@@ -213,11 +213,13 @@
 		call := target.Begin(100, 0, func() { ended++ }, func(dispatch.Suspicion) { t.Error("a cancelled call was suspected") })
 		started := target.Begin(100, 0, func() { t.Error("a stream was cancelled") }, func(suspicion dispatch.Suspicion) { suspicions = append(suspicions, suspicion) })
 		started.RecordEvent()
-		expect.Expect(board.MarkGroupLost("g-a")).To(gomega.Equal(2))
+		kept := target.Begin(100, 0, func() { t.Error("a kept call was cancelled") }, func(suspicion dispatch.Suspicion) { suspicions = append(suspicions, suspicion) })
+		kept.KeepAtLoss()
+		expect.Expect(board.MarkGroupLost("g-a")).To(gomega.Equal(3))
 		expect.Expect(board.MarkGroupLost("g-a")).To(gomega.BeZero())
 		expect.Expect(ended).To(gomega.Equal(1))
 		expect.Expect(call.Moved()).To(gomega.BeTrue())
-		expect.Expect(suspicions).To(gomega.Equal([]dispatch.Suspicion{{Reason: dispatch.GroupLost}}))
+		expect.Expect(suspicions).To(gomega.Equal([]dispatch.Suspicion{{Reason: dispatch.GroupLost}, {Reason: dispatch.GroupLost}}))
 		expect.Expect(pick(board)).To(gomega.BeNil())
 		next := head("a")
 		next.Group = "g-later"
@@ -225,6 +227,7 @@
 		expect.Expect(pick(board).ActiveCalls()).To(gomega.BeZero())
 		call.End()
 		started.End()
+		kept.End()
 	})
 }
 
--- a/internal/policy/dispatch/suspicion.go
+++ b/internal/policy/dispatch/suspicion.go
@@ -5,7 +5,8 @@
 // A call is never cancelled for silence alone: a sound server may be silent for seconds, and only the call's owner
 // knows whether there is another place for the request. The board tells the owner that the target is suspected, and
 // the owner gives the call up once another target goes on with the request. Only calls without an event at a group
-// that lost a member are cancelled at once: nothing was delivered, and the group can't run them.
+// that lost a member are cancelled at once: the group can't run them, and their owners find another one or refuse the
+// request early. Calls that go on with a partly delivered response are kept.
 
 // Reason is why a target is suspected not to go on with its calls.
 type Reason string
@@ -66,14 +67,14 @@
 	return kept
 }
 
-// giveUpUnanswered cancels the calls that have had no event, and returns their number.
+// giveUpUnanswered cancels the calls that have had no event and are not kept, and returns their number.
 func (localState *localState) giveUpUnanswered(reason Reason) int {
 	now := localState.now()
 	localState.mu.Lock()
 	defer localState.mu.Unlock()
 	canceled := 0
 	for call := range localState.calls {
-		if !call.started.Load() {
+		if !call.started.Load() && !call.keptAtLoss.Load() {
 			call.GiveUp(Suspicion{Reason: reason, Silence: call.silence(now)})
 			canceled++
 		}
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -144,6 +144,7 @@
 func (exchange *exchange) sendAttempt(attempt *attempt) {
 	target := attempt.target
 	exchange.watchSlowness(attempt)
+	exchange.keepAtLoss(attempt)
 	call := exchange.buildCall(target)
 	call.SetCancel, call.OnResponseHead = attempt.canceler.setCancel, exchange.reportResponseHead(attempt)
 	call.Admit, call.OnConnect = exchange.admitAttempt(attempt), target.RecordConnected
@@ -158,6 +159,14 @@
 	exchange.handleSendError(attempt, err)
 }
 
+// keepAtLoss keeps the attempt of a partly delivered response if its group is announced lost, unless it is a second run
+// that another one may follow.
+func (exchange *exchange) keepAtLoss(attempt *attempt) {
+	if exchange.partlyDelivered() && (!attempt.beside || exchange.runs+2 >= exchange.route.MaxAttempts) {
+		attempt.call.KeepAtLoss()
+	}
+}
+
 // sendCall sends a call and releases the exchange meanwhile.
 func (exchange *exchange) sendCall(attempt *attempt, pool *backendserver.Pool, call *backendserver.Call) (*backendserver.Reply, error) {
 	exchange.wait(attempt)
--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -205,6 +205,15 @@
 	return quarantine.NewFingerprint(quarantine.Request{Workspace: "workspace-0", Method: http.MethodPost, Host: "h.example", Target: "/draft/1", Body: body})
 }
 
+// setAttempts sets how many servers a request may be sent to.
+func (streamRig *streamRig) setAttempts(attempts int) {
+	offerVersion(streamRig.table, 2, func(configured *configuration.Configuration) {
+		for number := range configured.Routes {
+			configured.Routes[number].MaxAttempts = attempts
+		}
+	})
+}
+
 // draft sends a stream request.
 func (streamRig *streamRig) draft() callResult {
 	return streamRig.do(streamRig.request(0, "/draft/1", bodyOfLength(10)))
@@ -465,6 +474,36 @@
 	}
 }
 
+// Guards against answers that are cut because the group of their last run was announced lost before its first event: the
+// caller has a part of the answer, and the group may be sound.
+func TestLastRunAtLostGroupGoesOn(t *testing.T) {
+	loseGroupOfSecond := func(rig *streamRig, at time.Duration) {
+		rig.watching.Go(func() {
+			time.Sleep(at)
+			rig.board.MarkGroupLost(rig.groupOf(1))
+		})
+	}
+	withStreams(t, 3, []func(run *run){breaks(3, 0), waits(2*time.Second, lastEvent), sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		loseGroupOfSecond(rig, 300*time.Millisecond)
+		rig.expectAnswer(expect, 2)
+	})
+	withStreams(t, 3, []func(run *run){breaks(3, time.Second), waits(2*time.Second, lastEvent), sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		loseGroupOfSecond(rig, 800*time.Millisecond)
+		rig.expectAnswer(expect, 2)
+	})
+	// A third attempt is left: the one that can't run is given up for it.
+	withStreams(t, 3, []func(run *run){breaks(3, 0), waits(time.Minute, lastEvent), sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		rig.setAttempts(3)
+		loseGroupOfSecond(rig, 300*time.Millisecond)
+		expect.Expect(rig.expectAnswer(expect, 3).duration).To(gomega.BeNumerically("<", time.Second))
+	})
+	withStreams(t, 3, []func(run *run){pauses(3, time.Minute, lastEvent), waits(time.Minute, lastEvent), sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		rig.setAttempts(3)
+		loseGroupOfSecond(rig, 800*time.Millisecond)
+		expect.Expect(rig.expectAnswer(expect, 3).duration).To(gomega.BeNumerically("<", 2*time.Second))
+	})
+}
+
 // Guards against runs that go on after the caller has left while both were open.
 func TestBothRunsEndWhenCallerLeaves(t *testing.T) {
 	withStreams(t, 2, []func(run *run){pauses(3, time.Minute, lastEvent), waits(time.Minute, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
--- a/internal/serve/forward/slowcall_test.go
+++ b/internal/serve/forward/slowcall_test.go
@@ -120,7 +120,7 @@
 func TestSlowServersAreRecordedWithoutASecondCall(t *testing.T) {
 	withStreams(t, 3, []func(run *run){answers(http.StatusOK, 4*time.Second, "late")}, func(expect *gomega.WithT, rig *streamRig) {
 		calls := conc.WaitGroup{}
-		for range 12 {
+		for range 40 {
 			calls.Go(func() { rig.do(rig.request(0, "/ping/1", bodyOfLength(10))) })
 		}
 		time.Sleep(time.Millisecond)
@@ -142,8 +142,8 @@
 		expect.Expect(avoided()).To(gomega.Equal(3))
 		expect.Expect(rig.board.Paths().AnyUnhealthy()).To(gomega.BeTrue())
 		calls.Wait()
-		expect.Expect(rig.runCount()).To(gomega.Equal(12))
-		expect.Expect(rig.outcomeCount(forward.Answered)).To(gomega.Equal(12))
+		expect.Expect(rig.runCount()).To(gomega.Equal(40))
+		expect.Expect(rig.outcomeCount(forward.Answered)).To(gomega.Equal(40))
 	})
 }
 
