fix(standin): a head that is ordered to close finishes its streams

Cause: a close order with the method `queue` returned the simulated head to ready at once, which cut its running streams. Real heads are closing until their calls have ended.

Change: the stand-in counts the calls that each head runs. A closing head refuses new calls and is ready once the last call has ended.

--- a/internal/standin/backends/backends.go
+++ b/internal/standin/backends/backends.go
@@ -61,6 +61,8 @@
 	// loading is the model that is being loaded onto the host. The load ends at loadedAt.
 	loading  string
 	loadedAt time.Duration
+	// calls counts the calls that the server runs, by group.
+	calls map[string]int
 	// pastReports holds superseded reports, oldest first, for Cluster.ReportLag.
 	pastReports []pastReport
 }
@@ -123,7 +125,7 @@
 func (cluster *Cluster) Add(id, domain, dataCentre string, staged ...string) {
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
-	cluster.servers[id] = &server{id: id, domain: domain, dataCentre: dataCentre, partitionedFrom: map[string]bool{}, staged: staged}
+	cluster.servers[id] = &server{id: id, domain: domain, dataCentre: dataCentre, partitionedFrom: map[string]bool{}, calls: map[string]int{}, staged: staged}
 }
 
 // Members returns the members of the server's group, with the head first.
@@ -316,6 +318,8 @@
 	// Paused means that the server or a member of its group is paused. The server makes no progress on calls until the
 	// pause ends.
 	Paused
+	// Closing means that the server refuses new calls and finishes the ones that it runs.
+	Closing
 )
 
 // HeadState returns how the server handles calls for its group's model.
@@ -323,6 +327,10 @@
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
 	found, ok := cluster.servers[id]
+	return cluster.headState(found, ok)
+}
+
+func (cluster *Cluster) headState(found *server, ok bool) HeadState {
 	switch {
 	case !ok || found.poweredOff():
 		return Unresponsive
@@ -333,19 +341,46 @@
 	}
 	cluster.advance(found)
 	group := &found.group
+	open := group.state == roster.Open && cluster.now() >= group.openAt+cluster.engine.FormationTime
 	switch {
-	case group.rank != 0 || group.state != roster.Open:
-		return Refusing
-	case cluster.now() < group.openAt+cluster.engine.FormationTime:
+	case group.rank != 0 || (!open && group.state != roster.Closing):
 		return Refusing
 	case !cluster.allMembersPresent(group):
 		return Stalled
 	case cluster.anyMemberPaused(group):
 		return Paused
+	case !open:
+		return Closing
 	}
 	return Serving
 }
 
+// BeginCall counts a call at a server if its state is Serving, until end is called. It returns how the server handles
+// new calls, which a closing head refuses.
+func (cluster *Cluster) BeginCall(id string) (state HeadState, end func()) {
+	cluster.mu.Lock()
+	defer cluster.mu.Unlock()
+	found, ok := cluster.servers[id]
+	state = cluster.headState(found, ok)
+	if ok && found.group.state == roster.Closing {
+		state = Refusing
+	}
+	if state != Serving {
+		return state, nil
+	}
+	group := found.group.name
+	found.calls[group]++
+	return state, func() {
+		cluster.mu.Lock()
+		defer cluster.mu.Unlock()
+		found.calls[group]--
+		if found.group.name == group && found.group.state == roster.Closing && found.calls[group] == 0 {
+			cluster.saveReport(found)
+			found.group.state = roster.Ready
+		}
+	}
+}
+
 // ProcessState describes a server's process and its host.
 type ProcessState int
 
--- a/internal/standin/backends/faults.go
+++ b/internal/standin/backends/faults.go
@@ -79,7 +79,7 @@
 	found := cluster.servers[id]
 	cluster.advance(found)
 	cluster.servers[id] = &server{
-		id: id, domain: found.domain, dataCentre: found.dataCentre, partitionedFrom: found.partitionedFrom, staged: found.staged,
+		id: id, domain: found.domain, dataCentre: found.dataCentre, partitionedFrom: found.partitionedFrom, calls: map[string]int{}, staged: found.staged,
 		born: found.born + 1 + cluster.now().Milliseconds(),
 	}
 	cluster.mu.Unlock()
--- a/internal/standin/backends/orders.go
+++ b/internal/standin/backends/orders.go
@@ -102,6 +102,9 @@
 			return formation.Done
 		}
 		group.state = roster.Ready
+		if found.calls[group.name] > 0 {
+			group.state = roster.Closing
+		}
 	default:
 		return formation.Invalid
 	}
