fix(forward): a partly delivered answer goes to a silent group rather than being cut

What callers saw: an answer was cut 0.9 s after its group had broken off, while all other groups of the model were silent for a moment or had failed a call.

Cause: silent groups get no new calls, and a partly delivered answer that finds no other group within 0.9 s was ended (NoServer, Full), also if the avoided groups are sound.

Change: after that wait it may go to a group that is avoided (Criteria.IncludeAvoided), but not to one that was announced lost. New requests and second runs still pass avoided groups by.

The packages forward (with the race detector) and dispatch pass.

--- a/internal/policy/dispatch/pick.go
+++ b/internal/policy/dispatch/pick.go
@@ -20,6 +20,9 @@
 	Urgency int
 	// ReachableOnly excludes servers that this node doesn't reach, because another node may reach them.
 	ReachableOnly bool
+	// IncludeAvoided allows targets that are avoided after failures or while they are silent, but not groups that are
+	// known to have lost a member.
+	IncludeAvoided bool
 	// includeUnreachable allows data centres and servers that this node doesn't reach.
 	includeUnreachable bool
 	// ignoreBreakers allows targets whose circuit breakers are open.
@@ -108,7 +111,7 @@
 			unreachable++
 			continue
 		}
-		if target.Avoided(now) || slices.Contains(criteria.Exclude, target.ID) {
+		if (target.Avoided(now) && !criteria.IncludeAvoided) || slices.Contains(criteria.Exclude, target.ID) {
 			continue
 		}
 		if checkBreakers && target.breaker.open(now) {
--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -504,6 +504,22 @@
 	})
 }
 
+// Guards against an answer that is cut because its group broke off while the other groups are silent: they may be sound,
+// and the caller has a part of the answer.
+func TestBrokenStreamGoesOnAtSilentGroup(t *testing.T) {
+	withStreams(t, 2, []func(run *run){breaks(1, 0), pauses(3, 2500*time.Millisecond, lastEvent), breaks(3, 0), sends(lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
+		silent := conc.WaitGroup{}
+		silent.Go(func() {
+			result := rig.draft()
+			expect.Expect(result.body).To(gomega.Equal(answer(lastEvent)))
+		})
+		time.Sleep(600 * time.Millisecond)
+		expect.Expect(rig.runCount()).To(gomega.Equal(2))
+		rig.expectAnswer(expect, 4)
+		silent.Wait()
+	})
+}
+
 // Guards against runs that go on after the caller has left while both were open.
 func TestBothRunsEndWhenCallerLeaves(t *testing.T) {
 	withStreams(t, 2, []func(run *run){pauses(3, time.Minute, lastEvent), waits(time.Minute, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -143,15 +143,22 @@
 	pollInterval = 8 * time.Millisecond
 )
 
-// pickGroup picks a group and waits briefly for a slot if all groups are full.
+// pickGroup picks a group and waits briefly for a slot if all groups are full. A partly delivered response that finds
+// none in that time goes to a group that is avoided, which may be sound, rather than being cut.
 func (exchange *exchange) pickGroup(maxQueued int) (*dispatch.Target, dispatch.Verdict) {
 	wait := exchange.slotWait()
 	if exchange.partlyDelivered() {
 		wait = resumedSlotWait
 	}
-	return exchange.pickWithWait(wait, maxQueued, func(verdict dispatch.Verdict) bool {
+	target, verdict := exchange.pickWithWait(wait, maxQueued, func(verdict dispatch.Verdict) bool {
 		return verdict != dispatch.Chosen && verdict != dispatch.Unreachable && (verdict != dispatch.NoTarget || exchange.partlyDelivered())
 	})
+	if exchange.partlyDelivered() && (verdict == dispatch.NoTarget || verdict == dispatch.Full) && exchange.timeLeft() > minTimeLeft && !exchange.callerGone() {
+		criteria := exchange.criteria(maxQueued)
+		criteria.IncludeAvoided = true
+		return exchange.forwarder.Board.Pick(exchange.poolName(), criteria)
+	}
+	return target, verdict
 }
 
 // slotWait returns how long a request may wait on this node for a slot before any response has started.
