test(standin): a SIGTERM excuses no request of the next process

The check of cut answers excused a request that was sent up to 3 s after a SIGTERM and cut in the last sixth of the grace period or later, also if the process that got the signal had ended long before and another one took the request.

Whether the first process had ended by then isn't known, as the logs of a passed run are removed.

Change: planned work keeps when the process ended, and a request that was sent later isn't excused by its grace period.

--- a/internal/run/soak/fleet.go
+++ b/internal/run/soak/fleet.go
@@ -346,11 +346,11 @@
 	}
 }
 
-// terminate stops a node with SIGTERM.
+// terminate stops a node with SIGTERM and waits until its process has ended.
 func (fleet *fleet) terminate(node int) {
 	from := clock.Boot()
 	if fleet.nodes[node].terminate() {
-		fleet.timeline.addPlanned(standin.Termination, node, from, from)
+		fleet.timeline.addPlanned(standin.Termination, node, from, clock.Boot())
 	}
 }
 
--- a/internal/run/soak/lost.go
+++ b/internal/run/soak/lost.go
@@ -25,7 +25,7 @@
 	silences    []standin.Silence
 }
 
-// addPlanned records planned work. A configuration was acknowledged at until.
+// addPlanned records planned work. A configuration was acknowledged, or a process that got SIGTERM ended, at until.
 func (timeline *timeline) addPlanned(kind standin.WorkKind, node int, from, until time.Duration) {
 	timeline.mu.Lock()
 	defer timeline.mu.Unlock()
