fix(formation): members that are asked are no reference servers

What callers saw: a model stayed without a group for longer where a joining member, or the head of a closing group, lost power.

Cause: reference servers were chosen outside the groups under examination. Groups that form or close are asked in the same way and were not among them, so the dead member itself could be a reference, and three rounds were needed in place of one.

Change: members of every group that is being asked are left out.

TestFormingGroupWaitsOnlyForMembersThatMayReply replaces TestFormingGroupOutlastsAPauseOfAMember and has its case.

--- a/internal/fleet/formation/controller.go
+++ b/internal/fleet/formation/controller.go
@@ -116,8 +116,8 @@
 	// retiringForOther is set while a group is being ended so that its servers can form a group of
 	// another model.
 	retiringForOther atomic.Bool
-	// examining holds the groups that are being examined.
-	examining map[string]Group
+	// examining holds the groups whose members are being asked.
+	examining map[string]*examinedGroup
 	// referenceQuestions holds the last question to reference servers for each data centre.
 	referenceQuestions map[string]*referenceQuestion
 	suspicionLimit     suspicionLimit
@@ -146,7 +146,7 @@
 		Component: lifecycle.New("former"), Dependencies: dependencies,
 		joining: map[string]string{}, staging: map[string]string{}, lost: map[string]exclusion{}, settling: map[string]exclusion{}, forming: map[string]Group{},
 		groupsInWork: map[string]bool{}, planLoggedAt: map[string]time.Duration{}, foundCompleteAt: map[string]time.Duration{}, transientSince: map[string]time.Duration{},
-		lastComplete: map[string]*ListedGroup{}, examining: map[string]Group{}, referenceQuestions: map[string]*referenceQuestion{},
+		lastComplete: map[string]*ListedGroup{}, examining: map[string]*examinedGroup{}, referenceQuestions: map[string]*referenceQuestion{},
 		usageAverages: map[string]usageAverage{}, lastModels: map[string]string{}, headLeft: map[string]bool{}, plannedLayouts: map[string]map[string]int{},
 	}
 	controller.loadLimiter.now = dependencies.Now
--- a/internal/fleet/formation/evidence.go
+++ b/internal/fleet/formation/evidence.go
@@ -66,6 +66,7 @@
 // connection as well: a report may go over a kept connection, which doesn't tell a host without power
 // from a process that is paused.
 func (controller *Controller) requestRound(group Group, ids []string) (*round, []answer) {
+	defer controller.beginAsking(group)()
 	asked := &round{startedAt: controller.Now(), ids: ids}
 	answers := make([]answer, len(ids))
 	once, members, referenceWaiters := sync.Once{}, conc.WaitGroup{}, conc.WaitGroup{}
@@ -117,7 +118,7 @@
 		found.Response = Unlisted
 	}
 	if found.isReply() {
-		controller.endExclusion(server)
+		controller.endExclusion(server.ID)
 	}
 	return found
 }
--- a/internal/fleet/formation/examine.go
+++ b/internal/fleet/formation/examine.go
@@ -24,8 +24,7 @@
 // meanwhile and keeps its streams, since an end can't be taken back.
 func (controller *Controller) examine(term int64, group Group, ids []string, goOn func() bool) (*examination, verdict) {
 	examined := &examination{group: group, ids: ids, startedAt: controller.Now(), judge: newJudge(controller.Bounds.StallTimeout, maxExaminationPause)}
-	controller.setExamining(group, true)
-	defer controller.setExamining(group, false)
+	defer controller.beginAsking(group)()
 	pause := minExaminationPause
 	for {
 		examined.last, _ = controller.requestRound(group, ids)
@@ -105,14 +104,30 @@
 	return !ok || head.Group.Name != group.Name || head.Group.State != roster.Broken
 }
 
-func (controller *Controller) setExamining(group Group, examining bool) {
+// examinedGroup is a group whose members are being asked, with the number of examinations and rounds that ask them.
+type examinedGroup struct {
+	Group
+	askers int
+}
+
+// beginAsking records that members of a group are being asked, until the returned function is called. They are no
+// references meanwhile.
+func (controller *Controller) beginAsking(group Group) (end func()) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	if examining {
-		controller.examining[group.Name] = group
-		return
+	examined, ok := controller.examining[group.Name]
+	if !ok {
+		examined = &examinedGroup{Group: group}
+		controller.examining[group.Name] = examined
+	}
+	examined.askers++
+	return func() {
+		controller.mu.Lock()
+		defer controller.mu.Unlock()
+		if examined.askers--; examined.askers == 0 {
+			delete(controller.examining, group.Name)
+		}
 	}
-	delete(controller.examining, group.Name)
 }
 
 // othersExamined returns how many other groups are being examined.
--- a/internal/fleet/formation/exclusions.go
+++ b/internal/fleet/formation/exclusions.go
@@ -64,13 +64,11 @@
 	controller.exclude(controller.lost, id, lostExclusion)
 }
 
-// endExclusion ends the exclusion of a lost server whose same run replies again.
-func (controller *Controller) endExclusion(server *roster.Server) {
+// endExclusion ends the exclusion of a lost server that replies again.
+func (controller *Controller) endExclusion(id string) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
-	if controller.lost[server.ID].startedAt == server.Born {
-		delete(controller.lost, server.ID)
-	}
+	delete(controller.lost, id)
 }
 
 // excludeSettling excludes a server with an outdated report for a short time.
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -64,6 +64,8 @@
 	connections atomic.Int64
 	// refusesConnections reports whether a server's host refuses connections. Nil stands for no server.
 	refusesConnections atomic.Pointer[func(id string) bool]
+	// unlisted holds the servers that are missing from the node's server list.
+	unlisted sync.Map
 	// editReport, if set, changes a server's report on its way to the node.
 	editReport atomic.Pointer[func(id string, report *formation.Report)]
 
@@ -238,6 +240,9 @@
 		position++
 		records := []roster.Record{}
 		for _, server := range previous {
+			if _, hidden := node.unlisted.Load(server.ID); hidden {
+				continue
+			}
 			records = append(records, roster.Record{ID: server.ID, Position: storelog.Position{Offset: position}, Server: server})
 		}
 		node.list.Merge(roster.Update{Records: records, End: storelog.Position{Offset: position}, ReadAt: now(), Complete: true})
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -53,7 +53,7 @@
 			report, err := controller.Report(ctx, server)
 			results[index] = reportResult{server: server, report: report, err: err}
 			if err == nil || errors.Is(err, ErrRefused) {
-				controller.endExclusion(server)
+				controller.endExclusion(server.ID)
 			}
 		})
 	}
@@ -77,7 +77,7 @@
 		controller.Logger.Info("former: order sent.", "Server", server.ID, "Kind", order.Kind.String(),
 			"Group", order.Group, "Model", order.Model, "Term", order.Term, "Result", result.String(), "Error", errorText(err))
 		if err == nil || errors.Is(err, ErrRefused) {
-			controller.endExclusion(server)
+			controller.endExclusion(server.ID)
 		}
 		switch {
 		case err == nil && result == Outdated:
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -18,12 +18,13 @@
 	return node.view.Serving(node.list.Load(), []formation.Service{{Name: service, Engine: engine()}})
 }
 
-// startLogged makes the first node of a fleet the leader and returns what it logs. The groups have formed on return.
+// startLogged makes the first node of a fleet the leader and returns what it logs. The groups have formed on return, which
+// is between two reads of the server list.
 func startLogged(fleet *fleet) *logBuffer {
 	logged := &logBuffer{}
 	fleet.nodes[0].controller.Logger = slog.New(slog.NewJSONHandler(logged, nil))
 	fleet.nodes[0].setTerm(4096)
-	time.Sleep(8 * time.Second)
+	time.Sleep(8100 * time.Millisecond)
 	return logged
 }
 
@@ -40,7 +41,7 @@
 				logged := startLogged(fleet)
 				group := servingGroupOf(node, "large")
 				expect.Expect(group.Members).To(gomega.HaveLen(4))
-				orders := node.controller.Counts.Orders.Load()
+				orders, connections := node.controller.Counts.Orders.Load(), node.connections.Load()
 				fleet.cluster.Pause(span, group.Members[rank])
 				for range 4 {
 					node.controller.Suspect(group.Head(), group.Name)
@@ -55,6 +56,8 @@
 				expect.Expect(again).To(gomega.HaveLen(1))
 				expect.Expect(again[0]["Milliseconds"]).To(gomega.BeNumerically(">=", span.Milliseconds()))
 				expect.Expect(again[0]["Milliseconds"]).To(gomega.BeNumerically("<", (span + 700*time.Millisecond).Milliseconds()))
+				// Each round costs one connection at most, and no reference server is asked.
+				expect.Expect(node.connections.Load() - connections).To(gomega.BeNumerically("<=", again[0]["Asked"]))
 				expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
 			})
 		}
@@ -459,25 +462,171 @@
 	})
 }
 
-// Guards against a group that is given up while it forms because one of its members is silent for a moment.
-func TestFormingGroupOutlastsAPauseOfAMember(t *testing.T) {
+// Guards against a group that is given up while it forms because a member is silent, or refuses requests, for a moment,
+// and against one that waits for a member that is lost or stuck until the time for its load is over.
+func TestFormingGroupWaitsOnlyForMembersThatMayReply(t *testing.T) {
+	for name, test := range map[string]struct {
+		disturb func(fleet *fleet, id string)
+		// givenUp bounds the time after which the group is given up. 0 means that it is kept.
+		givenUp time.Duration
+	}{
+		"paused": {disturb: func(fleet *fleet, id string) { fleet.cluster.Pause(2*time.Second, id) }},
+		"refuses requests": {disturb: func(fleet *fleet, id string) {
+			fleet.nodes[0].refusingServer.Store(&id)
+			time.AfterFunc(2*time.Second, func() { fleet.nodes[0].refusingServer.Store(nil) })
+		}},
+		"lost power": {disturb: func(fleet *fleet, id string) { fleet.cluster.Kill(id) }, givenUp: 500 * time.Millisecond},
+		"ended":      {disturb: func(fleet *fleet, id string) { fleet.cluster.Crash(id, time.Minute) }, givenUp: 500 * time.Millisecond},
+		"stuck":      {disturb: func(fleet *fleet, id string) { fleet.cluster.Pause(time.Hour, id) }, givenUp: 7 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				fleet := newFleet(2, 1, 7, 1)
+				defer fleet.end()
+				node := fleet.nodes[0]
+				time.Sleep(2 * time.Second)
+				node.setTerm(4096)
+				time.Sleep(500 * time.Millisecond)
+				joining := slices.DeleteFunc(fleet.cluster.Servers(service), func(server *roster.Server) bool {
+					return server.Model != "large" || server.Group.State != roster.Joining
+				})
+				expect.Expect(joining).To(gomega.HaveLen(4))
+				test.disturb(fleet, joining[2].ID)
+				if test.givenUp > 0 {
+					time.Sleep(test.givenUp)
+					expect.Expect(node.controller.Counts.Abandoned.Load()).To(gomega.BeEquivalentTo(1))
+					expect.Expect(node.controller.State().Lost).To(gomega.ConsistOf(joining[2].ID))
+					return
+				}
+				time.Sleep(6 * time.Second)
+				expect.Expect(node.controller.Counts.Abandoned.Load()).To(gomega.BeZero())
+				expect.Expect(fleet.cluster.CompleteGroups()["large"]).To(gomega.Equal(1))
+				expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
+			})
+		})
+	}
+}
+
+// Guards against references that say what this node reached before its network went away. The leader asks about one group
+// and soon after that about another one, of which it still reaches a member.
+func TestOlderReferencesDontCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
-		fleet := newFleet(2, 1, 7, 1)
+		fleet := newFleet(1, 3, 10, 1)
 		defer fleet.end()
 		node := fleet.nodes[0]
-		time.Sleep(2 * time.Second)
-		node.setTerm(4096)
-		time.Sleep(500 * time.Millisecond)
+		startLogged(fleet)
+		lost, kept := servingGroupOf(node, "large"), servingGroupOf(node, "small")
+		fleet.cluster.Kill(lost.Members[1])
+		node.controller.Suspect(lost.Head(), lost.Name)
+		time.Sleep(100 * time.Millisecond)
 		for _, server := range fleet.cluster.Servers(service) {
-			if server.Group.State == roster.Joining {
-				fleet.cluster.Pause(2*time.Second, server.ID)
-			}
+			fleet.cluster.SetPartitioned(server.ID, node.name, server.ID != kept.Members[1])
 		}
-		time.Sleep(6 * time.Second)
-		expect.Expect(node.controller.Counts.Abandoned.Load()).To(gomega.BeZero())
-		expect.Expect(fleet.cluster.CompleteGroups()["large"]).To(gomega.Equal(1))
-		expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
+		node.controller.Suspect(kept.Head(), kept.Name)
+		time.Sleep(5 * time.Second)
+		expect.Expect(node.view.HasEnded(kept.Name)).To(gomega.BeFalse())
+	})
+}
+
+// Guards against slow recovery from a member whose entry is gone: neither the registry nor the leader hears of it, so no
+// reference server is needed.
+func TestUnlistedMemberWithoutAConnectionIsLostAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 1, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		others := slices.DeleteFunc(fleet.cluster.Servers(service), func(server *roster.Server) bool { return server.Group.Name == group.Name })
+		fleet.cluster.Kill(group.Members[2])
+		time.Sleep(1700 * time.Millisecond)
+		expect.Expect(node.list.Load().Servers).NotTo(gomega.HaveKey(group.Members[2]))
+		fleet.cluster.Kill(others[0].ID)
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(160 * time.Millisecond)
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeTrue())
+	})
+}
+
+// Guards against servers that stay out of use although they are sound: members that are silent while another one is lost,
+// and lost ones that reply again.
+func TestOnlyLostMembersAreExcludedUntilTheyReply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		fleet.cluster.SetPartitioned(group.Head(), node.name, true)
+		fleet.cluster.Pause(time.Second, group.Members[2])
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(time.Second)
+		expect.Expect(node.controller.State().Lost).To(gomega.ConsistOf(group.Head()))
+		fleet.cluster.SetPartitioned(group.Head(), node.name, false)
+		time.Sleep(1500 * time.Millisecond)
+		expect.Expect(node.controller.State().Lost).To(gomega.BeEmpty())
+		expect.Expect(node.view.MembersFree(group.Name)).To(gomega.BeTrue())
+	})
+}
+
+// Guards against a group that isn't drained because one of its members is silent.
+func TestExaminedGroupIsDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		fleet.cluster.Pause(5*time.Second, group.Members[2])
+		node.controller.Suspect(group.Head(), group.Name)
+		fleet.cluster.Drain(group.Members[3])
+		time.Sleep(3 * time.Second)
+		expect.Expect(node.ordersOf(formation.Close, group.Name)).To(gomega.HaveLen(1))
+	})
+}
+
+// Guards against a node that goes on ending a group after it has lost its term.
+func TestDrainEndsWithTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		logged := startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		node.keepClosing(group, 5*time.Second)
+		fleet.cluster.Drain(group.Members[3])
+		time.Sleep(3 * time.Second)
+		expect.Expect(node.ordersOf(formation.Close, group.Name)).To(gomega.HaveLen(1))
+		node.setTerm(0)
+		time.Sleep(8 * time.Second)
+		expect.Expect(node.ordersOf(formation.Leave, group.Name)).To(gomega.BeEmpty())
+		expect.Expect(lines(logged, "former: group not ended because none of its members can be reached.")).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against a sound group that is retired although the missing entry of its member is back.
+func TestGroupStaysIfTheMissingEntryIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(2, 1, 7, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		node.unlisted.Store(group.Members[3], true)
+		time.Sleep(1500 * time.Millisecond)
+		fleet.cluster.Pause(4*time.Second, group.Members[2])
+		time.Sleep(1400 * time.Millisecond)
+		node.unlisted.Delete(group.Members[3])
+		time.Sleep(8 * time.Second)
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
+		expect.Expect(servingGroupOf(node, "large").Name).To(gomega.Equal(group.Name))
 	})
 }
 
