fix(gateway): nodes tell each other the highest count of nodes

What callers saw: a service may get more repeated calls than all nodes together may send. A node takes its part of the base by the number of nodes that it has counted within a minute.

Cause: a process that starts while some nodes are cut off counts only those that it hears, and takes the whole base among them. The nodes beside it know of the others, but did not say so.

Change: frames that hold retry counts also hold the highest count of nodes within the window, and its age. The receiver keeps it for the rest of the window.

A frame of an older node tells none and changes none; an older node ignores the fields and counts as before.

--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -191,11 +191,12 @@
 	// The ages of the server list and the configuration, and the demand, change all the time. The content
 	// hash doesn't cover them, so that they don't force a frame.
 	retryPosition, retryCoverage := node.retries.Position()
-	volatile := peers.encodeFrame(&frame.Frame{
+	volatile := &frame.Frame{
 		Listing: listingPosition(node.servers.Load().End, node.follower.ListAge()), ConfigurationAgeMs: proto.Uint32(cappedMilliseconds(node.follower.ConfigurationAge())),
 		Demands: demands, RetryTotals: retriesToWire(node.retries.All(true)), RetryCoverage: coverageToWire(retryPosition, retryCoverage),
-	})
-	return &encodedLeafFrame{fromVersion: from, toVersion: delta.Version, encodedAt: now, contentHash: xxhash.Sum64(body) ^ demandRevision, body: append(body, volatile...)}
+	}
+	peers.addMostNodes(volatile)
+	return &encodedLeafFrame{fromVersion: from, toVersion: delta.Version, encodedAt: now, contentHash: xxhash.Sum64(body) ^ demandRevision, body: append(body, peers.encodeFrame(volatile)...)}
 }
 
 func catalogueToWire(delta catalogue.Delta) *frame.Catalogue {
--- a/internal/run/gateway/receive.go
+++ b/internal/run/gateway/receive.go
@@ -31,6 +31,7 @@
 	default:
 		peers.handleLeafReport(link, received)
 	}
+	peers.nodeCounter.observeEarlier(int(received.MostNodes), time.Duration(received.MostNodesAgeMs)*time.Millisecond, peers.node.now())
 	peers.handleRetryCounts(link, received)
 	peers.handleLostPaths(link, received)
 	peers.handleStalls(link, received.SilentHeads)
--- a/internal/run/gateway/retries.go
+++ b/internal/run/gateway/retries.go
@@ -98,6 +98,7 @@
 	downstream, knowsMore := isDownstream(state.link), state.retries.knowsMore(knownFrom)
 	if downstream || knowsMore {
 		message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(!knowsMore)), coverageToWire(position, coverage)
+		peers.addMostNodes(message)
 	}
 	if !downstream {
 		message.RetryParts = retriesToWire(peers.subtreeRetriesLocked())
