fix(formation): a pause of the leader during a question ends no group

What callers saw: none yet; found by reading. A leader on a busy machine could end sound groups, with their answers.

Cause: a leader that is paused for a tenth of a second while it connects handles the time limit before the connection, which was accepted meanwhile. The round then ends in time, and reference servers, which are connected to after the pause, accept at once: the member counted as lost.

Evidence: TestPauseOfTheLeaderEndsNoGroup (a pause of 110 ms within the 150 ms of a round) fails before: the group is ended.

Change: a round measures how late this node is scheduled while it waits, every 10 ms. More than 50 ms makes it void, as a late end does. The probe's connection always has a time limit, also where none of its time is left.

--- a/internal/fleet/formation/evidence.go
+++ b/internal/fleet/formation/evidence.go
@@ -75,10 +75,15 @@
 			referenceWaiters.Go(func() { asked.references = controller.requestReferences(dataCentre, asked.startedAt) })
 		})
 	}}
+	ended := make(chan struct{})
+	schedule := conc.WaitGroup{}
+	schedule.Go(func() { asked.delay = controller.longestDelay(ended) })
 	for index, id := range ids {
 		members.Go(func() { answers[index] = controller.requestAnswer(asking, id) })
 	}
 	members.Wait()
+	close(ended)
+	schedule.Wait()
 	asked.took = controller.Now() - asked.startedAt
 	referenceWaiters.Wait()
 	for _, answer := range answers {
@@ -87,6 +92,20 @@
 	return asked, answers
 }
 
+// scheduleCheckInterval is the interval at which a round checks that this node is scheduled.
+const scheduleCheckInterval = 10 * time.Millisecond
+
+// longestDelay returns how much later than due this node was scheduled until the channel is closed, at most.
+func (controller *Controller) longestDelay(ended <-chan struct{}) time.Duration {
+	longest := time.Duration(0)
+	for done := false; !done; {
+		before := controller.Now()
+		done = waitFor(ended, scheduleCheckInterval)
+		longest = max(longest, controller.Now()-before-scheduleCheckInterval)
+	}
+	return longest
+}
+
 // requestAnswer asks one server of a group. A server that is not listed any more is asked at its last
 // address: its process may be paused for longer than the registry keeps an entry without heartbeats.
 func (controller *Controller) requestAnswer(asking *question, id string) answer {
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -64,6 +64,10 @@
 	connections atomic.Int64
 	// refusesConnections reports whether a server's host refuses connections. Nil stands for no server.
 	refusesConnections atomic.Pointer[func(id string) bool]
+	// clockAdvance is how far the node's clock has moved while the node was paused. pauseWhileAsking is a server whose next
+	// report and connection time out because the node is paused for nodePause meanwhile.
+	clockAdvance     atomic.Int64
+	pauseWhileAsking atomic.Pointer[string]
 	// unlisted holds the servers that are missing from the node's server list.
 	unlisted sync.Map
 	// editReport, if set, changes a server's report on its way to the node.
@@ -108,6 +112,12 @@
 	return report, err
 }
 
+// reportTimeout is the time limit of a report, in which a node may be paused for nodePause.
+const (
+	reportTimeout = 150 * time.Millisecond
+	nodePause     = 110 * time.Millisecond
+)
+
 var errPaused = errors.New("no response from the paused server")
 
 // isRefusing reports whether a server refuses all requests.
@@ -127,6 +137,10 @@
 		FedByUpstream: func() bool { return false },
 		ServerClient: formation.ServerClient{
 			Report: func(ctx context.Context, server *roster.Server) (formation.Report, error) {
+				if id := created.pauseWhileAsking.Load(); id != nil && *id == server.ID {
+					time.Sleep(reportTimeout - nodePause)
+					return formation.Report{}, context.DeadlineExceeded
+				}
 				time.Sleep(time.Millisecond)
 				if state, remaining := cluster.ProcessState(server.ID); state == backends.ProcessPaused {
 					// The process replies once it runs again.
@@ -174,7 +188,7 @@
 			StallTimeout: 6 * time.Second, LoadWindow: 5 * time.Second, LoadBurstFactor: 1.1,
 		},
 		Random: rand.New(rand.NewPCG(1, uint64(len(name)))),
-		Now:    now, Logger: logger,
+		Now:    func() time.Duration { return now() + time.Duration(created.clockAdvance.Load()) }, Logger: logger,
 	})
 	return created
 }
@@ -183,6 +197,11 @@
 // connection to a host without power or behind a partition times out.
 func (node *node) connect(ctx context.Context, server *roster.Server) error {
 	node.connections.Add(1)
+	if id := node.pauseWhileAsking.Load(); id != nil && *id == server.ID {
+		node.pauseWhileAsking.Store(nil)
+		node.clockAdvance.Add(int64(nodePause))
+		return os.ErrDeadlineExceeded
+	}
 	time.Sleep(time.Millisecond)
 	if refuses := node.refusesConnections.Load(); refuses != nil && (*refuses)(server.ID) {
 		return syscall.ECONNREFUSED
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -86,6 +86,25 @@
 	}
 }
 
+// Guards against ending a sound group because this node was paused while it connected to a member. The connection times
+// out although it was accepted, and reference servers are connected to after the pause.
+func TestPauseOfTheLeaderEndsNoGroup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(1, 3, 10, 1)
+		defer fleet.end()
+		node := fleet.nodes[0]
+		startLogged(fleet)
+		group := servingGroupOf(node, "large")
+		node.pauseWhileAsking.Store(&group.Members[2])
+		node.controller.Suspect(group.Head(), group.Name)
+		time.Sleep(2 * time.Second)
+		expect.Expect(node.pauseWhileAsking.Load()).To(gomega.BeNil())
+		expect.Expect(node.view.HasEnded(group.Name)).To(gomega.BeFalse())
+		expect.Expect(node.controller.Counts.FoundComplete.Load()).To(gomega.BeEquivalentTo(1))
+	})
+}
+
 // Guards against ending many groups at once because a whole busy machine with their servers is silent for a moment.
 func TestAllGroupsAreKeptWhileAllServersArePaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/fleet/formation/verdict.go
+++ b/internal/fleet/formation/verdict.go
@@ -37,8 +37,9 @@
 	// minResetRounds is the number of rounds in a row with a reset report after which a member is lost. One
 	// may be due to all connections of this node being reset at once.
 	minResetRounds = 2
-	// maxRoundDelay is how much later than its time limit a round may end. A process that is scheduled
-	// handles a timer within a few milliseconds. A later one may have slept while replies arrived.
+	// maxRoundDelay is how much later than its time limit a round may end, and how late this node may be
+	// scheduled during it. A process that is scheduled handles a timer within a few milliseconds. A later one
+	// may have slept while replies arrived: it then handles the time limits first.
 	maxRoundDelay = 50 * time.Millisecond
 )
 
@@ -61,8 +62,9 @@
 // round is one question to members of a group.
 type round struct {
 	startedAt time.Duration
-	// took is how long the members were waited for by this node's clock.
-	took time.Duration
+	// took is how long the members were waited for by this node's clock, delay how late this node was
+	// scheduled meanwhile.
+	took, delay time.Duration
 	// ids are the members that were asked, responses what each of them said.
 	ids       []string
 	responses []Response
@@ -72,7 +74,7 @@
 
 // isVoid reports whether this node was not scheduled during the round, so that silence says nothing.
 func (round *round) isVoid() bool {
-	return round.took > callTimeout+maxRoundDelay
+	return round.took > callTimeout+maxRoundDelay || round.delay > maxRoundDelay
 }
 
 // anyReplied reports whether a member replied.
--- a/internal/fleet/formation/verdict_test.go
+++ b/internal/fleet/formation/verdict_test.go
@@ -53,6 +53,8 @@
 func TestVerdictByEvidence(t *testing.T) {
 	late := said(NoConnection, 6, 6)
 	late.took = callTimeout + maxRoundDelay + time.Millisecond
+	paused := said(NoConnection, 6, 6)
+	paused.delay = maxRoundDelay + time.Millisecond
 	slightlyLate := said(NoConnection, 6, 6)
 	slightlyLate.took = callTimeout + maxRoundDelay
 	// A round takes 0.15 s and a pause 0.6 s, so the ninth ends after 6.15 s.
@@ -86,6 +88,7 @@
 		"a round in between without references":                         {[][]round{times(2, said(NoConnection, 5, 6)), {said(NoConnection, 1, 6)}, times(2, said(NoConnection, 5, 6))}, undecided},
 		"a reply in between":                                            {[][]round{times(2, said(NoConnection, 5, 6)), {said(InGroup, 0, 0)}}, complete},
 		"this node was not scheduled":                                   {[][]round{times(20, late)}, undecided},
+		"this node was paused during the round":                         {[][]round{times(20, paused)}, undecided},
 		"this node was scheduled just late":                             {[][]round{{slightlyLate}}, lost},
 		"silent for just under the stall timeout":                       {[][]round{times(overdueRounds-1, said(NoReply, 0, 0))}, undecided},
 		"silent for the stall timeout":                                  {[][]round{times(overdueRounds, said(NoReply, 0, 0))}, overdue},
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -253,7 +253,8 @@
 	client := node.platform.Fleet
 	client.Connect = func(ctx context.Context, server *roster.Server) error {
 		deadline, _ := ctx.Deadline()
-		return node.pool.Connect(server.Address, time.Until(deadline))
+		// A dialer takes a timeout of 0 for none.
+		return node.pool.Connect(server.Address, max(time.Until(deadline), time.Nanosecond))
 	}
 	return client
 }
