fix(forward): runs through two peer nodes add up

Callers of a streaming or idempotent route could have their request run more often than max_attempts allows: a run through a peer node that fails after a second run has failed was not counted.

Cause: the node took the higher of its own count and the one that the peer returned. The peer knows only the runs of which it was told when it got the request.

Evidence: TestRunsThroughTwoPeersAddUp had 4 runs with max_attempts 3.

The runs that a peer adds to the number that it was told of now count besides those that ended on this node meanwhile. The test has 3 runs; the tests of the folder pass.

--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -37,6 +37,9 @@
 	detachCaller func() bool
 	timeout      *time.Timer
 	slow         *time.Timer
+	// runsBefore is the number of runs that the peer node was told of. The runs that it adds count besides those that
+	// ended on this node meanwhile.
+	runsBefore int
 	// startedAt is when the attempt started, admittedAt when the call was about to be written.
 	startedAt, admittedAt time.Duration
 	// timedOutWriting is set if the call timed out during a write to the caller.
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -145,9 +145,10 @@
 	call.Server, call.Workspace = "", ""
 	call.TimeLeft = exchange.peerTimeLeft()
 	call.Header = call.Header.Clone()
+	attempt.runsBefore = exchange.runs + attempt.openBeside()
 	call.Header.Set(headerDetour, (&detourOrigin{
 		Sender: forwarder.NodeName, Version: exchange.snapshot.Configuration.Version, KeyDigest: configuration.KeyDigest(exchange.request.Key),
-		Runs: exchange.runs + attempt.openBeside(), PartlyDelivered: exchange.responseStarted, DemandCounted: exchange.demandCounted,
+		Runs: attempt.runsBefore, PartlyDelivered: exchange.responseStarted, DemandCounted: exchange.demandCounted,
 	}).encode())
 	call.SetCancel = attempt.canceler.setCancel
 	call.Admit = func() error {
@@ -272,7 +273,7 @@
 		exchange.forwarder.OnNewerVersion(attempt.peer.PeerAddress, version)
 	}
 	if runs, err := strconv.Atoi(fields.Get(fieldRuns)); err == nil {
-		exchange.runs = max(exchange.runs, runs-attempt.openBeside())
+		exchange.runs += max(0, runs-attempt.runsBefore)
 	}
 	if sentAttempts, err := strconv.Atoi(fields.Get(fieldSentAttempts)); err == nil {
 		exchange.sentAttempts += max(0, sentAttempts)
