fix(formation): bound a leader's questions while many groups are examined

Cause: silent members are asked until they reply. Where all servers of a large fleet are silent together, one leader asks all of them: 3,060 every 0.75 s and once more in between.

Change: the pause between two rounds grows with the number of members that are asked, to 1,000 a second. Questions are under way during the pause, so that a longer one misses no reply.

Result: TestQuestionsAreBoundedWhileManyGroupsAreExamined (760 to 6,000 members); the package passes.

--- a/internal/fleet/formation/examine.go
+++ b/internal/fleet/formation/examine.go
@@ -37,7 +37,8 @@
 			controller.Logger.Info("former: group kept while members are silent.",
 				append([]any{"Group", group.Name, "Model", group.Model}, controller.evidenceAttributes(examined)...)...)
 		}
-		if !controller.awaitSilent(examined, pause) || controller.Term() != term || !goOn() {
+		examined.judge.maxPause = examinationPause(pause, controller.examinedMembers())
+		if !controller.awaitSilent(examined, examined.judge.maxPause) || controller.Term() != term || !goOn() {
 			return examined, undecided
 		}
 		pause = min(2*pause, maxExaminationPause)
@@ -141,6 +142,17 @@
 	return others
 }
 
+// examinedMembers returns the number of members of all groups that are being examined.
+func (controller *Controller) examinedMembers() int {
+	controller.mu.Lock()
+	defer controller.mu.Unlock()
+	members := 0
+	for _, examined := range controller.examining {
+		members += len(examined.Members)
+	}
+	return members
+}
+
 // takeSuspicion reports whether a group may be ended on the suspicion that a silent member is lost. One
 // group of a model may be ended within a stall timeout: on a busy machine, many processes pause at once.
 func (controller *Controller) takeSuspicion(group Group) bool {
--- a/internal/fleet/formation/verdict.go
+++ b/internal/fleet/formation/verdict.go
@@ -31,6 +31,10 @@
 	// second. A longer pause would add to the time that a group without a member is kept.
 	minExaminationPause = 100 * time.Millisecond
 	maxExaminationPause = 600 * time.Millisecond
+	// maxQuestionsPerSecond bounds the questions to members while many groups are examined at once: a leader
+	// that asks thousands of servers has no time for the answers. A question is under way during the pause
+	// between two rounds, so that a longer pause misses no reply.
+	maxQuestionsPerSecond = 1000
 	// minUnreachedRounds is the number of rounds in a row without a connection after which a member is
 	// lost although some reference servers don't respond either. A lossy link fails one or two.
 	minUnreachedRounds = 3
@@ -126,6 +130,12 @@
 	lastEndedAt time.Duration
 }
 
+// examinationPause returns the pause before the next round, given the shortest one and the number of members of all
+// groups that are examined.
+func examinationPause(shortest time.Duration, members int) time.Duration {
+	return max(shortest, time.Duration(members)*time.Second/maxQuestionsPerSecond)
+}
+
 func newJudge(stallTimeout, maxPause time.Duration) *judge {
 	return &judge{stallTimeout: stallTimeout, maxPause: maxPause, members: map[string]*memberRecord{}}
 }
--- a/internal/fleet/formation/verdict_test.go
+++ b/internal/fleet/formation/verdict_test.go
@@ -200,3 +200,14 @@
 		expect.Expect(distinct).To(gomega.HaveLen(test.expectedNear + test.expectedFar))
 	}
 }
+
+// Guards against a leader that asks all servers of a large fleet again and again while they are silent together.
+func TestQuestionsAreBoundedWhileManyGroupsAreExamined(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	expect.Expect(examinationPause(minExaminationPause, 4)).To(gomega.Equal(minExaminationPause))
+	expect.Expect(examinationPause(maxExaminationPause, 63)).To(gomega.Equal(maxExaminationPause))
+	for _, members := range []int{760, 3060, 6000} {
+		perSecond := float64(members) / examinationPause(minExaminationPause, members).Seconds()
+		expect.Expect(perSecond).To(gomega.BeNumerically("<=", maxQuestionsPerSecond))
+	}
+}
