fix(formation): a late round proves no loss of a member without an entry

Callers could have their answers cut: the leader ended a sound group although it had itself not been scheduled while it asked the members.

Cause: a connection that timed out to a member without an entry counted as proof, also in a round that took longer than its time limit. For every other member such a round says nothing about silence.

Evidence: TestVerdictByEvidence, case "a member is not listed, in late rounds", was Lost after the first round.

Such a round now decides nothing about the member, and the next one does.

--- a/internal/fleet/formation/verdict.go
+++ b/internal/fleet/formation/verdict.go
@@ -173,6 +173,8 @@
 // update adds a member's response.
 func (member *memberRecord) update(response Response, round *round) {
 	switch {
+	case response == Unlisted && round.isVoid():
+		// The connection may have timed out while this node was not scheduled.
 	case response.isProof():
 		member.lost = true
 	case response.isReply():
--- a/internal/fleet/formation/verdict_test.go
+++ b/internal/fleet/formation/verdict_test.go
@@ -57,6 +57,8 @@
 	paused.delay = maxRoundDelay + time.Millisecond
 	slightlyLate := said(NoConnection, 6, 6)
 	slightlyLate.took = callTimeout + maxRoundDelay
+	unlistedLate := said(Unlisted, 6, 6)
+	unlistedLate.took = late.took
 	// A round takes 0.15 s and a pause 0.6 s, so the ninth ends after 6.15 s.
 	overdueRounds := 9
 	for name, test := range map[string]struct {
@@ -69,6 +71,7 @@
 		"a member restarted":                                            {[][]round{{said(OtherRun, 0, 0)}}, lost},
 		"another server has the address":                                {[][]round{{said(OtherServer, 0, 0)}}, lost},
 		"a member is not listed and accepts no connection":              {[][]round{{said(Unlisted, 0, 6)}}, lost},
+		"a member is not listed, in late rounds":                        {[][]round{times(20, unlistedLate)}, undecided},
 		"the process ended":                                             {[][]round{{said(ConnectionRefused, 4, 6)}}, lost},
 		"the process ended, no references":                              {[][]round{{said(ConnectionRefused, 0, 0)}}, lost},
 		"half of the references accept no connections either":           {[][]round{times(20, said(ConnectionRefused, 3, 6))}, undecided},
