fix(formation): short breaks between the pauses of a member without an entry are seen

Callers had their answers cut: a sound group was ended as silent for too long because a member that pauses often had lost its entry in the registry.

Cause: between two rounds only listed members were asked, so that a break shorter than the time between two rounds was not seen. In a round, a member without an entry is asked at its last address.

Evidence: TestGroupWithAMemberWithoutAnEntryThatPausesOftenIsKept ended one group at pauses of 1.83 s with breaks of 20 ms.

Members without an entry are now asked at their last address between rounds, too. The test ends no group; the tests of the folder pass.

--- a/internal/fleet/formation/evidence.go
+++ b/internal/fleet/formation/evidence.go
@@ -106,14 +106,21 @@
 	return longest
 }
 
-// requestAnswer asks one server of a group. A server that is not listed any more is asked at its last
-// address: its process may be paused for longer than the registry keeps an entry without heartbeats.
+// findMember returns a member of a group and whether it is listed, or nil if nothing is known of it. A server that is not
+// listed any more is asked at its last address: its process may be paused for longer than the registry keeps an entry
+// without heartbeats.
+func (controller *Controller) findMember(group, id string) (server *roster.Server, listed bool) {
+	if server, listed = controller.Servers().Servers[id]; listed {
+		return server, true
+	}
+	return controller.lastMember(group, id), false
+}
+
+// requestAnswer asks one server of a group.
 func (controller *Controller) requestAnswer(asking *question, id string) answer {
-	server, listed := controller.Servers().Servers[id]
-	if !listed {
-		if server = controller.lastMember(asking.group.Name, id); server == nil {
-			return answer{Response: Unlisted}
-		}
+	server, listed := controller.findMember(asking.group.Name, id)
+	if server == nil {
+		return answer{Response: Unlisted}
 	}
 	ctx, cancel := controller.ContextWithTimeout(callTimeout)
 	defer cancel()
--- a/internal/fleet/formation/examine.go
+++ b/internal/fleet/formation/examine.go
@@ -68,8 +68,8 @@
 
 // repliesWithin reports whether a member of a group replies within a timeout.
 func (controller *Controller) repliesWithin(group Group, id string, timeout time.Duration) bool {
-	server, ok := controller.Servers().Servers[id]
-	if !ok {
+	server, _ := controller.findMember(group.Name, id)
+	if server == nil {
 		return false
 	}
 	ctx, cancel := controller.ContextWithTimeout(timeout)
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -331,6 +331,27 @@
 	})
 }
 
+// Guards against ending a sound group because a member without an entry is paused again and again, and each question meets
+// a pause.
+func TestGroupWithAMemberWithoutAnEntryThatPausesOftenIsKept(t *testing.T) {
+	for paused := 1630 * time.Millisecond; paused <= 2030*time.Millisecond; paused += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			fleet := newFleet(2, 1, 7, 1)
+			defer fleet.end()
+			node := fleet.nodes[0]
+			startLogged(fleet)
+			group := servingGroupOf(node, "large")
+			time.AfterFunc(time.Second, func() { fleet.cluster.Deregister(group.Members[2]) })
+			for began := time.Now(); time.Since(began) < 15*time.Second; time.Sleep(paused + 20*time.Millisecond) {
+				fleet.cluster.Pause(paused, group.Members[2])
+				node.controller.Suspect(group.Head(), group.Name)
+			}
+			expect.Expect(node.controller.Counts.Lost.Load()).To(gomega.BeZero(), "%v", paused)
+		})
+	}
+}
+
 // Guards against an examination that goes on under a term that another node has taken over.
 func TestExaminationEndsWithTheTerm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
