test(forward): second runs beside a relayed answer and a peer that refuses

Two guards of second runs had no test that failed without them: a long answer that is relayed unbuffered ends the second run, and a peer node that refuses the first run doesn't end a request whose second run is under way.

TestRelayedFirstCallOutlivesSecondCall and TestSecondRunOutlivesRefusalOfPeer pass, and each fails once its guard is taken out (a call of dropSecond in readResponse, the check of exchange.second in handlePeerReply).

--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -696,3 +696,24 @@
 		expect.Expect(runs).To(gomega.Equal(1))
 	})
 }
+
+// Guards against a request that is refused because the peer node of its first run refuses it, although a second run is
+// under way.
+func TestSecondRunOutlivesRefusalOfPeer(t *testing.T) {
+	withWatchedPair(t, waits(time.Second, lastEvent), func(expect *gomega.WithT, pair *nodePair) {
+		pair.serve(t, "refusing:1", http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			time.Sleep(2200 * time.Millisecond)
+			writer.Header().Set("Hazelslip-Detour", "Result=NotRun&ConfigurationVersion=1&Arrivals=0&Runs=0&Outcome=Full")
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}))
+		pair.peers.RecordReport(detour.Node{Address: "refusing:1"})
+		time.AfterFunc(time.Second, func() { pair.peers.RecordReport(detour.Node{Address: detourAddress}) })
+		request := pair.request(0, "/draft/1", bodyOfLength(10))
+		request.URL.Host = firstAddress
+		result := pair.do(request)
+		expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(result.status).To(gomega.Equal(http.StatusOK))
+		expect.Expect(result.body).To(gomega.Equal(answer(lastEvent)))
+	})
+}
--- a/internal/serve/forward/slowcall_test.go
+++ b/internal/serve/forward/slowcall_test.go
@@ -170,3 +170,20 @@
 		})
 	}
 }
+
+// Guards against a long answer that is cut because a second call answers while it is relayed.
+func TestRelayedFirstCallOutlivesSecondCall(t *testing.T) {
+	long := strings.Repeat("x", 9<<20)
+	first := func(run *run) {
+		if run.pause(1600 * time.Millisecond) {
+			_, _ = io.WriteString(run.writer, long)
+			_ = http.NewResponseController(run.writer).Flush()
+		}
+		if run.pause(time.Second) {
+			_, _ = io.WriteString(run.writer, "end")
+		}
+	}
+	withStreams(t, 2, []func(run *run){first, answers(http.StatusOK, 500*time.Millisecond, "second")}, func(expect *gomega.WithT, rig *streamRig) {
+		rig.expectCall(expect, long+"end", 2)
+	})
+}
