fix(formation): a ready group is kept while its head is silent to the order to open

Callers found a model without a place for longer: a group that had loaded its model was taken apart, and loaded again, because its head was paused for a second when it was ordered to open.

Cause: three orders without a reply, 0.9 s, ended the group.

Evidence: TestReadyGroupIsKeptWhileItsHeadIsSilentToTheOrderToOpen saw orders to leave 0.9 s after the first order to open, at a pause of the head.

The head is now ordered again, as a head that is to be closed is, unless a member is lost meanwhile or it stays silent for maxCloseTime. All members are asked before each repetition, so that no group is opened without one (TestReadyGroupIsNotOpenedAfterALoss, which fails if the head alone is asked).

--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -215,8 +215,7 @@
 	if !ok {
 		return
 	}
-	result, err := controller.sendOrder(head, Order{Kind: Open, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
-	if err != nil || !result.Taken() {
+	if !controller.orderHead(term, group, head, Open, group.Members) {
 		// The order may have been accepted without a reply, so the head must leave before a
 		// member is used again.
 		controller.endGroup(term, group, nil)
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -19,8 +19,8 @@
 	// of its slowest member. Concurrent loads slow each other down. It also bounds the wait for a
 	// staged model.
 	joinGrace = 30 * time.Second
-	// maxCloseTime is how long a closing head may take to finish its calls, and how long it is ordered to
-	// close if it doesn't reply.
+	// maxCloseTime is how long a closing head may take to finish its calls, and how long a head is ordered to
+	// open or close if it doesn't reply.
 	maxCloseTime = 9 * time.Second
 	// releaseMargin is added to the stall timeout when waiting to release the members of a group
 	// with an unreachable head.
@@ -204,7 +204,7 @@
 		controller.endGroup(term, group, nil)
 		return
 	}
-	if controller.closeHead(term, group, head) {
+	if controller.orderHead(term, group, head, Close, []string{head.ID}) {
 		controller.awaitClosed(term, group)
 	}
 	if controller.Term() == term {
@@ -212,17 +212,17 @@
 	}
 }
 
-// closeHead orders a head to close and reports whether it has accepted. A head that doesn't reply, or
-// refuses the order, is ordered again unless it is lost: its streams go on.
-func (controller *Controller) closeHead(term int64, group Group, head *roster.Server) bool {
+// orderHead orders a head to open or close and reports whether it has accepted. A head that doesn't reply, or refuses
+// the order, is ordered again unless one of the given members is lost: its process may only be paused.
+func (controller *Controller) orderHead(term int64, group Group, head *roster.Server, kind OrderKind, ids []string) bool {
 	judge := newJudge(controller.Bounds.StallTimeout, orderAttempts*orderTimeout+closePollInterval)
 	deadline := controller.Now() + maxCloseTime
 	for {
-		result, err := controller.sendOrder(head, Order{Kind: Close, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
+		result, err := controller.sendOrder(head, Order{Kind: kind, Group: group.Name, Epoch: group.Epoch, Term: term, Expected: -1})
 		if err == nil {
 			return result.Taken()
 		}
-		if asked, _ := controller.requestRound(group, []string{head.ID}); judge.decide(asked) == lost {
+		if asked, _ := controller.requestRound(group, ids); judge.decide(asked) == lost {
 			return false
 		}
 		if controller.Now() >= deadline || !controller.Sleep(closePollInterval) || controller.Term() != term {
