fix(formation): a retired group whose head has no entry is closed before it is ended

Callers had their answers cut when a leader stopped while it retired a group whose head had just lost its entry in the registry, as a paused process does.

Cause: the next leader took the group from the list, which doesn't tell the head then, and ended a group without a listed head at once.

Evidence: TestRetiredGroupWhoseHeadHasNoEntryIsClosedFirst saw no order to close.

The next leader now takes the group as the list last showed it complete, and orders the head to close at its last address. By its timeouts a head that is lost takes 1.05 s longer to be given up (not measured): the orders without a reply and one question. The tests of the folder pass.

--- a/internal/fleet/formation/controller.go
+++ b/internal/fleet/formation/controller.go
@@ -347,6 +347,11 @@
 			return listed.Group, true
 		}
 	}
+	return controller.lastCompleteGroup(name)
+}
+
+// lastCompleteGroup returns a group as the server list last showed it complete.
+func (controller *Controller) lastCompleteGroup(name string) (Group, bool) {
 	controller.mu.Lock()
 	defer controller.mu.Unlock()
 	listed, ok := controller.lastComplete[name]
--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -199,8 +199,8 @@
 func (controller *Controller) drainGroup(term int64, group Group) {
 	controller.Counts.Retired.Add(1)
 	controller.Announce(Announcement{Change: Retired, Group: group})
-	head, ok := controller.Servers().Servers[group.Head()]
-	if !ok {
+	head, _ := controller.findMember(group.Name, group.Head())
+	if head == nil {
 		controller.endGroup(term, group, nil)
 		return
 	}
@@ -235,6 +235,10 @@
 // have streams, so it is drained.
 func (controller *Controller) resumeEnding(term int64, group Group) {
 	if controller.View.IsRetired(group.Name) {
+		// A list without the head's entry doesn't tell which server is the head.
+		if complete, known := controller.lastCompleteGroup(group.Name); known {
+			group = complete
+		}
 		controller.drainGroup(term, group)
 		return
 	}
@@ -247,12 +251,9 @@
 // groups moved within the same second and used up the fleet's retry budget. If a member is dead
 // after all, the group's streams stall, and each node moves its own streams.
 func (controller *Controller) retireUnlisted(term int64, listed Group) {
-	controller.mu.Lock()
-	lastComplete, known := controller.lastComplete[listed.Name]
-	controller.mu.Unlock()
-	group := listed
-	if known {
-		group = lastComplete.Group
+	group, known := controller.lastCompleteGroup(listed.Name)
+	if !known {
+		group = listed
 	}
 	servers := controller.Servers().Servers
 	shown := slices.DeleteFunc(slices.Clone(group.Members), func(id string) bool { return servers[id] == nil })
--- a/internal/fleet/formation/restart_test.go
+++ b/internal/fleet/formation/restart_test.go
@@ -108,3 +108,27 @@
 		fleet.end()
 	})
 }
+
+// Guards against streams that are cut because the next leader finishes the retirement of a group whose head has lost its
+// entry in the registry.
+func TestRetiredGroupWhoseHeadHasNoEntryIsClosedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		fleet := newFleet(5, 1, 4, 2)
+		defer fleet.end()
+		fleet.nodes[0].setTerm(4096)
+		time.Sleep(8 * time.Second)
+		group := servingGroupOf(fleet.nodes[0], "large")
+		fleet.nodes[0].setTerm(0)
+		next := fleet.nodes[1]
+		closedAt := next.keepClosing(group, 2*time.Second)
+		fleet.nodes[0].announce(formation.Announcement{Change: formation.Retired, Group: group})
+		fleet.cluster.Deregister(group.Head())
+		time.Sleep(2 * time.Second)
+		next.setTerm(8192)
+		// A head without an entry is not ordered to leave. Its members are released after the stall timeout.
+		time.Sleep(20 * time.Second)
+		expect.Expect(next.ordersOf(formation.Close, group.Name)).NotTo(gomega.BeEmpty())
+		expectLeftOnlyAfter(expect, next, group, closedAt())
+	})
+}
