test(forward): a peer node isn't avoided because a second run through it was ended

A peer node whose run was ended in favour of the first one has not failed. No test failed without that guard.

TestPeerOfEndedSecondRunIsNotAvoided passes, and fails once sendToPeer no longer looks at whether the attempt was dropped.

--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -717,3 +717,23 @@
 		expect.Expect(result.body).To(gomega.Equal(answer(lastEvent)))
 	})
 }
+
+// Guards against a peer node that is avoided because a second run through it was ended in favour of the first one.
+func TestPeerOfEndedSecondRunIsNotAvoided(t *testing.T) {
+	withWatchedPair(t, waits(2500*time.Millisecond, lastEvent), func(expect *gomega.WithT, pair *nodePair) {
+		left := make(chan struct{})
+		pair.serve(t, "second:1", http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			defer close(left)
+			_, _ = io.Copy(io.Discard, request.Body)
+			<-request.Context().Done()
+		}))
+		time.AfterFunc(time.Second, func() { pair.peers.RecordReport(detour.Node{Address: "second:1"}) })
+		result := pair.sendThroughFirst("/draft/1", nil)
+		expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(result.body).To(gomega.Equal(answer(lastEvent)))
+		<-left
+		pair.peers.RecordReport(detour.Node{Address: "second:1"})
+		_, found := pair.peers.Choose("writers", pair.paths.LostDestinations(true), []string{detourAddress})
+		expect.Expect(found).To(gomega.BeTrue())
+	})
+}
