fix(forward): a search for a second run without a retry takes no permit

What callers saw: where servers name rate limits and the retry allowance is used up, silent runs used up permits that new calls could have had.

Cause: a target is chosen before the retry is taken, and the choice takes a permit of a rate-limited server.

Change: the allowance is looked at first, without taking from it.

--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -82,6 +82,13 @@
 	return true
 }
 
+// CanWithdraw reports whether TryWithdraw would grant a retry now.
+func (budget *WindowBudget) CanWithdraw() bool {
+	budget.fleet.mu.Lock()
+	defer budget.fleet.mu.Unlock()
+	return budget.usageLocked().Left+budget.roundingOffset >= 1
+}
+
 // Usage is what the nodes sent and may send in the current window, as far as this node knows.
 type Usage struct {
 	// Requests and Retries are those of this node, FleetRequests and FleetRetries those of all nodes. The newest
--- a/internal/serve/forward/secondrun.go
+++ b/internal/serve/forward/secondrun.go
@@ -141,6 +141,10 @@
 
 // startSecond sends the request to another target. It reports whether a target was free and a retry allowed.
 func (exchange *exchange) startSecond(second *secondRun) bool {
+	if !exchange.retryBudget.CanWithdraw() {
+		// A choice would take a permit of a rate-limited server.
+		return false
+	}
 	criteria := exchange.criteria(exchange.maxQueued())
 	criteria.Exclude, criteria.PreferActive = append(slices.Clone(criteria.Exclude), second.first.target.ID), true
 	target, verdict := exchange.forwarder.Board.Pick(exchange.poolName(), criteria)
