fix(formation): the end of a silent group is no failure of its requests

What callers could see: a request that was at three groups that were ended for silence alone is refused for ten minutes, and so are all with a part of its prompt.

Cause: a group whose member was silent for longer than the stall timeout ends with the same announcement as one that provably lost a member, and that turns the stalls of its requests into server failures. Found by review.

Evidence: TestGroupsWithStuckMembersAreEndedOneAfterTheOther asks for the announcement as retired, which drops stalls at roots and relays, and fails before.

Change: such a group is announced as retired before it is ended. Leaves get no reason, as with other retired groups.

Result: the tests of formation pass.

--- a/internal/fleet/formation/examine.go
+++ b/internal/fleet/formation/examine.go
@@ -190,6 +190,8 @@
 	message := "former: group lost members."
 	if found == overdue {
 		message = "former: group has members that are silent for too long."
+		// The end of a retired group is no failure of the requests that it stalled.
+		controller.Announce(Announcement{Change: Retired, Group: group})
 	}
 	attributes := controller.evidenceAttributes(examined)
 	controller.Logger.Warn(message, append([]any{"Group", group.Name, "Model", group.Model, "Members", missing}, attributes...)...)
--- a/internal/fleet/formation/formation_test.go
+++ b/internal/fleet/formation/formation_test.go
@@ -75,6 +75,15 @@
 
 	ordersMu sync.Mutex
 	orders   []sentOrder
+	// announced are the changes that the node announced, by group.
+	announced map[string][]formation.Change
+}
+
+// changesOf returns the changes of a group that the node announced.
+func (node *node) changesOf(group string) []formation.Change {
+	node.ordersMu.Lock()
+	defer node.ordersMu.Unlock()
+	return node.announced[group]
 }
 
 // sentOrder is an order that a node sent, whether or not it arrived.
@@ -242,6 +251,12 @@
 }
 
 func (node *node) announce(announcement formation.Announcement) {
+	node.ordersMu.Lock()
+	if node.announced == nil {
+		node.announced = map[string][]formation.Change{}
+	}
+	node.announced[announcement.Group.Name] = append(node.announced[announcement.Group.Name], announcement.Change)
+	node.ordersMu.Unlock()
 	node.view.Apply(announcement)
 	for _, other := range node.peers {
 		if !node.isolated.Load() && !other.isolated.Load() {
--- a/internal/fleet/formation/silent_test.go
+++ b/internal/fleet/formation/silent_test.go
@@ -174,6 +174,10 @@
 		expect.Expect(ended()).To(gomega.Equal(2))
 		time.Sleep(6 * time.Second)
 		expect.Expect(ended()).To(gomega.Equal(3))
+		for _, group := range stuck {
+			// An end on silence alone must not count as a failure of the requests there.
+			expect.Expect(slices.Contains(node.changesOf(group.Name), formation.Retired)).To(gomega.BeTrue(), group.Name)
+		}
 		expect.Expect(fleet.cluster.Violations()).To(gomega.BeEmpty())
 	})
 }
