refactor(gateway): a line and a comment no longer say that calls are moved

Cause: calls of a lost group are given up only without an event; the others look for a second run. The line "the calls of a lost group were moved." and a comment of formation said otherwise.

Change: their words. No logic changes.

Result: the tests of gateway, formation and cmd and the linter pass.

--- a/internal/fleet/formation/repair.go
+++ b/internal/fleet/formation/repair.go
@@ -247,9 +247,9 @@
 
 // retireUnlisted ends a group of which the server list doesn't show all members. If all listed
 // members reply that they are in the group, the unlisted ones may only be cut off from the registry and still
-// serve, so the group is drained. When such groups were ended immediately, all streams of a dozen
-// groups moved within the same second and used up the fleet's retry budget. If a member is dead
-// after all, the group's streams stall, and each node moves its own streams.
+// serve, so the group is drained. Ending a dozen such groups at once would make all their streams start
+// again within a second, which uses up the fleet's retry budget. If a member is dead after all, the
+// group's streams stall, and each node looks for second runs of its own streams.
 func (controller *Controller) retireUnlisted(term int64, listed Group) {
 	group, known := controller.lastCompleteGroup(listed.Name)
 	if !known {
--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -350,8 +350,8 @@
 	for _, fingerprint := range node.quarantine.ConfirmGroupLoss(group) {
 		node.suspectChanged(fingerprint)
 	}
-	if moved := node.board.MarkGroupLost(group); moved > 0 {
-		node.logger.Info("gateway: the calls of a lost group were moved.", "Group", group, "Calls", moved)
+	if calls := node.board.MarkGroupLost(group); calls > 0 {
+		node.logger.Info("gateway: the calls of a lost group look for another one.", "Group", group, "Calls", calls)
 	}
 }
 
