feat(retry): nodes tell how far the counts of retries are complete

Cause: a root set the age of the counts to zero whenever it added them up, so that no line told counts that are late from shares that add up to too much.

Change: counts carry how far they are complete, from the leaf up (the oldest decides) and down again, and up to when all nodes are known to know them. Decisions are as before.

--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -40,11 +40,18 @@
 	maxStaleness   time.Duration
 	startedAt      time.Duration
 	noPredecessor  bool
+	name           string
 
 	mu sync.Mutex
 	// shift is the difference between the time of the fleet and the node's clock.
 	shift    time.Duration
 	coverage Coverage
+	// completeness is how far this node knows the counts of the fleet. independent is set if this node has added them up
+	// itself, not received them from an upstream node. proposals are the times that all nodes know. Each becomes agreed on
+	// when the counts up to its Newest are complete: these have all that nodes sent before they knew it.
+	completeness Completeness
+	independent  bool
+	proposals    []Progress
 	// lastReached is the number of nodes whose counts last reached this node, droppedAt when it last fell, metAt when
 	// it last rose.
 	lastReached      int
@@ -83,6 +90,11 @@
 	return func(fleet *Fleet) { fleet.noPredecessor = true }
 }
 
+// Name sets the name by which other nodes know this node.
+func Name(name string) FleetOption {
+	return func(fleet *Fleet) { fleet.name = name }
+}
+
 // MaxStaleness sets the age of the newest counts of the fleet from which on they count as unknown.
 func MaxStaleness(age time.Duration) FleetOption {
 	return func(fleet *Fleet) { fleet.maxStaleness = age }
@@ -103,6 +115,7 @@
 	}
 	fleet.startedAt = fleet.now()
 	fleet.shift = -fleet.startedAt
+	fleet.completeness = Completeness{Complete: UnknownTime, Agreed: UnknownTime}
 	if fleet.noPredecessor {
 		fleet.coverage.From = -allowance.Window
 	} else {
@@ -152,6 +165,9 @@
 	slots := fleet.currentLocked() - before
 	fleet.coverage.From += jump
 	fleet.coverage.UpTo += jump
+	fleet.completeness.Complete += jump
+	fleet.completeness.Agreed += jump
+	fleet.proposals = nil
 	for _, budget := range fleet.services {
 		budget.own, budget.all = budget.own.renumbered(slots), budget.all.renumbered(slots)
 	}
@@ -246,11 +262,12 @@
 	return starts
 }
 
-// Observed states that this node has itself added up the counts of all nodes that it reaches until now. After an
-// interruption, such as a frozen process, counts are complete only from now on.
-func (fleet *Fleet) Observed() {
+// Observed states that this node has itself added up the counts of all nodes that it reaches until now, and the
+// progress of the others. After an interruption, such as a frozen process, counts are complete only from now on.
+func (fleet *Fleet) Observed(others ...Progress) {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	fleet.observeLocked(others)
 	fleet.noteNodesLocked()
 	position := fleet.positionLocked()
 	if position-fleet.coverage.UpTo > fleet.maxStaleness {
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -105,6 +105,11 @@
 	// AgeMilliseconds is the age of this node's process. KnownMilliseconds is how far back the retries of all nodes
 	// are known, at most the window. StaleMilliseconds is the age of the newest of these counts.
 	AgeMilliseconds, KnownMilliseconds, StaleMilliseconds int64
+	// CompleteMilliseconds is the age of the time up to which the counts of all nodes are complete, AgreedMilliseconds the
+	// age of the time up to which all nodes are known to know them, -1 if there is none. OldestNode is the address of the
+	// node whose counts are the oldest.
+	CompleteMilliseconds, AgreedMilliseconds int64
+	OldestNode                               string
 }
 
 func (budget *WindowBudget) usageLocked() Usage {
@@ -115,6 +120,8 @@
 	usage.Reached, usage.Nodes = reached, nodes
 	known, stale := fleet.knownLocked()
 	usage.KnownMilliseconds, usage.StaleMilliseconds = known.Milliseconds(), stale.Milliseconds()
+	usage.CompleteMilliseconds, usage.AgreedMilliseconds = fleet.ageLocked(fleet.completeness.Complete), fleet.ageLocked(fleet.completeness.Agreed)
+	usage.OldestNode = fleet.completeness.Oldest
 	newest := budget.countWindowLocked(&usage)
 	usage.Allowed = usage.allowed(fleet.allowance, requestsPart, known)
 	share := min(0.5, budget.requestShareLocked(age, int(newest.Requests)*usage.Reached)/requestsPart)
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -193,7 +193,7 @@
 	retryPosition, retryCoverage := node.retries.Position()
 	volatile := &frame.Frame{
 		Listing: listingPosition(node.servers.Load().End, node.follower.ListAge()), ConfigurationAgeMs: proto.Uint32(cappedMilliseconds(node.follower.ConfigurationAge())),
-		Demands: demands, RetryTotals: retriesToWire(node.retries.All(true)), RetryCoverage: coverageToWire(retryPosition, retryCoverage),
+		Demands: demands, RetryTotals: retriesToWire(node.retries.All(true)), RetryCoverage: peers.coverageToWire(retryPosition, retryCoverage),
 	}
 	peers.addMostNodes(volatile)
 	return &encodedLeafFrame{fromVersion: from, toVersion: delta.Version, encodedAt: now, contentHash: xxhash.Sum64(body) ^ demandRevision, body: append(body, peers.encodeFrame(volatile)...)}
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -116,6 +116,7 @@
 		Ages: map[string]int64{"ServerList": -1, "Configuration": -1}, Term: node.elector.Term(), Budgets: node.retries.States(), Serving: map[string]int{},
 		Limits: node.limits.State(), Notices: node.notices.State(), DrainedDataCentres: node.drains.Drained(),
 	}
+	metrics.Ages["RetryCounts"] = node.retries.CompleteAge()
 	servers := node.servers.Load()
 	if servers.Known() {
 		metrics.Ages["ServerList"] = node.follower.ListAge().Milliseconds()
--- a/internal/run/gateway/retries.go
+++ b/internal/run/gateway/retries.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"hazelslip/internal/common/rendezvous"
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/policy/retry"
@@ -18,8 +20,10 @@
 
 // retryState is what was sent and received over one link of the retry counts.
 type retryState struct {
-	// parts are the counts of the nodes in the other side's subtree.
+	// parts are the counts of the nodes in the other side's subtree, nil before any were received.
 	parts retry.Totals
+	// progress tells how far parts go.
+	progress retry.Progress
 	// sentAt is when counts were last sent. After all that this node knows was sent, greeted is set, and knownFrom
 	// is the time on this node's clock from which on it was complete.
 	sentAt    time.Duration
@@ -36,6 +40,7 @@
 		retry.Clock(node.now), retry.Nodes(func() (reached, all int) {
 			return max(1, int(node.peers.reportingNodes.Load())), node.peers.budgetNodes()
 		}),
+		retry.Name(node.settings.Listen.advertised()),
 		retry.RoundingOffset(func(service string) float64 { return rendezvous.UnitHash(service, node.Incarnation) }),
 	}
 	if node.settings.FirstStart {
@@ -61,27 +66,28 @@
 }
 
 func (peers *peers) updateRetryTotalsLocked() {
-	parts := []retry.Totals{peers.node.retries.Own()}
+	parts, progress := []retry.Totals{peers.node.retries.Own()}, []retry.Progress{}
 	for link, state := range peers.linkStates {
-		if !link.Upstream() {
-			parts = append(parts, state.retries.parts)
+		if !link.Upstream() && state.retries.parts != nil {
+			parts, progress = append(parts, state.retries.parts), append(progress, state.retries.progress)
 		}
 	}
 	peers.node.retries.Merge(retry.Sum(parts...))
 	if peers.overlay.Upstream() == nil {
-		peers.node.retries.Observed()
+		peers.node.retries.Observed(progress...)
 	}
 }
 
-// subtreeRetriesLocked returns the recent counts of this node and all nodes attached below it.
-func (peers *peers) subtreeRetriesLocked() retry.Totals {
+// subtreeRetriesLocked returns the recent counts of this node and all nodes attached below it, and how far they go.
+func (peers *peers) subtreeRetriesLocked(upstream bool) (retry.Totals, retry.Progress) {
+	progress := peers.node.retries.Progress(upstream)
 	parts := []retry.Totals{peers.node.retries.Own()}
 	for link, state := range peers.linkStates {
-		if isDownstream(link) {
-			parts = append(parts, state.retries.parts)
+		if isDownstream(link) && state.retries.parts != nil {
+			parts, progress = append(parts, state.retries.parts), retry.Combine(progress, state.retries.progress)
 		}
 	}
-	return retry.Sum(parts...)
+	return retry.Sum(parts...), progress
 }
 
 // addRetryCounts adds retry counts to a frame for an upstream node, a relay or a root: those of all nodes if the
@@ -97,11 +103,12 @@
 	knownFrom := now - (position - coverage.From)
 	downstream, knowsMore := isDownstream(state.link), state.retries.knowsMore(knownFrom)
 	if downstream || knowsMore {
-		message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(!knowsMore)), coverageToWire(position, coverage)
+		message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(!knowsMore)), peers.coverageToWire(position, coverage)
 		peers.addMostNodes(message)
 	}
 	if !downstream {
-		message.RetryParts = retriesToWire(peers.subtreeRetriesLocked())
+		parts, progress := peers.subtreeRetriesLocked(state.link.Upstream())
+		message.RetryParts, message.RetryProgress = retriesToWire(parts), progressToWire(&progress)
 	}
 	state.retries.sentAt, state.retries.grantedSent = now, peers.node.retries.Granted()
 	state.retries.greeted, state.retries.knownFrom = true, knownFrom
@@ -114,13 +121,45 @@
 	if !state.retries.knowsMore(knownFrom) {
 		return
 	}
-	message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(false)), coverageToWire(position, coverage)
+	message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(false)), peers.coverageToWire(position, coverage)
 	state.retries.greeted, state.retries.knownFrom = true, knownFrom
 }
 
-func coverageToWire(position time.Duration, coverage retry.Coverage) *frame.RetryCoverage {
+func (peers *peers) coverageToWire(position time.Duration, coverage retry.Coverage) *frame.RetryCoverage {
+	completeness := peers.node.retries.Completeness()
 	return &frame.RetryCoverage{
 		PositionMs: position.Milliseconds(), StaleMs: cappedMilliseconds(position - coverage.UpTo), KnownMs: cappedMilliseconds(coverage.UpTo - coverage.From),
+		CompleteMs: timeToWire(completeness.Complete), AgreedMs: timeToWire(completeness.Agreed), Oldest: completeness.Oldest,
+	}
+}
+
+// timeToWire encodes a time of the fleet, nil if it is unknown.
+func timeToWire(at time.Duration) *int64 {
+	if at < 0 {
+		return nil
+	}
+	return proto.Int64(at.Milliseconds())
+}
+
+// timeFromWire returns retry.UnknownTime for a time that is missing.
+func timeFromWire(encoded *int64) time.Duration {
+	if encoded == nil {
+		return retry.UnknownTime
+	}
+	return time.Duration(*encoded) * time.Millisecond
+}
+
+func progressToWire(progress *retry.Progress) *frame.RetryProgress {
+	// The newest time is rounded up, since counts up to it are to be awaited.
+	return &frame.RetryProgress{
+		CompleteMs: progress.Complete.Milliseconds(), NewestMs: progress.Newest.Milliseconds() + 1, KnownMs: timeToWire(progress.Known), Oldest: progress.Oldest,
+	}
+}
+
+func progressFromWire(encoded *frame.RetryProgress) retry.Progress {
+	return retry.Progress{
+		Complete: time.Duration(encoded.CompleteMs) * time.Millisecond, Newest: time.Duration(encoded.NewestMs) * time.Millisecond,
+		Known: timeFromWire(encoded.KnownMs), Oldest: encoded.Oldest,
 	}
 }
 
@@ -133,13 +172,22 @@
 		retries.Merge(retriesFromWire(received.RetryTotals))
 		upTo := position - time.Duration(coverage.StaleMs)*time.Millisecond
 		retries.MergeCoverage(retry.Coverage{From: upTo - time.Duration(coverage.KnownMs)*time.Millisecond, UpTo: upTo})
+		if link.Upstream() {
+			retries.Inform(retry.Completeness{Complete: timeFromWire(coverage.CompleteMs), Agreed: timeFromWire(coverage.AgreedMs), Oldest: coverage.Oldest})
+		}
 	}
-	if len(received.RetryParts) == 0 || link.Upstream() {
+	if link.Upstream() || (len(received.RetryParts) == 0 && received.RetryProgress == nil) {
 		return
 	}
+	position, _ := retries.Position()
+	progress := retry.UnknownProgress(link.Remote.Address, position)
+	if received.RetryProgress != nil {
+		progress = progressFromWire(received.RetryProgress)
+	}
 	peers.mu.Lock()
 	defer peers.mu.Unlock()
-	peers.linkStateLocked(link).retries.parts = retriesFromWire(received.RetryParts)
+	state := peers.linkStateLocked(link)
+	state.retries.parts, state.retries.progress = retriesFromWire(received.RetryParts), progress
 }
 
 func retriesToWire(totals retry.Totals) []*frame.RetryCount {
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -352,6 +352,7 @@
 		slog.Int("FleetRequests", usage.FleetRequests), slog.Int("FleetRetries", usage.FleetRetries), slog.Float64("Allowed", usage.Allowed), slog.Float64("Left", usage.Left),
 		slog.Int("Nodes", usage.Nodes), slog.Int("RecentStarts", usage.RecentStarts),
 		slog.Int64("AgeMilliseconds", usage.AgeMilliseconds), slog.Int64("KnownMilliseconds", usage.KnownMilliseconds), slog.Int64("StaleMilliseconds", usage.StaleMilliseconds),
+		slog.Int64("CompleteMilliseconds", usage.CompleteMilliseconds), slog.Int64("AgreedMilliseconds", usage.AgreedMilliseconds), slog.String("OldestNode", usage.OldestNode),
 		slog.String("RequestID", exchange.request.ID))
 }
 
--- a/internal/testlib/network/network.go
+++ b/internal/testlib/network/network.go
@@ -39,14 +39,19 @@
 	partitions map[link]bool
 	refused    map[link]bool
 	delays     map[string]time.Duration
-	conns      map[*conn]struct{}
+	// oneWayDelays delay only the data that the end which opened the connection writes, or only that of the other end.
+	oneWayDelays map[link]oneWayDelay
+	conns        map[*conn]struct{}
 }
 
 type link struct{ from, to string }
 
+// oneWayDelay holds the delays of writes by the end that opened a connection and by the end that accepted it.
+type oneWayDelay struct{ opener, accepter time.Duration }
+
 // New returns an empty network.
 func New() *Network {
-	return &Network{listeners: map[string]*listener{}, partitions: map[link]bool{}, refused: map[link]bool{}, delays: map[string]time.Duration{}, conns: map[*conn]struct{}{}}
+	return &Network{listeners: map[string]*listener{}, partitions: map[link]bool{}, refused: map[link]bool{}, delays: map[string]time.Duration{}, oneWayDelays: map[link]oneWayDelay{}, conns: map[*conn]struct{}{}}
 }
 
 // Listen opens a listener at an address.
@@ -83,7 +88,7 @@
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: errors.Newf("no listener at %s", address)}
 	}
 	dialerEnd, listenerEnd := net.Pipe()
-	opened := &conn{Conn: dialerEnd, network: network, link: link{host, address}, remote: address}
+	opened := &conn{Conn: dialerEnd, network: network, link: link{host, address}, remote: address, opener: true}
 	accepted := &conn{Conn: listenerEnd, network: network, link: opened.link, remote: host, peer: opened}
 	opened.peer = accepted
 	network.mu.Lock()
@@ -185,11 +190,31 @@
 	network.delays[host] = delay
 }
 
-// delay returns the delay of each write on a link, which is the larger of the delays of its two ends.
-func (network *Network) delay(link link) time.Duration {
+// AnyHost stands for all hosts.
+const AnyHost = ""
+
+// SetOneWayDelay delays the writes on the connections of a host, or AnyHost, to a listener address, separately by the end
+// that opened the connection and by the end that accepted it.
+func (network *Network) SetOneWayDelay(host, address string, opener, accepter time.Duration) {
+	network.mu.Lock()
+	defer network.mu.Unlock()
+	network.oneWayDelays[link{host, address}] = oneWayDelay{opener: opener, accepter: accepter}
+}
+
+// delay returns the delay of each write by one end of a connection: the largest of the delays of both ends and of its
+// direction.
+func (network *Network) delay(conn *conn) time.Duration {
 	network.mu.Lock()
 	defer network.mu.Unlock()
-	return max(network.delays[link.from], network.delays[link.to])
+	highest := max(network.delays[conn.link.from], network.delays[conn.link.to])
+	for _, key := range []link{conn.link, {AnyHost, conn.link.to}} {
+		if conn.opener {
+			highest = max(highest, network.oneWayDelays[key].opener)
+		} else {
+			highest = max(highest, network.oneWayDelays[key].accepter)
+		}
+	}
+	return highest
 }
 
 type listener struct {
@@ -247,6 +272,7 @@
 	link        link
 	remote      string
 	peer        *conn
+	opener      bool
 	partitioned atomic.Bool
 	reset       atomic.Bool
 	resetsAtEnd atomic.Bool
@@ -270,7 +296,7 @@
 	if conn.partitioned.Load() || conn.peer.partitioned.Load() {
 		return len(buffer), nil
 	}
-	if delay := conn.network.delay(conn.link); delay > 0 {
+	if delay := conn.network.delay(conn); delay > 0 {
 		time.Sleep(delay)
 	}
 	return conn.Conn.Write(buffer)
