fix(retry): late counts of other nodes don't exceed the retry allowance

What callers saw: a service got more repeated calls in a window than all nodes together may send, while the links between nodes were slow but sound.

Cause: a node took all slots older than 0.5 to 1 s as complete, whatever the age of the counts, and used its share of what seemed to be left anew. The bound held only while the sum of all nodes arrived in time.

Change: a slot is settled when the counts of all nodes are known to be complete up to its end. A node takes the least of its share for each time from the one that all nodes are known to know to the newest that it knows; one time is in that span at every node, and the shares for one time add up to one. What newer requests add belongs to the node that got them. A deficit isn't divided. Slots are reported until all nodes know them. A process that starts again waits until all know the counts up to its start. The last counts of a link that ended stay in the sums, since the highest total of a slot lost them when others grew.

The model of fleets sends counts to one node and back, with delays, in place of sums that reach all nodes at once: such sums carry no progress. TestNewProcessLearnsWhatItsPredecessorSent also hands over how far the counts are complete, as frames do.

--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -13,14 +14,15 @@
 const (
 	// defaultWindow is the window in which a deployment that states none counts.
 	defaultWindow = 10 * time.Second
-	// reportedSlots is the number of slots that nodes report to each other. Older slots are known by then, and
-	// a report that reaches two nodes during a change of the tree counts twice for few slots only.
+	// reportedSlots is the minimum number of slots that nodes report to each other. Older slots are reported until all
+	// nodes are known to know them. A report that reaches two nodes during a change of the tree counts twice, so that
+	// slots that all nodes know are left out.
 	reportedSlots = 6
 	// meetingTime is how long all slots of the window are reported after this node reaches more nodes than before. Nodes
 	// that were cut off from each other have counted their own retries only. The highest total of a slot is
 	// that of one side, so that older slots need the sum once more, too.
 	meetingTime = 3 * time.Second
-	// defaultMaxStaleness is the age of the newest counts of the fleet from which on they count as unknown. Frames
+	// defaultMaxStaleness is the time without any counts of the fleet from which on these count as unknown. Frames
 	// that a node may omit arrive more often than that.
 	defaultMaxStaleness = 1200 * time.Millisecond
 )
@@ -46,6 +48,8 @@
 	// shift is the difference between the time of the fleet and the node's clock.
 	shift    time.Duration
 	coverage Coverage
+	// updatedAt is when counts of the fleet were last received or added up.
+	updatedAt time.Duration
 	// completeness is how far this node knows the counts of the fleet. independent is set if this node has added them up
 	// itself, not received them from an upstream node. proposals are the times that all nodes know. Each becomes agreed on
 	// when the counts up to its Newest are complete: these have all that nodes sent before they knew it.
@@ -95,7 +99,7 @@
 	return func(fleet *Fleet) { fleet.name = name }
 }
 
-// MaxStaleness sets the age of the newest counts of the fleet from which on they count as unknown.
+// MaxStaleness sets the time without any counts of the fleet from which on these count as unknown.
 func MaxStaleness(age time.Duration) FleetOption {
 	return func(fleet *Fleet) { fleet.maxStaleness = age }
 }
@@ -114,6 +118,7 @@
 		option(fleet)
 	}
 	fleet.startedAt = fleet.now()
+	fleet.updatedAt = fleet.startedAt
 	fleet.shift = -fleet.startedAt
 	fleet.completeness = Completeness{Complete: UnknownTime, Agreed: UnknownTime}
 	if fleet.noPredecessor {
@@ -201,10 +206,32 @@
 
 // firstReportedLocked returns the number of the first slot that nodes report to each other now.
 func (fleet *Fleet) firstReportedLocked() int64 {
+	current := fleet.currentLocked()
 	if fleet.lastReached > 1 && fleet.now()-fleet.metAt < meetingTime {
-		return fleet.currentLocked() - slotsPerWindow
+		return current - slotsPerWindow
 	}
-	return fleet.currentLocked() - reportedSlots + 1
+	return max(current-slotsPerWindow, min(current-reportedSlots+1, fleet.slotLocked(fleet.completeness.Agreed)))
+}
+
+// slotLocked returns the number of the slot in which a time lies. All slots before it are complete if counts are
+// complete up to that time.
+func (fleet *Fleet) slotLocked(at time.Duration) int64 {
+	return int64(math.Floor(float64(at) / float64(fleet.slotLength)))
+}
+
+// startSlotLocked returns the number of the slot after that in which this process started, or of the first of all slots
+// if the process has no predecessor.
+func (fleet *Fleet) startSlotLocked() int64 {
+	if fleet.noPredecessor {
+		return math.MinInt64
+	}
+	return fleet.slotLocked(fleet.startedAt+fleet.shift) + 1
+}
+
+// hasStartedForAllLocked reports whether all nodes know the counts up to the start of this process. Until then they
+// leave its predecessor a share, of which this process doesn't know what was used.
+func (fleet *Fleet) hasStartedForAllLocked() bool {
+	return fleet.slotLocked(min(fleet.completeness.Agreed, fleet.completeness.Complete)) >= fleet.startSlotLocked()
 }
 
 // Merge raises the known counts of the fleet to at least the given totals.
@@ -228,6 +255,7 @@
 	defer fleet.mu.Unlock()
 	fleet.noteNodesLocked()
 	known := &fleet.coverage
+	fleet.updatedAt = fleet.now()
 	switch {
 	case received.UpTo < known.From:
 	case received.From > known.UpTo:
@@ -241,7 +269,7 @@
 // newest of them. Counts that are too old count as unknown.
 func (fleet *Fleet) knownLocked() (known, stale time.Duration) {
 	position := fleet.positionLocked()
-	stale = position - fleet.coverage.UpTo
+	stale = fleet.now() - fleet.updatedAt
 	since := fleet.coverage.From
 	if stale > fleet.maxStaleness {
 		since = max(fleet.coverage.UpTo, position-fleet.allowance.Window+1)
@@ -270,10 +298,10 @@
 	fleet.observeLocked(others)
 	fleet.noteNodesLocked()
 	position := fleet.positionLocked()
-	if position-fleet.coverage.UpTo > fleet.maxStaleness {
+	if fleet.now()-fleet.updatedAt > fleet.maxStaleness {
 		fleet.coverage.From = position
 	}
-	fleet.coverage.UpTo = position
+	fleet.coverage.UpTo, fleet.updatedAt = position, fleet.now()
 }
 
 // noteNodesLocked records when the number of nodes whose counts reach this node falls or rises.
--- a/internal/policy/retry/fleet_test.go
+++ b/internal/policy/retry/fleet_test.go
@@ -65,6 +65,7 @@
 	fresh.Follow(position)
 	fresh.Merge(other.All(false))
 	fresh.MergeCoverage(coverage)
+	fresh.Inform(other.Completeness())
 	usage := fresh.Service("service").State().Window
 	expect.Expect(usage.FleetRetries).To(gomega.Equal(30))
 	expect.Expect(usage.FleetRequests).To(gomega.Equal(50))
--- a/internal/policy/retry/fleetmodel_test.go
+++ b/internal/policy/retry/fleetmodel_test.go
@@ -37,6 +37,15 @@
 	knownFrom time.Duration
 	// downUntil is when the node takes requests again.
 	downUntil time.Duration
+	// late returns how late the counts of the node are, nil for the default.
+	late func(now time.Duration) countDelay
+	// attachedTo is the process that adds up the counts. reports and sums are on their way to it and back, reported is
+	// the report that it has.
+	attachedTo    *retry.Fleet
+	reports, sums []countReport
+	reported      countReport
+	// departed are the last counts of lost processes, by the node that adds up the counts.
+	departed retry.Departures
 }
 
 // modelledFleet counts the requests and the retries of a fleet by step.
@@ -46,13 +55,8 @@
 	now               time.Duration
 	nodes             []*modelledNode
 	requests, retries []int
-	// totals are the sums of recent steps that are still on their way to the nodes.
-	totals []retry.Totals
 }
 
-// propagationSteps is how many steps it takes until a sum reaches all nodes.
-const propagationSteps = 2
-
 func newModelledFleet(random *rand.Rand, size int, allowed retry.Allowance) *modelledFleet {
 	fleet := &modelledFleet{random: random, allowed: allowed, now: modelStart}
 	for range size {
@@ -65,7 +69,8 @@
 
 // start replaces the process of a node.
 func (fleet *modelledFleet) start(node *modelledNode, options ...retry.FleetOption) {
-	node.startedAt, node.knownFrom = fleet.now, math.MaxInt64
+	node.startedAt, node.knownFrom, node.attachedTo = fleet.now, math.MaxInt64, nil
+	node.departed = retry.Departures{Retention: modelWindow}
 	offset := fleet.random.Float64()
 	node.counts = retry.NewFleet(fleet.allowed, append(options, retry.Clock(func() time.Duration { return fleet.now }),
 		retry.RoundingOffset(func(string) float64 { return offset }), retry.Nodes(func() (reached, all int) {
@@ -77,24 +82,56 @@
 	node.budget = node.counts.Service(modelledService)
 }
 
-// exchange sums the counts of the nodes that are up. The sums reach the nodes after propagationSteps. Nodes that
-// have found the others also receive what one of them knows.
+// exchange sends the counts of the nodes that are up to the one that adds them up, the first that has found the others,
+// and the sums to the others. Both take the node's delay. Nodes that have found the others also receive what one of them
+// knows.
 func (fleet *modelledFleet) exchange() {
-	parts, linked := []retry.Totals{}, []*modelledNode{}
+	linked := []*modelledNode{}
 	for _, node := range fleet.nodes {
-		if node.downUntil > fleet.now {
-			continue
-		}
-		node.counts.Observed()
-		if fleet.now-node.startedAt >= discoveryTime {
+		switch {
+		case node.downUntil > fleet.now:
+		case fleet.now-node.startedAt >= discoveryTime:
 			linked = append(linked, node)
-			parts = append(parts, node.counts.Own())
+		default:
+			node.counts.Observed()
 		}
 	}
-	fleet.totals = append(fleet.totals, retry.Sum(parts...))
-	arrived := retry.Totals{}
-	if len(fleet.totals) > propagationSteps {
-		arrived, fleet.totals = fleet.totals[0], fleet.totals[1:]
+	if len(linked) == 0 {
+		return
+	}
+	root := linked[0]
+	parts, progress := append(root.departed.Counts(fleet.now), root.counts.Own()), []retry.Progress{}
+	for number, node := range linked[1:] {
+		if node.attachedTo != root.counts {
+			node.attachedTo, node.reports, node.sums, node.reported = root.counts, nil, nil, countReport{}
+		}
+		// Each node reports at every other step.
+		if (len(fleet.requests)+number)%2 == 0 {
+			report := countReport{progress: node.counts.Progress(true), at: fleet.now}
+			report.own = node.counts.Own()
+			node.reports = append(node.reports, report)
+		}
+		for len(node.reports) > 0 && fleet.now-node.reports[0].at >= node.delay(fleet).up {
+			node.reported, node.reports = node.reports[0], node.reports[1:]
+		}
+		if node.reported.own != nil {
+			parts, progress = append(parts, node.reported.own), append(progress, node.reported.progress)
+		}
+	}
+	root.counts.Merge(retry.Sum(parts...))
+	root.counts.Observed(progress...)
+	position, coverage := root.counts.Position()
+	sum := countReport{own: root.counts.All(true), coverage: coverage, completeness: root.counts.Completeness(), position: position, at: fleet.now}
+	for _, node := range linked[1:] {
+		node.sums = append(node.sums, sum)
+		for len(node.sums) > 0 && fleet.now-node.sums[0].at >= node.delay(fleet).down {
+			arrived := node.sums[0]
+			node.sums = node.sums[1:]
+			node.counts.Follow(arrived.position)
+			node.counts.Merge(arrived.own)
+			node.counts.MergeCoverage(arrived.coverage)
+			node.counts.Inform(arrived.completeness)
+		}
 	}
 	for _, node := range linked {
 		other := linked[fleet.random.IntN(len(linked))].counts
@@ -102,13 +139,36 @@
 		node.counts.Follow(position)
 		if began := fleet.now - (position - coverage.From); began < node.knownFrom {
 			node.counts.Merge(other.All(false))
+			node.counts.MergeCoverage(coverage)
 			node.knownFrom = began
 		}
-		node.counts.MergeCoverage(coverage)
-		node.counts.Merge(arrived)
 	}
 }
 
+// countReport is what a node sends of the counts at a time.
+type countReport struct {
+	own          retry.Totals
+	progress     retry.Progress
+	coverage     retry.Coverage
+	completeness retry.Completeness
+	position, at time.Duration
+}
+
+// countDelay is how late the counts of a node are on their way to the node that adds them up, and the sums on their way
+// back.
+type countDelay struct{ up, down time.Duration }
+
+// defaultCountDelay is that of a fleet whose links are sound.
+var defaultCountDelay = countDelay{up: modelStep, down: modelStep}
+
+// delay returns the current delay of a node.
+func (node *modelledNode) delay(fleet *modelledFleet) countDelay {
+	if node.late != nil {
+		return node.late(fleet.now)
+	}
+	return defaultCountDelay
+}
+
 // pick returns the node that gets a request, by weight, or nil if none is up.
 func (fleet *modelledFleet) pick() *modelledNode {
 	sum := 0.0
@@ -148,15 +208,25 @@
 	fleet.requests, fleet.retries = append(fleet.requests, arrived), append(fleet.retries, retried)
 }
 
-// restart kills each node with a probability and starts it again after a delay. Sums on their way are lost.
+// restart kills each node with a probability and starts it again after a delay. What is on its way from and to it is lost.
 func (fleet *modelledFleet) restart(probability float64, delay time.Duration) {
-	fleet.totals = nil
+	killed := []*modelledNode{}
 	for _, node := range fleet.nodes {
 		if fleet.random.Float64() < probability {
-			node.downUntil = fleet.now + delay
-			fleet.start(node)
+			killed = append(killed, node)
+		}
+	}
+	for number, node := range killed {
+		for _, root := range fleet.nodes {
+			if root.counts == node.attachedTo {
+				root.departed.Add(uint64(fleet.now)+uint64(number), node.reported.own, fleet.now)
+			}
 		}
 	}
+	for _, node := range killed {
+		node.downUntil = fleet.now + delay
+		fleet.start(node)
+	}
 }
 
 // use returns the share of the allowance that the window of steps from first on used. The requests that count
@@ -310,3 +380,93 @@
 		}
 	}
 }
+
+// makeLate makes the counts of some nodes late from now on: constantly or in turns with sound links, on both ways or one.
+func (fleet *modelledFleet) makeLate(random *rand.Rand) {
+	highest := time.Duration(random.Int64N(int64(3 * time.Second)))
+	late := countDelay{up: highest, down: highest}
+	switch random.IntN(3) {
+	case 0:
+		late.up = modelStep
+	case 1:
+		late.down = modelStep
+	}
+	period := time.Duration(random.IntN(2)) * (200*time.Millisecond + time.Duration(random.Int64N(int64(2*time.Second))))
+	share := []float64{0.1, 0.5, 1}[random.IntN(3)]
+	for _, node := range fleet.nodes {
+		node.late = nil
+		if random.Float64() < share {
+			node.late = func(now time.Duration) countDelay {
+				if period > 0 && now/period%2 == 0 {
+					return defaultCountDelay
+				}
+				return late
+			}
+		}
+	}
+}
+
+// Guards against nodes that use more than the allowance because the counts of other nodes take long: on the way to the node
+// that adds them up, on the way back, or both, at all nodes or at a part of them.
+func TestLateCountsStayWithinTheAllowance(t *testing.T) {
+	for _, shape := range fleetShapes()[:4] {
+		for _, late := range []countDelay{
+			{up: 300 * time.Millisecond, down: 300 * time.Millisecond},
+			{up: time.Second, down: time.Second},
+			{up: 2 * time.Second, down: modelStep},
+			{up: modelStep, down: 2 * time.Second},
+		} {
+			for _, part := range []int{1, 3} {
+				expect := gomega.NewWithT(t)
+				random := rand.New(rand.NewPCG(suite.Seed(), 71))
+				fleet := newModelledFleet(random, shape.nodes, retry.Allowance{Ratio: 0.2, Base: shape.base, Window: modelWindow})
+				for number, node := range fleet.nodes {
+					if number%part == 0 {
+						node.late = func(time.Duration) countDelay { return late }
+					}
+				}
+				for step := range 6 * windowSteps {
+					failing := 0.0
+					if step > 2*windowSteps {
+						failing = 0.9
+					}
+					fleet.step(shape.rate, failing)
+				}
+				highest, at := fleet.maxUse()
+				expect.Expect(highest).To(gomega.BeNumerically("<=", maxAllowedUse), "%d nodes, %.0f requests/s, one in %d late by %+v: window from %v on", shape.nodes, shape.rate, part, late, time.Duration(at)*modelStep)
+			}
+		}
+	}
+}
+
+// Makes counts late, restarts nodes, moves callers and changes failures at random. Guards against any window in which the
+// fleet sends more retries than it may.
+func TestRandomLateFleetsStayWithinTheAllowance(t *testing.T) {
+	shapes := fleetShapes()
+	for round := range suite.Rounds(8) {
+		seed := suite.Seed()*1000 + uint64(round)
+		random := rand.New(rand.NewPCG(seed, 72))
+		shape := shapes[random.IntN(len(shapes))]
+		fleet := newModelledFleet(random, shape.nodes, retry.Allowance{Ratio: 0.2, Base: shape.base, Window: modelWindow})
+		failing := 0.0
+		for range 6 * windowSteps {
+			switch random.IntN(120) {
+			case 0:
+				fleet.restart(random.Float64(), time.Duration(random.IntN(3000))*time.Millisecond)
+			case 1:
+				for _, node := range fleet.nodes {
+					node.weight = random.ExpFloat64() * random.ExpFloat64()
+				}
+			case 2, 3, 4:
+				failing = random.Float64()
+			case 5, 6, 7:
+				fleet.makeLate(random)
+			}
+			fleet.step(shape.rate, failing)
+		}
+		highest, at := fleet.maxUse()
+		if highest > maxAllowedUse {
+			t.Errorf("seed %d, %d nodes, %.0f requests/s: %.3f of the allowance used in the window from %v on", seed, shape.nodes, shape.rate, highest, time.Duration(at)*modelStep)
+		}
+	}
+}
--- a/internal/policy/retry/progress.go
+++ b/internal/policy/retry/progress.go
@@ -81,7 +81,13 @@
 // observeLocked derives the completeness from the progress of all nodes that this node hears of.
 func (fleet *Fleet) observeLocked(others []Progress) {
 	position := fleet.positionLocked()
-	all := Combine(Progress{Complete: position, Newest: position, Known: math.MaxInt64, Oldest: fleet.name}, others...)
+	all := Progress{Complete: position, Newest: position, Known: math.MaxInt64, Oldest: fleet.name}
+	for _, other := range others {
+		// A process that has just started tells its own time until it has heard of the fleet's.
+		if other.Newest > position-fleet.allowance.Window {
+			all = Combine(all, other)
+		}
+	}
 	// This node itself knows the counts up to the time at which they are complete.
 	all.Known = min(all.Known, all.Complete)
 	completeness := &fleet.completeness
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -1,6 +1,9 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Allowance is the number of retries that an operator allows for a service on all nodes together:
 // in any window of length Window, at most Ratio times the number of requests plus Base.
@@ -25,20 +28,22 @@
 	partitionReserve = 0.1
 	// maxReserve is the upper bound of both reserves.
 	maxReserve = 0.25
-	// unsettledSlots is the number of newest slots whose counts have not reached all nodes. In these a node uses
-	// its own share only.
-	unsettledSlots = 2
 	// settleTime is how long a new process may know only a part of the nodes.
 	settleTime = 3 * time.Second
 )
 
-// WindowBudget limits the retries that a node sends to one service. What all nodes have sent in the window, except
-// for its newest slots, is taken off the allowance, and the node uses its share of what is left in the newest
-// slots. So the nodes together stay within the allowance while callers move between them and processes are
-// replaced. After a quiet window the whole allowance can be used at once: when a failure domain is lost, all its
-// streams are retried within a second.
+// WindowBudget limits the retries that a node sends to one service. What all nodes have sent in the window up to a
+// time of the fleet is taken off the allowance, and the node uses its share of what is left after that time. The shares
+// of all nodes for the same time add up to one, so that the nodes together stay within the allowance while callers move
+// between them and processes are replaced. After a quiet window the whole allowance can be used at once: when a failure
+// domain is lost, all its streams are retried within a second.
+//
+// Nodes know the counts of the fleet up to different times. A node takes the least of what is left for each time from
+// the one that all nodes are known to know to the newest that it knows itself. There is one time that is in this span at
+// every node, and what is left for that time bounds them all, however late the counts are.
 //
-// One half of what is left is shared by the requests that nodes got, the other equally: streams outlast the window.
+// One half of what is left is shared by the requests that nodes got, the other equally: streams outlast the window. What
+// requests after that time add to the allowance belongs to the node that got them.
 //
 // Retries are whole numbers, and in a large fleet a node's share is a fraction of a retry. The
 // node's random rounding offset decides whether a fraction is rounded up or down. All nodes
@@ -91,8 +96,8 @@
 
 // Usage is what the nodes sent and may send in the current window, as far as this node knows.
 type Usage struct {
-	// Requests and Retries are those of this node, FleetRequests and FleetRetries those of all nodes. The newest
-	// slots are missing in FleetRetries.
+	// Requests and Retries are those of this node, FleetRequests and FleetRetries those of all nodes. Those after the
+	// time up to which all counts are complete are missing in FleetRetries.
 	Requests, Retries           int
 	FleetRequests, FleetRetries int
 	// Allowed is the number of retries that all nodes may send. Left is the number that this node may still send
@@ -103,7 +108,7 @@
 	// RecentStarts is the number of processes that have started again within the window.
 	RecentStarts int
 	// AgeMilliseconds is the age of this node's process. KnownMilliseconds is how far back the retries of all nodes
-	// are known, at most the window. StaleMilliseconds is the age of the newest of these counts.
+	// are known, at most the window. StaleMilliseconds is the time since this node last received or added up counts.
 	AgeMilliseconds, KnownMilliseconds, StaleMilliseconds int64
 	// CompleteMilliseconds is the age of the time up to which the counts of all nodes are complete, AgreedMilliseconds the
 	// age of the time up to which all nodes are known to know them, -1 if there is none. OldestNode is the address of the
@@ -122,34 +127,82 @@
 	usage.KnownMilliseconds, usage.StaleMilliseconds = known.Milliseconds(), stale.Milliseconds()
 	usage.CompleteMilliseconds, usage.AgreedMilliseconds = fleet.ageLocked(fleet.completeness.Complete), fleet.ageLocked(fleet.completeness.Agreed)
 	usage.OldestNode = fleet.completeness.Oldest
-	newest := budget.countWindowLocked(&usage)
-	usage.Allowed = usage.allowed(fleet.allowance, requestsPart, known)
-	share := min(0.5, budget.requestShareLocked(age, int(newest.Requests)*usage.Reached)/requestsPart)
-	if fleet.noPredecessor || age >= settleTime {
-		share += 0.5 / float64(usage.Reached)
+	budget.countWindowLocked(&usage)
+	if !fleet.hasStartedForAllLocked() {
+		known = min(known, age, fleet.allowance.Window-1)
 	}
-	usage.Left = share*max(0, usage.Allowed-float64(usage.FleetRetries)) - float64(newest.Retries)
+	terms := usage.terms(fleet.allowance, known)
+	terms.requestsPart = requestsPart
+	usage.Allowed = terms.allowed(usage.FleetRequests)
+	budget.settleLocked(&usage, &terms)
 	return usage
 }
 
-// countWindowLocked adds up the current window, and returns this node's counts in the newest slots. The requests
-// cover at most a window, the retries at least one.
-func (budget *WindowBudget) countWindowLocked(usage *Usage) (newest Count) {
+// countWindowLocked adds up the current window. The requests cover at most a window, the retries at least one.
+func (budget *WindowBudget) countWindowLocked(usage *Usage) {
 	current := budget.fleet.currentLocked()
 	for number := current - slotsPerWindow; number <= current; number++ {
-		own, all := budget.own.at(number), budget.known(number)
+		own := budget.own.at(number)
 		usage.Retries += int(own.Retries)
 		if number > current-slotsPerWindow {
 			usage.Requests += int(own.Requests)
-			usage.FleetRequests += int(all.Requests)
+			usage.FleetRequests += int(budget.known(number).Requests)
 		}
-		if number > current-unsettledSlots {
-			newest = Count{Requests: newest.Requests + own.Requests, Retries: newest.Retries + own.Retries}
-		} else {
-			usage.FleetRetries += int(all.Retries)
+	}
+}
+
+// settleLocked sets what this node may still send: the least of what is left for it for each time that may be the one up
+// to which all nodes know the counts. That is its share of what is left of the allowance for the requests up to then, and
+// what its own requests after that add to the allowance. If too many were sent, each node waits for as much as all have
+// sent too many, since other nodes may get no requests. FleetRetries are those up to the newest of these times.
+func (budget *WindowBudget) settleLocked(usage *Usage, terms *terms) {
+	fleet := budget.fleet
+	first := fleet.currentLocked() - slotsPerWindow
+	newest := max(first, fleet.slotLocked(fleet.completeness.Complete))
+	oldest := min(newest, max(first, fleet.slotLocked(fleet.completeness.Agreed), fleet.startSlotLocked()))
+	usage.Left = math.Inf(1)
+	unsettled := Count{Requests: uint32(usage.Requests), Retries: uint32(usage.Retries)}
+	settled, sinceStart := 0, settledRequests{}
+	for number := first; ; number++ {
+		if number >= oldest {
+			left := terms.allowed(settled) - float64(usage.FleetRetries)
+			if left > 0 {
+				left *= budget.shareLocked(sinceStart, usage.Reached, terms.requestsPart)
+			}
+			usage.Left = min(usage.Left, left+terms.perRequest*float64(unsettled.Requests)-float64(unsettled.Retries))
+		}
+		if number == newest {
+			return
+		}
+		own, all := budget.own.at(number), budget.known(number)
+		unsettled.Retries -= own.Retries
+		usage.FleetRetries += int(all.Retries)
+		if number == first {
+			// The requests cover a window, the retries one slot more.
+			continue
+		}
+		unsettled.Requests -= own.Requests
+		settled += int(all.Requests)
+		if number >= fleet.startSlotLocked() {
+			sinceStart.own += int(own.Requests)
+			sinceStart.all += int(all.Requests)
 		}
 	}
-	return newest
+}
+
+// settledRequests are the requests of this node and of all nodes since this process started, up to a time.
+type settledRequests struct{ own, all int }
+
+// shareLocked returns this node's share of what is left. One half follows the requests, with one more for each node, since
+// most nodes of a large fleet have few requests in a window or none. The other half is equal. A node that started just now
+// may know a part of the nodes only, and gets no share without requests.
+func (budget *WindowBudget) shareLocked(requests settledRequests, reached int, requestsPart float64) float64 {
+	fleet := budget.fleet
+	extra, equal := 0.0, 0.0
+	if fleet.noPredecessor || fleet.now()-fleet.startedAt >= settleTime {
+		extra, equal = 1, 0.5/float64(reached)
+	}
+	return equal + min(0.5, 0.5*(float64(requests.own)+extra)/(float64(requests.all)*requestsPart+float64(reached)))
 }
 
 // known returns the counts of all nodes in a slot, which include at least those of this node.
@@ -158,35 +211,31 @@
 	return Count{Requests: max(own.Requests, all.Requests), Retries: max(own.Retries, all.Retries)}
 }
 
-// allowed returns the number of retries that the reached nodes may send in a window, if those sent so far are known for
-// the given span.
-func (usage *Usage) allowed(allowance Allowance, requestsPart float64, known time.Duration) float64 {
-	nodes := float64(usage.Nodes)
-	allowed := allowance.Ratio*float64(usage.FleetRequests)*requestsPart + allowance.Base*float64(usage.Reached)/nodes
-	if known < allowance.Window {
-		return allowed * blindShare * known.Seconds() / allowance.Window.Seconds()
-	}
-	reserve := restartReserve * float64(usage.RecentStarts) / nodes
-	if usage.Reached < usage.Nodes {
-		reserve += partitionReserve
-	}
-	return allowed * (usableShare - min(maxReserve, reserve))
+// terms are what the allowance of the reached nodes is made of: retries for each request of the fleet and independent of
+// them.
+type terms struct {
+	perRequest, base float64
+	// requestsPart is the part of the known requests that counts for the reached nodes.
+	requestsPart float64
 }
 
-// requestShareLocked returns half of this node's share of the requests in the window, or since its start. It assumes
-// at least minRequests: requests that other nodes got in the newest slots may not be known yet, as when load sets in
-// after a pause. A share that is unknown counts as none, so that the equal share remains.
-func (budget *WindowBudget) requestShareLocked(age time.Duration, minRequests int) float64 {
-	current := budget.fleet.currentLocked()
-	own, all := 0, 0
-	for number := current - min(slotsPerWindow-1, int64(age/budget.fleet.slotLength)); number <= current; number++ {
-		own += int(budget.own.at(number).Requests)
-		all += int(budget.known(number).Requests)
-	}
-	if own == 0 {
-		return 0
+// allowed returns the number of retries that the reached nodes may send in a window with so many known requests.
+func (terms *terms) allowed(requests int) float64 {
+	return terms.perRequest*float64(requests)*terms.requestsPart + terms.base
+}
+
+// terms returns the terms of the allowance, if the retries sent so far are known for the given span.
+func (usage *Usage) terms(allowance Allowance, known time.Duration) terms {
+	nodes := float64(usage.Nodes)
+	usable := blindShare * known.Seconds() / allowance.Window.Seconds()
+	if known >= allowance.Window {
+		reserve := restartReserve * float64(usage.RecentStarts) / nodes
+		if usage.Reached < usage.Nodes {
+			reserve += partitionReserve
+		}
+		usable = usableShare - min(maxReserve, reserve)
 	}
-	return 0.5 * float64(own) / float64(max(all, minRequests))
+	return terms{perRequest: usable * allowance.Ratio, base: usable * allowance.Base * float64(usage.Reached) / nodes}
 }
 
 // refusalLogInterval is the minimum time between two log lines about refused retries.
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -19,6 +19,7 @@
 	"hazelslip/internal/policy/pathhealth"
 	"hazelslip/internal/policy/quarantine"
 	"hazelslip/internal/policy/ratelimit"
+	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/state/storelog"
 	"hazelslip/internal/wire/frame"
 )
@@ -162,6 +163,8 @@
 	lastLeafDemands    demand.PoolRates
 	leafDemandRevision uint64
 	leader             leaderState
+	// lostBelow and lostRoots are the last retry counts of downstream nodes and of roots whose links have ended.
+	lostBelow, lostRoots retry.Departures
 	// lastOwnTerm is the last term under which this node was leader.
 	lastOwnTerm int64
 	// stallReportedAt is when the stall of each group was last reported.
@@ -178,6 +181,7 @@
 		node: node, catalogue: catalogue.New(), linkStates: map[*overlay.Link]*linkState{}, stallReportedAt: map[string]time.Duration{},
 	}
 	settings := &node.settings
+	peers.lostBelow.Retention, peers.lostRoots.Retention = settings.Bounds.RetryWindow, settings.Bounds.RetryWindow
 	dial := (&net.Dialer{Timeout: storeTimeout}).DialContext
 	if node.dial != nil {
 		dial = node.dial
@@ -258,6 +262,7 @@
 	defer peers.mu.Unlock()
 	if state := peers.linkStates[link]; state != nil {
 		peers.node.limits.RemoveNeighbour(state.permits.neighbour)
+		peers.keepRetryCountsLocked(state)
 	}
 	delete(peers.linkStates, link)
 	peers.totals = nil
--- a/internal/run/gateway/retries.go
+++ b/internal/run/gateway/retries.go
@@ -66,7 +66,9 @@
 }
 
 func (peers *peers) updateRetryTotalsLocked() {
+	now := peers.node.now()
 	parts, progress := []retry.Totals{peers.node.retries.Own()}, []retry.Progress{}
+	parts = append(append(parts, peers.lostBelow.Counts(now)...), peers.lostRoots.Counts(now)...)
 	for link, state := range peers.linkStates {
 		if !link.Upstream() && state.retries.parts != nil {
 			parts, progress = append(parts, state.retries.parts), append(progress, state.retries.progress)
@@ -81,7 +83,7 @@
 // subtreeRetriesLocked returns the recent counts of this node and all nodes attached below it, and how far they go.
 func (peers *peers) subtreeRetriesLocked(upstream bool) (retry.Totals, retry.Progress) {
 	progress := peers.node.retries.Progress(upstream)
-	parts := []retry.Totals{peers.node.retries.Own()}
+	parts := append(peers.lostBelow.Counts(peers.node.now()), peers.node.retries.Own())
 	for link, state := range peers.linkStates {
 		if isDownstream(link) && state.retries.parts != nil {
 			parts, progress = append(parts, state.retries.parts), retry.Combine(progress, state.retries.progress)
@@ -188,6 +190,18 @@
 	defer peers.mu.Unlock()
 	state := peers.linkStateLocked(link)
 	state.retries.parts, state.retries.progress = retriesFromWire(received.RetryParts), progress
+	peers.lostBelow.Return(link.Incarnation)
+	peers.lostRoots.Return(link.Incarnation)
+}
+
+// keepRetryCountsLocked keeps the last counts of a link that has ended.
+func (peers *peers) keepRetryCountsLocked(state *linkState) {
+	switch {
+	case isDownstream(state.link):
+		peers.lostBelow.Add(state.link.Incarnation, state.retries.parts, peers.node.now())
+	case !state.link.Upstream():
+		peers.lostRoots.Add(state.link.Incarnation, state.retries.parts, peers.node.now())
+	}
 }
 
 func retriesToWire(totals retry.Totals) []*frame.RetryCount {
