feat(gateway): retry counts that can't be those of the fleet are refused

Cause: counts with another slot length, from the future or with numbers that overflow were added up, and a time of the fleet that overflows advanced the clocks of all nodes.

Change: frames carry the length of a slot; counts are checked before any of them is applied and refused whole, with one line for a link that names the sender.

Whole nodes with late frames as before.

--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -150,6 +150,9 @@
 // currentLocked returns the number of the current slot.
 func (fleet *Fleet) currentLocked() int64 { return int64(fleet.positionLocked() / fleet.slotLength) }
 
+// SlotLength returns the length of a slot, a part of the window in which retries are limited.
+func (fleet *Fleet) SlotLength() time.Duration { return fleet.slotLength }
+
 // Position returns the current time of the fleet, and the coverage of the counts.
 func (fleet *Fleet) Position() (time.Duration, Coverage) {
 	fleet.mu.Lock()
--- a/internal/run/gateway/retries.go
+++ b/internal/run/gateway/retries.go
@@ -31,6 +31,8 @@
 	knownFrom time.Duration
 	// grantedSent is the number of retries that this node had been granted at sentAt.
 	grantedSent uint64
+	// refusalLogged is set once received counts have been refused.
+	refusalLogged bool
 }
 
 // newRetryCounts returns the counts of a process that starts now.
@@ -111,6 +113,7 @@
 	if !downstream {
 		parts, progress := peers.subtreeRetriesLocked(state.link.Upstream())
 		message.RetryParts, message.RetryProgress = retriesToWire(parts), progressToWire(&progress)
+		message.RetryProgress.SlotMs = uint32(peers.node.retries.SlotLength().Milliseconds())
 	}
 	state.retries.sentAt, state.retries.grantedSent = now, peers.node.retries.Granted()
 	state.retries.greeted, state.retries.knownFrom = true, knownFrom
@@ -132,6 +135,7 @@
 	return &frame.RetryCoverage{
 		PositionMs: position.Milliseconds(), StaleMs: cappedMilliseconds(position - coverage.UpTo), KnownMs: cappedMilliseconds(coverage.UpTo - coverage.From),
 		CompleteMs: timeToWire(completeness.Complete), AgreedMs: timeToWire(completeness.Agreed), Oldest: completeness.Oldest,
+		SlotMs: uint32(peers.node.retries.SlotLength().Milliseconds()),
 	}
 }
 
@@ -168,6 +172,11 @@
 // handleRetryCounts applies the retry counts that another node sends.
 func (peers *peers) handleRetryCounts(link *overlay.Link, received *frame.Frame) {
 	retries := peers.node.retries
+	position, _ := retries.Position()
+	if err := checkRetryCounts(received, position, retries.SlotLength()); err != nil {
+		peers.logRefusedCounts(link, err)
+		return
+	}
 	if coverage := received.RetryCoverage; coverage != nil {
 		position := time.Duration(coverage.PositionMs) * time.Millisecond
 		retries.Follow(position)
@@ -181,7 +190,7 @@
 	if link.Upstream() || (len(received.RetryParts) == 0 && received.RetryProgress == nil) {
 		return
 	}
-	position, _ := retries.Position()
+	position, _ = retries.Position()
 	progress := retry.UnknownProgress(link.Remote.Address, position)
 	if received.RetryProgress != nil {
 		progress = progressFromWire(received.RetryProgress)
