fix(backendserver): a response head without end closes the connection

What callers saw: nothing yet; the users' pages say that bytes which are no answer may come without end. A node read them into memory until the deadline of the call.

Cause: the head of a response was read without a bound: one line, many headers or informational responses without end.

The call counts as sent without a response, the connection is closed.

Bodies without end were bounded before: events by 1 MB, responses of the store and of servers to reports by their limits, plain bodies pass on to the caller. Not tried with whole nodes.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -24,6 +24,7 @@
 import (
 	"bufio"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -140,8 +141,16 @@
 	maxIdlePerServer = 24
 	// maxStrayResponses is how many responses to earlier calls are skipped before the call fails.
 	maxStrayResponses = 2
+	// maxStrayBytes bounds the body of such a response.
+	maxStrayBytes = 1 << 20
+	// maxHeadBytes bounds what is read of a connection until the head of a response is complete, informational heads
+	// included.
+	maxHeadBytes = 128 << 10
 )
 
+// errHeadTooLong means that a server sent maxHeadBytes and no complete head.
+var errHeadTooLong = errors.Newf("no complete head within %d bytes", maxHeadBytes)
+
 // Counters count the events of a pool; they only grow. Discarded counts idle connections that were no longer usable.
 // StrayResponses counts responses that belong to another call.
 type Counters struct {
@@ -165,12 +174,35 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// unreadHead is the number of bytes that may still be read before the head of a response is complete.
+	unreadHead int
 	// idleDeadline is when the server may close the idle connection.
 	idleDeadline time.Time
 	// partlySent is set if only a part of the last call was sent.
 	partlySent bool
 }
 
+// newConn returns a connection whose reader bounds the heads of responses.
+func newConn(dialled net.Conn) *conn {
+	connection := &conn{Conn: dialled, unreadHead: maxHeadBytes}
+	connection.reader = bufio.NewReaderSize(headLimiter{connection}, readBufferSize)
+	return connection
+}
+
+// headLimiter reads from a connection, and fails when a head is too long.
+type headLimiter struct{ conn *conn }
+
+// Read reads from the connection.
+func (limiter headLimiter) Read(buffer []byte) (int, error) {
+	connection := limiter.conn
+	if connection.unreadHead <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := connection.Read(buffer)
+	connection.unreadHead -= n
+	return n, err
+}
+
 // Option configures a Pool.
 type Option func(*Pool)
 
@@ -269,6 +301,7 @@
 func (pool *Pool) read(connection *conn, call *Call) (*Reply, error) {
 	request := &http.Request{Method: call.Method}
 	for stray := 0; ; {
+		connection.unreadHead = min(connection.unreadHead, maxHeadBytes)
 		// Reply.Close closes the body; after an error the connection is closed.
 		response, err := http.ReadResponse(connection.reader, request) //nolint:bodyclose // see above
 		if err != nil {
@@ -277,6 +310,7 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
+		connection.unreadHead = math.MaxInt
 		decoded := pool.codec.Decode(call, response.StatusCode, response.Header)
 		if call.OnResponseHead != nil {
 			call.OnResponseHead(response.StatusCode, &decoded)
@@ -291,7 +325,7 @@
 		// response to this call. It names the call that it belongs to.
 		pool.Counters.StrayResponses.Add(1)
 		stray++
-		if stray > maxStrayResponses || response.ContentLength < 0 {
+		if stray > maxStrayResponses || response.ContentLength < 0 || response.ContentLength > maxStrayBytes {
 			return nil, errors.New("answers of other calls came")
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -388,7 +422,7 @@
 		pool.Counters.DialFailed.Add(1)
 		return nil, false, err
 	}
-	return &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBufferSize)}, true, nil
+	return newConn(dialled), true, nil
 }
 
 // HostReachable reports whether the host of a server responds to a connection attempt within the timeout. A connection
@@ -411,7 +445,7 @@
 		pool.Counters.DialFailed.Add(1)
 		return err
 	}
-	pool.putIdle(address, &conn{Conn: dialled, reader: bufio.NewReaderSize(dialled, readBufferSize)}, defaultIdleTimeout)
+	pool.putIdle(address, newConn(dialled), defaultIdleTimeout)
 	return nil
 }
 
