fix(retry): nodes that attach elsewhere don't raise the retry allowance

Cause: the last counts of an ended link stay in the sums, and a node that attached elsewhere reported its requests once more. The allowance grows with requests: the trace shows 342 allowed in place of 268.

Change: only the retries of an ended link are kept.

--- a/internal/policy/retry/departures.go
+++ b/internal/policy/retry/departures.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// Departures holds the last counts of nodes whose links have ended, so that a slot in which a node was lost keeps its
-// counts while those of the other nodes grow. Nodes that attach elsewhere count twice for a while. It isn't safe for
-// concurrent use.
+// Departures holds the last counts of retries of nodes whose links have ended, so that a slot in which a node was lost
+// keeps its retries while those of the other nodes grow. The retries of nodes that attach elsewhere count twice for a
+// while. Requests are left out, since the allowance grows with them. It isn't safe for concurrent use.
 type Departures struct {
 	// Retention is how long counts are kept, the window in which retries are limited.
 	Retention time.Duration
@@ -17,8 +17,16 @@
 	at     time.Duration
 }
 
-// Add keeps the last counts that a process sent.
-func (departures *Departures) Add(process uint64, counts Totals, now time.Duration) {
+// Add keeps the retries of the last counts that a process sent.
+func (departures *Departures) Add(process uint64, last Totals, now time.Duration) {
+	counts := Totals{}
+	for service, series := range last {
+		retries := Series{First: series.First}
+		for _, count := range series.Counts {
+			retries.Counts = append(retries.Counts, Count{Retries: count.Retries})
+		}
+		counts[service] = retries
+	}
 	if len(counts) == 0 {
 		return
 	}
