test(retry): the model counts a node as heard with its first report

Cause: nodes of the model counted as heard as soon as they had found the others, so that a node that started anew added up its own counts alone and shared as if all had reported. Whole nodes count a node with its first report.

Change: the number of nodes that are heard follows the reports and the sums.

--- a/internal/policy/retry/fleetmodel_test.go
+++ b/internal/policy/retry/fleetmodel_test.go
@@ -39,6 +39,8 @@
 	downUntil time.Duration
 	// late returns how late the counts of the node are, nil for the default.
 	late func(now time.Duration) countDelay
+	// reached is the number of nodes that this node hears of, including itself.
+	reached int
 	// attachedTo is the process that adds up the counts. reports and sums are on their way to it and back, reported is
 	// the report that it has.
 	attachedTo    *retry.Fleet
@@ -70,14 +72,14 @@
 // start replaces the process of a node.
 func (fleet *modelledFleet) start(node *modelledNode, options ...retry.FleetOption) {
 	node.startedAt, node.knownFrom, node.attachedTo = fleet.now, math.MaxInt64, nil
-	node.departed = retry.Departures{Retention: modelWindow}
+	node.departed, node.reached = retry.Departures{Retention: modelWindow}, 1
 	offset := fleet.random.Float64()
 	node.counts = retry.NewFleet(fleet.allowed, append(options, retry.Clock(func() time.Duration { return fleet.now }),
 		retry.RoundingOffset(func(string) float64 { return offset }), retry.Nodes(func() (reached, all int) {
 			if fleet.now-node.startedAt < discoveryTime {
 				return 1, unknownNodes
 			}
-			return len(fleet.nodes), len(fleet.nodes)
+			return node.reached, len(fleet.nodes)
 		}))...)
 	node.budget = node.counts.Service(modelledService)
 }
@@ -119,14 +121,15 @@
 		}
 	}
 	root.counts.Merge(retry.Sum(parts...))
+	root.reached = 1 + len(progress)
 	root.counts.Observed(progress...)
 	position, coverage := root.counts.Position()
-	sum := countReport{own: root.counts.All(true), coverage: coverage, completeness: root.counts.Completeness(), position: position, at: fleet.now}
+	sum := countReport{own: root.counts.All(true), coverage: coverage, completeness: root.counts.Completeness(), position: position, at: fleet.now, reached: root.reached}
 	for _, node := range linked[1:] {
 		node.sums = append(node.sums, sum)
 		for len(node.sums) > 0 && fleet.now-node.sums[0].at >= node.delay(fleet).down {
 			arrived := node.sums[0]
-			node.sums = node.sums[1:]
+			node.sums, node.reached = node.sums[1:], arrived.reached
 			node.counts.Follow(arrived.position)
 			node.counts.Merge(arrived.own)
 			node.counts.MergeCoverage(arrived.coverage)
@@ -152,6 +155,7 @@
 	coverage     retry.Coverage
 	completeness retry.Completeness
 	position, at time.Duration
+	reached      int
 }
 
 // countDelay is how late the counts of a node are on their way to the node that adds them up, and the sums on their way
