fix(retry): a time of the fleet in the future doesn't block a node

What callers saw: nothing yet; found by reading. A node of a faulty version that tells counts as complete up to a time far ahead makes every decision about a retry walk through all slots up to then.

Cause: only the time of the sender was compared with the fleet's, not the times up to which it calls counts complete and agreed.

Change: such counts are refused, and a decision looks at the current slot at most.

Evidence: "totals of a future time" in TestImpossibleRetryCountsAreRefused.

--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -157,8 +157,9 @@
 // sent too many, since other nodes may get no requests. FleetRetries are those up to the newest of these times.
 func (budget *WindowBudget) settleLocked(usage *Usage, terms *terms) {
 	fleet := budget.fleet
-	first := fleet.currentLocked() - slotsPerWindow
-	newest := max(first, fleet.slotLocked(fleet.completeness.Complete))
+	current := fleet.currentLocked()
+	first := current - slotsPerWindow
+	newest := min(current, max(first, fleet.slotLocked(fleet.completeness.Complete)))
 	oldest := min(newest, max(first, fleet.slotLocked(fleet.completeness.Agreed), fleet.startSlotLocked()))
 	usage.Left = math.Inf(1)
 	unsettled := Count{Requests: uint32(usage.Requests), Retries: uint32(usage.Retries)}
--- a/internal/run/gateway/retries_test.go
+++ b/internal/run/gateway/retries_test.go
@@ -76,6 +76,7 @@
 		"time that overflows":           {RetryCoverage: &frame.RetryCoverage{PositionMs: 1 << 62, SlotMs: slot}},
 		"time before the fleet":         {RetryCoverage: &frame.RetryCoverage{PositionMs: -1, SlotMs: slot}},
 		"totals from the future":        {RetryTotals: counts(10_000, 5), RetryCoverage: coverage},
+		"totals of a future time":       {RetryCoverage: &frame.RetryCoverage{PositionMs: minute, SlotMs: slot, CompleteMs: proto.Int64(100 * minute)}},
 		"parts from the future":         {RetryParts: counts(110, 5), RetryProgress: &frame.RetryProgress{CompleteMs: 10 * minute, NewestMs: 10 * minute, SlotMs: slot}},
 		"slot number that overflows":    {RetryParts: counts(1<<63-1, 5, 5), RetryProgress: progress},
 		"slot before the fleet":         {RetryParts: counts(-1, 5), RetryProgress: progress},
--- a/internal/run/gateway/retrycheck.go
+++ b/internal/run/gateway/retrycheck.go
@@ -35,6 +35,9 @@
 				return errors.Newf("%d ms is no time of the fleet", at)
 			}
 		}
+		if latest := max(coverage.GetCompleteMs(), coverage.GetAgreedMs()); latest > coverage.PositionMs+maxSlotsAhead*int64(slotMs) {
+			return errors.Newf("counts complete or agreed up to %d ms, the fleet is at %d ms", latest, coverage.PositionMs)
+		}
 		newest = max(newest, coverage.PositionMs)
 	}
 	if progress := received.RetryProgress; progress != nil {
