fix(retry): a frame calls no counts complete that it does not have

What callers saw: nothing yet; found by reading. A relay read the counts for a frame before it read how far they go, and a root took its own position after its own counts. Counts that came between the two were called complete 50 to 100 ms before they were sent, and other nodes took their share again meanwhile.

Cause: counts and completeness were read under the lock one after the other, in three places.

No test shows the race: a test with a writer and a reader fails without the change in 2 to 3 of 20 runs only, and was not kept.

--- a/internal/policy/retry/departures.go
+++ b/internal/policy/retry/departures.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Departures holds the last counts of retries of nodes whose links have ended, so that a slot in which a node was lost
-// keeps its retries while those of the other nodes grow. The retries of nodes that attach elsewhere count twice for a
-// while. Requests are left out, since the allowance grows with them. It isn't safe for concurrent use.
+// keeps its retries while those of the other nodes grow. The retries of a node that attaches elsewhere count twice until
+// Retention has passed. Requests are left out, since the allowance grows with them. It isn't safe for concurrent use.
 type Departures struct {
 	// Retention is how long counts are kept, the window in which retries are limited.
 	Retention time.Duration
--- a/internal/policy/retry/fleet.go
+++ b/internal/policy/retry/fleet.go
@@ -8,15 +8,15 @@
 	"hazelslip/internal/common/clock"
 )
 
-// slotsPerWindow is the number of slots in which a window is counted.
-const slotsPerWindow = 20
+// SlotsPerWindow is the number of slots in which a window is counted.
+const SlotsPerWindow = 20
 
 const (
 	// defaultWindow is the window in which a deployment that states none counts.
 	defaultWindow = 10 * time.Second
 	// reportedSlots is the minimum number of slots that nodes report to each other. Older slots are reported until all
-	// nodes are known to know them. A report that reaches two nodes during a change of the tree counts twice, so that
-	// slots that all nodes know are left out.
+	// nodes are known to know them, and no longer, since a report that reaches two nodes during a change of the tree
+	// counts twice.
 	reportedSlots = 6
 	// meetingTime is how long all slots of the window are reported after this node reaches more nodes than before. Nodes
 	// that were cut off from each other have counted their own retries only. The highest total of a slot is
@@ -111,7 +111,7 @@
 		allowance = Allowance{Window: defaultWindow}
 	}
 	fleet := &Fleet{
-		allowance: allowance, now: clock.Boot, slotLength: allowance.Window / slotsPerWindow, maxStaleness: defaultMaxStaleness, services: map[string]*WindowBudget{},
+		allowance: allowance, now: clock.Boot, slotLength: allowance.Window / SlotsPerWindow, maxStaleness: defaultMaxStaleness, services: map[string]*WindowBudget{},
 		roundingOffset: func(string) float64 { return 0 }, nodes: func() (int, int) { return 1, 1 },
 	}
 	for _, option := range options {
@@ -196,8 +196,12 @@
 func (fleet *Fleet) All(recentOnly bool) Totals {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
+	return fleet.allLocked(recentOnly)
+}
+
+func (fleet *Fleet) allLocked(recentOnly bool) Totals {
 	totals, current := Totals{}, fleet.currentLocked()
-	first := current - slotsPerWindow
+	first := current - SlotsPerWindow
 	if recentOnly {
 		first = fleet.firstReportedLocked()
 	}
@@ -211,9 +215,9 @@
 func (fleet *Fleet) firstReportedLocked() int64 {
 	current := fleet.currentLocked()
 	if fleet.lastReached > 1 && fleet.now()-fleet.metAt < meetingTime {
-		return current - slotsPerWindow
+		return current - SlotsPerWindow
 	}
-	return max(current-slotsPerWindow, min(current-reportedSlots+1, fleet.slotLocked(fleet.completeness.Agreed)))
+	return max(current-SlotsPerWindow, min(current-reportedSlots+1, fleet.slotLocked(fleet.completeness.Agreed)))
 }
 
 // slotLocked returns the number of the slot in which a time lies. All slots before it are complete if counts are
@@ -231,9 +235,9 @@
 	return fleet.slotLocked(fleet.startedAt+fleet.shift) + 1
 }
 
-// hasStartedForAllLocked reports whether all nodes know the counts up to the start of this process. Until then they
+// startAgreedLocked reports whether all nodes know the counts up to the start of this process. Until then they
 // leave its predecessor a share, of which this process doesn't know what was used.
-func (fleet *Fleet) hasStartedForAllLocked() bool {
+func (fleet *Fleet) startAgreedLocked() bool {
 	return fleet.slotLocked(min(fleet.completeness.Agreed, fleet.completeness.Complete)) >= fleet.startSlotLocked()
 }
 
@@ -287,7 +291,7 @@
 		return 0
 	}
 	starts := 0
-	for number := fleet.currentLocked() - slotsPerWindow; number <= fleet.currentLocked(); number++ {
+	for number := fleet.currentLocked() - SlotsPerWindow; number <= fleet.currentLocked(); number++ {
 		starts += int(max(budget.own.at(number).Requests, budget.all.at(number).Requests))
 	}
 	return starts
--- a/internal/policy/retry/progress.go
+++ b/internal/policy/retry/progress.go
@@ -61,11 +61,20 @@
 	return progress
 }
 
-// Completeness returns how far this node knows the counts of the whole fleet.
-func (fleet *Fleet) Completeness() Completeness {
+// Snapshot is what a node knows of the counts of all nodes at one moment.
+type Snapshot struct {
+	Counts       Totals
+	Position     time.Duration
+	Coverage     Coverage
+	Completeness Completeness
+}
+
+// Snapshot returns what this node knows of the counts of all nodes: in the slots that nodes report now, or in all slots
+// that are kept.
+func (fleet *Fleet) Snapshot(recentOnly bool) Snapshot {
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	return fleet.completeness
+	return Snapshot{Counts: fleet.allLocked(recentOnly), Position: fleet.positionLocked(), Coverage: fleet.coverage, Completeness: fleet.completeness}
 }
 
 // Inform applies the completeness that the upstream node sends with the counts of the whole fleet.
--- a/internal/policy/retry/series.go
+++ b/internal/policy/retry/series.go
@@ -62,7 +62,7 @@
 
 // ringSlots is the number of slots that a ring keeps: a window, the current slot and those of nodes whose clock is
 // ahead.
-const ringSlots = slotsPerWindow + 4
+const ringSlots = SlotsPerWindow + 4
 
 // MaxSeries is the maximum number of slots of a Series.
 const MaxSeries = ringSlots
--- a/internal/policy/retry/window.go
+++ b/internal/policy/retry/window.go
@@ -128,7 +128,7 @@
 	usage.CompleteMilliseconds, usage.AgreedMilliseconds = fleet.ageLocked(fleet.completeness.Complete), fleet.ageLocked(fleet.completeness.Agreed)
 	usage.OldestNode = fleet.completeness.Oldest
 	budget.countWindowLocked(&usage)
-	if !fleet.hasStartedForAllLocked() {
+	if !fleet.startAgreedLocked() {
 		known = min(known, age, fleet.allowance.Window-1)
 	}
 	terms := usage.terms(fleet.allowance, known)
@@ -141,10 +141,10 @@
 // countWindowLocked adds up the current window. The requests cover at most a window, the retries at least one.
 func (budget *WindowBudget) countWindowLocked(usage *Usage) {
 	current := budget.fleet.currentLocked()
-	for number := current - slotsPerWindow; number <= current; number++ {
+	for number := current - SlotsPerWindow; number <= current; number++ {
 		own := budget.own.at(number)
 		usage.Retries += int(own.Retries)
-		if number > current-slotsPerWindow {
+		if number > current-SlotsPerWindow {
 			usage.Requests += int(own.Requests)
 			usage.FleetRequests += int(budget.known(number).Requests)
 		}
@@ -153,12 +153,12 @@
 
 // settleLocked sets what this node may still send: the least of what is left for it for each time that may be the one up
 // to which all nodes know the counts. That is its share of what is left of the allowance for the requests up to then, and
-// what its own requests after that add to the allowance. If too many were sent, each node waits for as much as all have
-// sent too many, since other nodes may get no requests. FleetRetries are those up to the newest of these times.
+// what its own requests after that add to the allowance. An excess isn't divided by shares, since nodes that get no
+// requests don't make up for theirs. FleetRetries are those up to the newest of these times.
 func (budget *WindowBudget) settleLocked(usage *Usage, terms *terms) {
 	fleet := budget.fleet
 	current := fleet.currentLocked()
-	first := current - slotsPerWindow
+	first := current - SlotsPerWindow
 	newest := min(current, max(first, fleet.slotLocked(fleet.completeness.Complete)))
 	oldest := min(newest, max(first, fleet.slotLocked(fleet.completeness.Agreed), fleet.startSlotLocked()))
 	usage.Left = math.Inf(1)
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -190,10 +190,10 @@
 	demands, demandRevision := peers.demandsForLeaves(&totals.demands)
 	// The ages of the server list and the configuration, and the demand, change all the time. The content
 	// hash doesn't cover them, so that they don't force a frame.
-	retryPosition, retryCoverage := node.retries.Position()
+	retryTotals, retryCoverage := peers.retryTotalsToWire(true)
 	volatile := &frame.Frame{
 		Listing: listingPosition(node.servers.Load().End, node.follower.ListAge()), ConfigurationAgeMs: proto.Uint32(cappedMilliseconds(node.follower.ConfigurationAge())),
-		Demands: demands, RetryTotals: retriesToWire(node.retries.All(true)), RetryCoverage: peers.coverageToWire(retryPosition, retryCoverage),
+		Demands: demands, RetryTotals: retryTotals, RetryCoverage: retryCoverage,
 	}
 	peers.addMostNodes(volatile)
 	return &encodedLeafFrame{fromVersion: from, toVersion: delta.Version, encodedAt: now, contentHash: xxhash.Sum64(body) ^ demandRevision, body: append(body, peers.encodeFrame(volatile)...)}
--- a/internal/run/gateway/retries.go
+++ b/internal/run/gateway/retries.go
@@ -69,7 +69,9 @@
 
 func (peers *peers) updateRetryTotalsLocked() {
 	now := peers.node.now()
-	parts, progress := []retry.Totals{peers.node.retries.Own()}, []retry.Progress{}
+	own := peers.node.retries.Progress(false)
+	own.Known = own.Complete
+	parts, progress := []retry.Totals{peers.node.retries.Own()}, []retry.Progress{own}
 	parts = append(append(parts, peers.lostBelow.Counts(now)...), peers.lostRoots.Counts(now)...)
 	for link, state := range peers.linkStates {
 		if !link.Upstream() && state.retries.parts != nil {
@@ -107,13 +109,12 @@
 	knownFrom := now - (position - coverage.From)
 	downstream, knowsMore := isDownstream(state.link), state.retries.knowsMore(knownFrom)
 	if downstream || knowsMore {
-		message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(!knowsMore)), peers.coverageToWire(position, coverage)
+		message.RetryTotals, message.RetryCoverage = peers.retryTotalsToWire(!knowsMore)
 		peers.addMostNodes(message)
 	}
 	if !downstream {
 		parts, progress := peers.subtreeRetriesLocked(state.link.Upstream())
-		message.RetryParts, message.RetryProgress = retriesToWire(parts), progressToWire(&progress)
-		message.RetryProgress.SlotMs = uint32(peers.node.retries.SlotLength().Milliseconds())
+		message.RetryParts, message.RetryProgress = retriesToWire(parts), progressToWire(&progress, peers.slotMs())
 	}
 	state.retries.sentAt, state.retries.grantedSent = now, peers.node.retries.Granted()
 	state.retries.greeted, state.retries.knownFrom = true, knownFrom
@@ -126,19 +127,23 @@
 	if !state.retries.knowsMore(knownFrom) {
 		return
 	}
-	message.RetryTotals, message.RetryCoverage = retriesToWire(peers.node.retries.All(false)), peers.coverageToWire(position, coverage)
+	message.RetryTotals, message.RetryCoverage = peers.retryTotalsToWire(false)
 	state.retries.greeted, state.retries.knownFrom = true, knownFrom
 }
 
-func (peers *peers) coverageToWire(position time.Duration, coverage retry.Coverage) *frame.RetryCoverage {
-	completeness := peers.node.retries.Completeness()
-	return &frame.RetryCoverage{
-		PositionMs: position.Milliseconds(), StaleMs: cappedMilliseconds(position - coverage.UpTo), KnownMs: cappedMilliseconds(coverage.UpTo - coverage.From),
-		CompleteMs: timeToWire(completeness.Complete), AgreedMs: timeToWire(completeness.Agreed), Oldest: completeness.Oldest,
-		SlotMs: uint32(peers.node.retries.SlotLength().Milliseconds()),
+// retryTotalsToWire encodes what this node knows of the counts of all nodes, and how far they go.
+func (peers *peers) retryTotalsToWire(recentOnly bool) ([]*frame.RetryCount, *frame.RetryCoverage) {
+	snapshot := peers.node.retries.Snapshot(recentOnly)
+	coverage, completeness := &snapshot.Coverage, &snapshot.Completeness
+	return retriesToWire(snapshot.Counts), &frame.RetryCoverage{
+		PositionMs: snapshot.Position.Milliseconds(), StaleMs: cappedMilliseconds(snapshot.Position - coverage.UpTo), KnownMs: cappedMilliseconds(coverage.UpTo - coverage.From),
+		CompleteMs: timeToWire(completeness.Complete), AgreedMs: timeToWire(completeness.Agreed), Oldest: completeness.Oldest, SlotMs: peers.slotMs(),
 	}
 }
 
+// slotMs returns the length of a slot in milliseconds.
+func (peers *peers) slotMs() uint32 { return uint32(peers.node.retries.SlotLength().Milliseconds()) }
+
 // timeToWire encodes a time of the fleet, nil if it is unknown.
 func timeToWire(at time.Duration) *int64 {
 	if at < 0 {
@@ -155,10 +160,11 @@
 	return time.Duration(*encoded) * time.Millisecond
 }
 
-func progressToWire(progress *retry.Progress) *frame.RetryProgress {
+func progressToWire(progress *retry.Progress, slotMs uint32) *frame.RetryProgress {
 	// The newest time is rounded up, since counts up to it are to be awaited.
 	return &frame.RetryProgress{
 		CompleteMs: progress.Complete.Milliseconds(), NewestMs: progress.Newest.Milliseconds() + 1, KnownMs: timeToWire(progress.Known), Oldest: progress.Oldest,
+		SlotMs: slotMs,
 	}
 }
 
--- a/internal/run/gateway/retrycheck.go
+++ b/internal/run/gateway/retrycheck.go
@@ -17,8 +17,8 @@
 	maxSlotCount = 1 << 19
 	// maxFleetTimeMs is the highest time of the fleet that a node may tell, a hundred years.
 	maxFleetTimeMs = 100 * 365 * 24 * 3600 * 1000
-	// maxSlotsAhead is how many slots a report may be ahead of this node, whose clock follows that of the fleet.
-	maxSlotsAhead = 20
+	// maxSlotsAhead is how many slots a report may be ahead of this node, whose clock follows that of the fleet: a window.
+	maxSlotsAhead = retry.SlotsPerWindow
 )
 
 // checkRetryCounts returns an error if the retry counts of a frame can't be counts of the fleet that this node belongs to.
