--- a/internal/peer/backendserver/endless_test.go
+++ b/internal/peer/backendserver/endless_test.go
@@ -10,28 +10,16 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
+
+	"hazelslip/internal/testlib/endless"
 )
 
-// endlessServer writes a beginning and then the same bytes until the connection is closed, and tells how many it has
-// written.
-func endlessServer(start, repeated string) (dial DialFunc, written <-chan int) {
-	done := make(chan int, 1)
-	return func(string, time.Duration) (net.Conn, error) {
-		near, far := net.Pipe()
-		go func() { _, _ = io.Copy(io.Discard, far) }()
-		go func() {
-			total := 0
-			for part := start; ; part = repeated {
-				n, err := io.WriteString(far, part)
-				total += n
-				if err != nil {
-					done <- total
-					return
-				}
-			}
-		}()
-		return near, nil
-	}, done
+// poolBefore returns a pool whose connections lead to a sender.
+func poolBefore(sender *endless.Sender) *Pool {
+	return New(Codec{
+		Encode: func(*Call) http.Header { return http.Header{} },
+		Decode: func(*Call, int, http.Header) DecodedHead { return DecodedHead{} },
+	}, Dial(func(string, time.Duration) (net.Conn, error) { return sender.Conn, nil }))
 }
 
 // Guards against a server that sends bytes without end where the head of a response is due, which a node reads into memory
@@ -46,14 +34,10 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				expect := gomega.NewWithT(t)
-				dial, written := endlessServer(server.start, server.repeated)
-				pool := New(Codec{
-					Encode: func(*Call) http.Header { return http.Header{} },
-					Decode: func(*Call, int, http.Header) DecodedHead { return DecodedHead{} },
-				}, Dial(dial))
-				_, err := pool.Send(&Call{Method: http.MethodGet, Target: "/", Host: "h", Address: "a:1", TimeLeft: time.Second})
+				sender := endless.New(server.start, server.repeated)
+				_, err := poolBefore(sender).Send(&Call{Method: http.MethodGet, Target: "/", Host: "h", Address: "a:1", TimeLeft: time.Second})
 				expect.Expect(errors.Is(err, ErrNoResponse)).To(gomega.BeTrue(), "%v", err)
-				expect.Expect(<-written).To(gomega.BeNumerically("<=", maxHeadBytes+readBufferSize))
+				expect.Expect(sender.Wait()).To(gomega.BeNumerically("<=", maxHeadBytes+readBufferSize))
 			})
 		})
 	}
@@ -63,12 +47,8 @@
 func TestBodyIsNotBoundedByTheHeadLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		expect := gomega.NewWithT(t)
-		dial, _ := endlessServer("HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx")
-		pool := New(Codec{
-			Encode: func(*Call) http.Header { return http.Header{} },
-			Decode: func(*Call, int, http.Header) DecodedHead { return DecodedHead{} },
-		}, Dial(dial))
-		reply, err := pool.Send(&Call{Method: http.MethodGet, Target: "/", Host: "h", Address: "a:1", TimeLeft: time.Second})
+		sender := endless.New("HTTP/1.1 200 OK\r\n\r\n", "xxxxxxxxxxxxxxxx")
+		reply, err := poolBefore(sender).Send(&Call{Method: http.MethodGet, Target: "/", Host: "h", Address: "a:1", TimeLeft: time.Second})
 		expect.Expect(err).NotTo(gomega.HaveOccurred())
 		defer reply.Close()
 		read, err := io.Copy(io.Discard, io.LimitReader(reply, 4*maxHeadBytes))
