fix(follower): a leaf waits for a new relay from when it finds its relay lost

What operators saw: nothing yet; at a relay's end its leaves may each read the whole registry, which hundreds of nodes must not.

A fed leaf checks every 500 ms, so that the check that finds the loss may be past that at once, and reads everything before another relay takes the leaf.

Change: the wait begins with the check that finds the loss.

Evidence: TestLeafThatChecksSeldomWaitsForNewRelay fails without it.

--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -70,10 +70,11 @@
 	Dependencies
 
 	startedAt time.Duration
-	// roleChangedAt is when the node got its current role. lastFedAt is when an upstream node was last seen to send
-	// it servers.
+	// roleChangedAt is when the node got its current role. fed is set while an upstream node sends it servers, and
+	// lossSeenAt is when it was last found that none does any more.
 	roleChangedAt atomic.Int64
-	lastFedAt     atomic.Int64
+	fed           atomic.Bool
+	lossSeenAt    atomic.Int64
 	recheck       chan struct{}
 	// storeHinted reports that another node has said that the store answers it.
 	storeHinted atomic.Bool
@@ -139,7 +140,7 @@
 // each leaf of a relay that ends, would read the whole registry.
 func (follower *Follower) awaitsFirstList(role overlay.Role) bool {
 	attached := role == overlay.Relay || role == overlay.Leaf
-	return attached && follower.Now()-time.Duration(max(follower.roleChangedAt.Load(), follower.lastFedAt.Load())) < firstListDelay
+	return attached && follower.Now()-time.Duration(max(follower.roleChangedAt.Load(), follower.lossSeenAt.Load())) < firstListDelay
 }
 
 // HintStoreAvailable is called when another node reports that the store answers it. A node that still considers
--- a/internal/fleet/follower/readpolicy_test.go
+++ b/internal/fleet/follower/readpolicy_test.go
@@ -75,3 +75,21 @@
 	now += firstListDelay
 	expect.Expect(follower.listDue()).To(gomega.BeTrue(), "no relay accepts it")
 }
+
+// Guards against a leaf that checks seldom while its relay feeds it, and reads the whole registry at the first check after
+// its relay has ended.
+func TestLeafThatChecksSeldomWaitsForNewRelay(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	follower := idleFollower()
+	now, fed := time.Hour, true
+	follower.Now = func() time.Duration { return now }
+	follower.ReadPolicy = func() ReadPolicy {
+		return ReadPolicy{Role: overlay.Leaf, FedByUpstream: fed, Rank: func() int { return 0 }}
+	}
+	expect.Expect(follower.listDue()).To(gomega.BeFalse(), "its relay sends it the list")
+	fed = false
+	now += 2 * firstListDelay
+	expect.Expect(follower.listDue()).To(gomega.BeFalse(), "its relay has ended since the last check")
+	now += firstListDelay
+	expect.Expect(follower.listDue()).To(gomega.BeTrue(), "no relay accepts it")
+}
--- a/internal/fleet/follower/registry.go
+++ b/internal/fleet/follower/registry.go
@@ -41,8 +41,9 @@
 // listDue reports whether this node should read the registry.
 func (follower *Follower) listDue() bool {
 	policy := follower.ReadPolicy()
-	if policy.FedByUpstream {
-		follower.lastFedAt.Store(int64(follower.Now()))
+	if follower.fed.Swap(policy.FedByUpstream) && !policy.FedByUpstream {
+		// A fed leaf checks seldom, so that the time of its last check says nothing about when it was last fed.
+		follower.lossSeenAt.Store(int64(follower.Now()))
 	}
 	if !follower.Servers.Load().Known() && follower.awaitsFirstList(policy.Role) {
 		return false
