feat(follower): log servers that enter and leave the list

No line said which servers a node lists. Change: a line for each update that adds or removes servers, with its source and positions. roster.Merge returns the changes in place of a flag; a listing names the node that passed it on.

--- a/internal/fleet/follower/registry.go
+++ b/internal/fleet/follower/registry.go
@@ -1,6 +1,7 @@
 package follower
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -115,12 +116,31 @@
 			follower.ServerSeen(record.Server)
 		}
 	}
-	update := roster.Update{Records: listing.Records, End: listing.Next, ReadAt: listing.RequestedAt, Complete: listing.Complete, FromPeer: listing.FromPeer}
-	if follower.Servers.Merge(update) || listing.Complete {
+	update := roster.Update{Records: listing.Records, End: listing.Next, ReadAt: listing.RequestedAt, Complete: listing.Complete, FromPeer: listing.Peer != ""}
+	changes := follower.Servers.Merge(update)
+	follower.logListChanges(&listing, &changes)
+	if changes.Changed || listing.Complete {
 		follower.ServersChanged()
 	}
 }
 
+// maxLoggedServers is the maximum number of servers that one log line names.
+const maxLoggedServers = 16
+
+// logListChanges logs which servers entered or left the list.
+func (follower *Follower) logListChanges(listing *store.Listing, changes *roster.Changes) {
+	if len(changes.Entered)+len(changes.Left) == 0 {
+		return
+	}
+	follower.Logger.Info("gateway: servers entered or left the list.", "Entered", firstServers(changes.Entered), "EnteredCount", len(changes.Entered),
+		"Left", firstServers(changes.Left), "LeftCount", len(changes.Left), "Source", cmp.Or(listing.Peer, "store"), "Complete", listing.Complete,
+		"UpdateEnd", listing.Next, "ListEnd", follower.Servers.Load().End)
+}
+
+func firstServers(ids []string) []string {
+	return ids[:min(len(ids), maxLoggedServers)]
+}
+
 // decodeServer decodes a registry entry. Unchanged entries, such as heartbeats, which are most of them, are not
 // decoded again.
 func (follower *Follower) decodeServer(record *roster.Record) bool {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -195,8 +195,16 @@
 // ReregistrationTime is how long after a restore of the registry every live server has written its entry again.
 const ReregistrationTime = 2500 * time.Millisecond
 
-// Merge applies an update and reports whether it changed the list.
-func (list *List) Merge(update Update) bool {
+// Changes are the effects of an update on a list.
+type Changes struct {
+	// Changed is set if any record changed.
+	Changed bool
+	// Entered and Left are the sorted IDs of the servers that are listed since the update, and no longer listed.
+	Entered, Left []string
+}
+
+// Merge applies an update and returns its effects.
+func (list *List) Merge(update Update) Changes {
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	list.recordEra(update)
@@ -215,11 +223,25 @@
 		End: storelog.Latest(current.End, update.End), ReadAt: max(update.ReadAt, current.ReadAt),
 		Servers: current.Servers, ByService: current.ByService,
 	}
-	if changed {
-		next.Servers, next.ByService = list.index()
+	if !changed {
+		list.snapshot.Store(next)
+		return Changes{}
 	}
+	next.Servers, next.ByService = list.index()
 	list.snapshot.Store(next)
-	return changed
+	return Changes{Changed: true, Entered: addedIDs(current.Servers, next.Servers), Left: addedIDs(next.Servers, current.Servers)}
+}
+
+// addedIDs returns the sorted IDs of the servers that only the second map contains.
+func addedIDs(before, after map[string]*Server) []string {
+	added := []string{}
+	for id := range after {
+		if before[id] == nil {
+			added = append(added, id)
+		}
+	}
+	slices.Sort(added)
+	return added
 }
 
 // recordEra records where and when a new era began, as far as this node knows.
--- a/internal/peer/store/store.go
+++ b/internal/peer/store/store.go
@@ -71,12 +71,13 @@
 	CurrentAt time.Duration
 }
 
-// Listing is an excerpt of the server registry, read from the store or, if FromPeer is set, received from another node.
+// Listing is an excerpt of the server registry, read from the store or received from another node.
 type Listing struct {
 	Records  []roster.Record
 	Next     storelog.Position
 	Complete bool
-	FromPeer bool
+	// Peer is the address of the node that passed the listing on, empty if it was read from the store.
+	Peer string
 	// RequestedAt is when the listing was requested from the store.
 	RequestedAt time.Duration
 }
--- a/internal/run/gateway/receive.go
+++ b/internal/run/gateway/receive.go
@@ -108,7 +108,7 @@
 	if !received.Follows {
 		return
 	}
-	listing := store.Listing{Next: listEnd(received), FromPeer: true, RequestedAt: now - age}
+	listing := store.Listing{Next: listEnd(received), Peer: state.link.Remote.Address, RequestedAt: now - age}
 	peers.node.follower.ObservePeerEra(listing.Next)
 	for _, record := range received.Records {
 		listing.Records = append(listing.Records, recordFromWire(record))
