fix(roster): nodes learn of servers removed before another node's complete read

Cause: a complete read of the registry doesn't show what was removed before it. A node that starts and becomes the reader has no record of such a removal. Its updates to the other nodes held all of its records and its position, so the others passed the removal without learning of it, and read on from there. The fleet learned of it only where a node read on from its own older position. Change: a list knows from which position on it has records of all removals. A node whose list is older gets a complete update, and drops what the update lacks; so it was only for reads of the store. A list ignores a record of a server that it doesn't list from before its own position. An outdated complete update removes nothing, and a removal among the records of a complete update doesn't count as an entry. UpdateFor replaces MissingAfter and ChangedSince, whose results had to be combined in the right way by the caller. Why it works: by induction a list holds what the registry holds up to its position.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -4,6 +4,12 @@
 // record only replaces an older record of the same server, so late and repeated records do no harm. A server whose
 // entry was removed is no longer listed, and its last record is discarded.
 //
+// A complete read of the registry does not show which entries were removed before it. So a list that was read
+// completely at a position cannot tell another node which entries were removed before that position. A node that knows
+// the registry only up to an earlier position therefore receives all records and drops the servers that are absent
+// (UpdateFor). For the same reason a list ignores a record of a server that it does not list from before the position
+// that it has reached: the entry was removed in the meantime, and the sender has not learned of that.
+//
 // The registry may be restored from an older backup, which begins a new era (restore generation). Entries that come
 // from the backup may be older than entries known before the restore: a server that has announced since that it is
 // leaving would appear to accept calls again. So a record that may come from the backup does not replace a record
@@ -147,6 +153,8 @@
 	records map[string]Record
 	// version increases with each entry that changes.
 	version uint64
+	// removalsKnownFrom is the position from which on the list has a record of each removed entry.
+	removalsKnownFrom storelog.Position
 	// eraStart is the first position known in the era of the snapshot's end: records from there on do not come from
 	// the backup. eraStartedAt is when the registry was first read in that era.
 	eraStart     storelog.Position
@@ -166,7 +174,7 @@
 
 // New returns an empty list.
 func New(options ...Option) *List {
-	list := &List{records: map[string]Record{}, draining: func(string, int64) bool { return false }}
+	list := &List{records: map[string]Record{}, removalsKnownFrom: storelog.Unknown, draining: func(string, int64) bool { return false }}
 	for _, option := range options {
 		option(list)
 	}
@@ -208,17 +216,20 @@
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	list.recordEra(update)
+	current := list.snapshot.Load()
 	changed := false
 	for _, record := range update.Records {
 		if !update.FromPeer {
 			record.FromBackup = record.Position.Era > 0 && storelog.Compare(record.Position, list.eraStart) < 0
 		}
-		changed = list.mergeRecord(record) || changed
+		changed = list.mergeRecord(record, current) || changed
 	}
 	if update.Complete {
-		changed = list.removeAbsent(update) || changed
+		changed = list.removeAbsent(update, current) || changed
+	}
+	if !current.End.Known() || (update.Complete && storelog.Compare(update.End, current.End) > 0) {
+		list.removalsKnownFrom = update.End
 	}
-	current := list.snapshot.Load()
 	next := &Snapshot{
 		End: storelog.Latest(current.End, update.End), ReadAt: max(update.ReadAt, current.ReadAt),
 		Servers: current.Servers, ByService: current.ByService,
@@ -253,11 +264,14 @@
 }
 
 // mergeRecord applies one record and reports whether it changed what is known of the server.
-func (list *List) mergeRecord(record Record) bool {
+func (list *List) mergeRecord(record Record, current *Snapshot) bool {
 	existing, known := list.records[record.ID]
 	if known && !record.supersedes(&existing) {
 		return false
 	}
+	if existing.Server == nil && record.Server != nil && list.removedSince(&record, current) {
+		return false
+	}
 	record.changedAt = record.Position
 	changed := !known || !existing.sameServer(&record)
 	if changed {
@@ -270,20 +284,33 @@
 	return changed
 }
 
+// removedSince reports whether a server that is not listed was removed between the record and the position that the list
+// has reached. A record of an earlier era may be unknown only because the backup lacks it, so it counts as removed once
+// ReregistrationTime has passed.
+func (list *List) removedSince(record *Record, current *Snapshot) bool {
+	if !current.End.Known() || storelog.Compare(record.Position, current.End) >= 0 {
+		return false
+	}
+	return record.Position.Era == current.End.Era || current.ReadAt-list.eraStartedAt >= ReregistrationTime
+}
+
 // removeAbsent removes the servers that a complete update does not contain, if their records are older than the
 // update, and reports whether there was one. A record of an earlier era may be missing only because the backup lacks
-// it, so it is kept until ReregistrationTime has passed.
-func (list *List) removeAbsent(update Update) bool {
+// it, so it is kept until ReregistrationTime has passed. An update that is older than the list shows no removal in its
+// own era that the list does not know.
+func (list *List) removeAbsent(update Update, current *Snapshot) bool {
 	listed := make(map[string]bool, len(update.Records))
 	for _, record := range update.Records {
-		listed[record.ID] = true
+		listed[record.ID] = record.Server != nil
 	}
+	outdated := storelog.Compare(update.End, current.End) < 0
 	reregistrationOver := update.ReadAt-list.eraStartedAt >= ReregistrationTime
 	absent := storelog.Position{Era: update.End.Era, Offset: update.End.Offset - 1}
 	changed := false
 	for id, record := range list.records {
 		older := storelog.Compare(record.Position, update.End) < 0
-		if listed[id] || !older || record.Server == nil || (record.Position.Era < update.End.Era && !reregistrationOver) {
+		earlierEra := record.Position.Era < update.End.Era
+		if listed[id] || !older || record.Server == nil || (earlierEra && !reregistrationOver) || (!earlierEra && outdated) {
 			continue
 		}
 		list.version++
@@ -345,28 +372,34 @@
 	return servers, byService
 }
 
-// ChangedSince returns the records that changed after a version of the list, and the current version.
-func (list *List) ChangedSince(version uint64) ([]Record, uint64) {
-	return list.selectRecords(func(record *Record) bool { return record.version > version })
-}
-
-// MissingAfter returns the records missing on a peer that knows the list up to a position, and the current version of
-// the list. Records of earlier eras are included, because the peer may have read only the backup.
-func (list *List) MissingAfter(position storelog.Position) ([]Record, uint64) {
-	era := list.Load().End.Era
-	return list.selectRecords(func(record *Record) bool {
-		return position.Era != era || record.Position.Era < era || storelog.Compare(record.changedAt, position) >= 0
-	})
+// Known is what another node knows of the list: everything up to End, and what this node sent before.
+type Known struct {
+	End storelog.Position
+	// version is the version of this node's list up to which changes were sent, 0 for none.
+	version uint64
 }
 
-func (list *List) selectRecords(wanted func(record *Record) bool) ([]Record, uint64) {
+// UpdateFor returns the update that the other node merges, and what it knows afterwards. The update is complete if the
+// other node may know servers whose removal this list has no record of. Records of earlier eras are included in the
+// first update, because the other node may have read only the backup.
+func (list *List) UpdateFor(known Known) (Update, Known) {
 	list.mu.Lock()
 	defer list.mu.Unlock()
-	found := []Record{}
+	snapshot := list.snapshot.Load()
+	complete := storelog.Compare(known.End, list.removalsKnownFrom) < 0
+	update := Update{End: snapshot.End, ReadAt: snapshot.ReadAt, Complete: complete, FromPeer: true}
 	for _, record := range list.records {
-		if wanted(&record) {
-			found = append(found, record)
+		if complete || known.lacks(&record, snapshot.End.Era) {
+			update.Records = append(update.Records, record)
 		}
 	}
-	return found, list.version
+	return update, Known{End: storelog.Latest(known.End, snapshot.End), version: list.version}
+}
+
+// lacks reports whether the other node may lack a record of a list that has reached the given era.
+func (known *Known) lacks(record *Record, era int64) bool {
+	if known.version > 0 {
+		return record.version > known.version
+	}
+	return known.End.Era != era || record.Position.Era < era || storelog.Compare(record.changedAt, known.End) >= 0
 }
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -116,10 +116,10 @@
 	known := roster.Update{Records: []roster.Record{entry("a", at(0, 5), false)}, End: at(0, 6)}
 	reader.Merge(known)
 	peer.Merge(known)
-	_, version := reader.ChangedSince(0)
+	_, sent := reader.UpdateFor(roster.Known{End: at(0, 6)})
 	reader.Merge(roster.Update{End: at(0, 20), Complete: true})
-	records, _ := reader.ChangedSince(version)
-	peer.Merge(roster.Update{Records: records, End: at(0, 20), FromPeer: true})
+	update, _ := reader.UpdateFor(sent)
+	peer.Merge(update)
 	listed, _ := lookUp(peer, "a")
 	expect.Expect(listed).To(gomega.BeFalse())
 }
@@ -143,11 +143,12 @@
 func TestPeerOfAnotherEraGetsAllRecords(t *testing.T) {
 	expect := gomega.NewWithT(t)
 	list := roster.New()
+	list.Merge(roster.Update{End: at(1, 3), Complete: true})
 	list.Merge(roster.Update{Records: []roster.Record{entry("a", at(1, 5), false), entry("b", at(1, 9), false)}, End: at(1, 10)})
-	lacked, _ := list.MissingAfter(at(1, 8))
-	expect.Expect(lacked).To(gomega.HaveLen(1))
-	lacked, _ = list.MissingAfter(at(0, 8))
-	expect.Expect(lacked).To(gomega.HaveLen(2))
+	update, _ := list.UpdateFor(roster.Known{End: at(1, 8)})
+	expect.Expect(update.Records).To(gomega.HaveLen(1))
+	update, _ = list.UpdateFor(roster.Known{End: at(0, 8)})
+	expect.Expect(update.Records).To(gomega.HaveLen(2))
 }
 
 // Guards against an entry that still lists a server as ready after the server itself said that it is draining, and
@@ -170,9 +171,74 @@
 	write(4, 7)
 	_, draining = lookUp(list, "a")
 	expect.Expect(draining).To(gomega.BeTrue())
-	records, _ := list.ChangedSince(0)
-	expect.Expect(records[0].Server.Draining).To(gomega.BeFalse(), "records are passed on as the registry holds them")
+	update, _ := list.UpdateFor(roster.Known{End: storelog.Unknown})
+	expect.Expect(update.Records[0].Server.Draining).To(gomega.BeFalse(), "records are passed on as the registry holds them")
 	write(5, 8)
 	_, draining = lookUp(list, "a")
 	expect.Expect(draining).To(gomega.BeFalse())
 }
+
+// Guards against calls to a removed server at nodes that learn of the registry from a node that started after the
+// removal. That node never knew the server, so its records don't show the removal.
+func TestPeersLearnOfRemovalsBeforeACompleteRead(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	reader, peer := roster.New(), roster.New()
+	peer.Merge(roster.Update{Records: []roster.Record{entry("a", at(0, 5), false), entry("b", at(0, 6), false)}, End: at(0, 7), Complete: true})
+	reader.Merge(roster.Update{Records: []roster.Record{entry("b", at(0, 6), false)}, End: at(0, 9), Complete: true})
+	update, sent := reader.UpdateFor(roster.Known{End: peer.Load().End})
+	peer.Merge(update)
+	listed, _ := lookUp(peer, "a")
+	expect.Expect(listed).To(gomega.BeFalse())
+	listed, _ = lookUp(peer, "b")
+	expect.Expect(listed).To(gomega.BeTrue())
+	update, _ = reader.UpdateFor(sent)
+	expect.Expect(update.Records).To(gomega.BeEmpty(), "a peer that knows the list gets changes only")
+}
+
+// Guards against calls to a removed server that an older list of another node puts back. The list may know of an
+// earlier removal of the same server.
+func TestOlderListDoesNotPutRemovedServersBack(t *testing.T) {
+	for name, known := range map[string][]roster.Record{"unknown server": nil, "removed before": {removed("a", at(1, 3))}} {
+		list, older := roster.New(), roster.New()
+		older.Merge(roster.Update{Records: []roster.Record{entry("a", at(1, 5), false)}, End: at(1, 7), Complete: true})
+		list.Merge(roster.Update{Records: known, End: at(1, 4)})
+		list.Merge(roster.Update{End: at(1, 9), Complete: true})
+		update, _ := older.UpdateFor(roster.Known{End: storelog.Unknown})
+		list.Merge(update)
+		listed, _ := lookUp(list, "a")
+		gomega.NewWithT(t).Expect(listed).To(gomega.BeFalse(), name)
+	}
+}
+
+// Guards against a removed server that comes back with a record of an earlier era. The record counts as long as the
+// server may not have written its entry again since the restore.
+func TestRecordsOfEarlierErasAreIgnoredAfterReregistration(t *testing.T) {
+	for readAt, expected := range map[time.Duration]bool{time.Second: true, time.Second + roster.ReregistrationTime: false} {
+		list := roster.New()
+		list.Merge(roster.Update{End: at(1, 9), Complete: true, ReadAt: time.Second})
+		list.Merge(roster.Update{End: at(1, 12), ReadAt: readAt})
+		list.Merge(roster.Update{Records: []roster.Record{entry("a", at(0, 50), false)}, End: at(0, 51), FromPeer: true})
+		listed, _ := lookUp(list, "a")
+		gomega.NewWithT(t).Expect(listed).To(gomega.Equal(expected), readAt.String())
+	}
+}
+
+// Guards against a removed server that stays listed because a complete update has its removal among the records.
+func TestRemovalInCompleteUpdateApplies(t *testing.T) {
+	list := roster.New()
+	list.Merge(roster.Update{Records: []roster.Record{entry("a", at(0, 1), false)}, End: at(0, 2), Complete: true})
+	list.Merge(roster.Update{Records: []roster.Record{removed("a", at(0, 0))}, End: at(0, 3), Complete: true, FromPeer: true})
+	listed, _ := lookUp(list, "a")
+	gomega.NewWithT(t).Expect(listed).To(gomega.BeFalse())
+}
+
+// Guards against a listed server that is dropped because an outdated update lacks it. The server had left for a moment
+// and written the same entry again.
+func TestOutdatedCompleteUpdateRemovesNothing(t *testing.T) {
+	list := roster.New()
+	list.Merge(roster.Update{Records: []roster.Record{entry("a", at(0, 1), false)}, End: at(0, 2), Complete: true})
+	list.Merge(roster.Update{End: at(0, 6), FromPeer: true})
+	list.Merge(roster.Update{End: at(0, 4), Complete: true, FromPeer: true})
+	listed, _ := lookUp(list, "a")
+	gomega.NewWithT(t).Expect(listed).To(gomega.BeTrue())
+}
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -246,24 +246,16 @@
 	if !state.listReceived || (!isDownstream(state.link) && !unknownToRemote && (!reader || remoteAge < age+follower.ListCheckInterval)) {
 		return listing
 	}
-	listing.Follows = true
-	for _, record := range peers.missingRecords(state) {
-		listing.Records = append(listing.Records, recordToWire(&record))
+	var update roster.Update
+	update, state.listKnown = peers.node.servers.UpdateFor(state.listKnown)
+	listing = listingPosition(update.End, peers.node.now()-update.ReadAt)
+	listing.Follows, listing.Complete = true, update.Complete
+	for index := range update.Records {
+		listing.Records = append(listing.Records, recordToWire(&update.Records[index]))
 	}
 	return listing
 }
 
-// missingRecords returns the records of the server list that the other side lacks, and marks them as sent.
-func (peers *peers) missingRecords(state *linkState) []roster.Record {
-	var records []roster.Record
-	if state.listSentVersion == 0 {
-		records, state.listSentVersion = peers.node.servers.MissingAfter(state.listStart)
-	} else {
-		records, state.listSentVersion = peers.node.servers.ChangedSince(state.listSentVersion)
-	}
-	return records
-}
-
 // listingPosition returns up to which position and with which age the registry is known, without records.
 func listingPosition(end storelog.Position, age time.Duration) *frame.Listing {
 	return &frame.Listing{End: end.Offset, Era: end.Era, AgeMs: cappedMilliseconds(age)}
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -12,6 +12,7 @@
 	"hazelslip/internal/fleet/follower"
 	"hazelslip/internal/fleet/leadership"
 	"hazelslip/internal/fleet/overlay"
+	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/fleet/serverload"
 	"hazelslip/internal/fleet/tree"
 	"hazelslip/internal/peer/store"
@@ -60,14 +61,12 @@
 	// sentLoads and receivedLoads track a load total of which only changes are sent.
 	sentLoads     serverload.DeltaSender
 	receivedLoads serverload.DeltaReceiver
-	// listReceived is set once the other side has sent the position of its server list, which was listStart
-	// at first. listSentVersion is the version of this node's list up to which missing records were sent, 0
-	// for none. listAge is the age of the other side's list at the time listAgeAt.
-	listReceived    bool
-	listStart       storelog.Position
-	listSentVersion uint64
-	listAge         time.Duration
-	listAgeAt       time.Duration
+	// listReceived is set once the other side has sent the position of its server list. listKnown is what it
+	// knows of this node's list. listAge is the age of the other side's list at the time listAgeAt.
+	listReceived bool
+	listKnown    roster.Known
+	listAge      time.Duration
+	listAgeAt    time.Duration
 	// catalogueSentVersion is the catalogue version that was sent to a leaf. catalogueReplica is the catalogue
 	// that this node received as a leaf.
 	catalogueSentVersion uint64
--- a/internal/run/gateway/receive.go
+++ b/internal/run/gateway/receive.go
@@ -102,13 +102,13 @@
 	}
 	state.listAge, state.listAgeAt = age, now
 	if !state.listReceived {
-		state.listReceived, state.listStart = true, listEnd(received)
+		state.listReceived, state.listKnown = true, roster.Known{End: listEnd(received)}
 	}
 	peers.mu.Unlock()
 	if !received.Follows {
 		return
 	}
-	listing := store.Listing{Next: listEnd(received), Peer: state.link.Remote.Address, RequestedAt: now - age}
+	listing := store.Listing{Next: listEnd(received), Complete: received.Complete, Peer: state.link.Remote.Address, RequestedAt: now - age}
 	peers.node.follower.ObservePeerEra(listing.Next)
 	for _, record := range received.Records {
 		listing.Records = append(listing.Records, recordFromWire(record))
