fix(roster): a complete read overrides what a list takes for removed

Cause: a list ignores records of servers that it doesn't list from before its own position. If it ever took a server for removed in error, it would ignore that server's entry in complete reads too, until the entry changes. Change: records of a complete update that isn't outdated are always accepted; such an update says what exists. Measured: TestCompleteReadOverridesTheList fails without it. TestListsMatchTheRegistryUpToTheirEnd passes as before, so the order of reads and updates leads to no such state by itself.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -217,15 +217,17 @@
 	defer list.mu.Unlock()
 	list.recordEra(update)
 	current := list.snapshot.Load()
-	changed := false
+	changed, outdated := false, storelog.Compare(update.End, current.End) < 0
 	for _, record := range update.Records {
 		if !update.FromPeer {
 			record.FromBackup = record.Position.Era > 0 && storelog.Compare(record.Position, list.eraStart) < 0
 		}
-		changed = list.mergeRecord(record, current) || changed
+		if authoritative := update.Complete && !outdated; authoritative || !list.removedSince(&record, current) {
+			changed = list.mergeRecord(record) || changed
+		}
 	}
 	if update.Complete {
-		changed = list.removeAbsent(update, current) || changed
+		changed = list.removeAbsent(update, outdated) || changed
 	}
 	if !current.End.Known() || (update.Complete && storelog.Compare(update.End, current.End) > 0) {
 		list.removalsKnownFrom = update.End
@@ -264,14 +266,11 @@
 }
 
 // mergeRecord applies one record and reports whether it changed what is known of the server.
-func (list *List) mergeRecord(record Record, current *Snapshot) bool {
+func (list *List) mergeRecord(record Record) bool {
 	existing, known := list.records[record.ID]
 	if known && !record.supersedes(&existing) {
 		return false
 	}
-	if existing.Server == nil && record.Server != nil && list.removedSince(&record, current) {
-		return false
-	}
 	record.changedAt = record.Position
 	changed := !known || !existing.sameServer(&record)
 	if changed {
@@ -288,7 +287,8 @@
 // has reached. A record of an earlier era may be unknown only because the backup lacks it, so it counts as removed once
 // ReregistrationTime has passed.
 func (list *List) removedSince(record *Record, current *Snapshot) bool {
-	if !current.End.Known() || storelog.Compare(record.Position, current.End) >= 0 {
+	listed := list.records[record.ID].Server != nil
+	if listed || record.Server == nil || storelog.Compare(record.Position, current.End) >= 0 {
 		return false
 	}
 	return record.Position.Era == current.End.Era || current.ReadAt-list.eraStartedAt >= ReregistrationTime
@@ -298,12 +298,11 @@
 // update, and reports whether there was one. A record of an earlier era may be missing only because the backup lacks
 // it, so it is kept until ReregistrationTime has passed. An update that is older than the list shows no removal in its
 // own era that the list does not know.
-func (list *List) removeAbsent(update Update, current *Snapshot) bool {
+func (list *List) removeAbsent(update Update, outdated bool) bool {
 	listed := make(map[string]bool, len(update.Records))
 	for _, record := range update.Records {
 		listed[record.ID] = record.Server != nil
 	}
-	outdated := storelog.Compare(update.End, current.End) < 0
 	reregistrationOver := update.ReadAt-list.eraStartedAt >= ReregistrationTime
 	absent := storelog.Position{Era: update.End.Era, Offset: update.End.Offset - 1}
 	changed := false
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -242,3 +242,12 @@
 	listed, _ := lookUp(list, "a")
 	gomega.NewWithT(t).Expect(listed).To(gomega.BeTrue())
 }
+
+// Guards against a listed server that a list takes for removed and doesn't accept from a complete read of the registry.
+func TestCompleteReadOverridesTheList(t *testing.T) {
+	list := roster.New()
+	list.Merge(roster.Update{End: at(0, 9), FromPeer: true})
+	list.Merge(roster.Update{Records: []roster.Record{entry("a", at(0, 5), false)}, End: at(0, 9), Complete: true})
+	listed, _ := lookUp(list, "a")
+	gomega.NewWithT(t).Expect(listed).To(gomega.BeTrue())
+}
