fix(drain): the end of a drain reaches nodes whose neighbour started after it

What callers saw: a data centre could stay drained after the operator ended the drain, at a node that was cut off meanwhile and at nodes that hear from it, until that node read the operator's log by itself: 30 s, and never for a leaf. Its servers got no new calls, so others were refused sooner. A complete read of the log shows active drains only. A node that started after the end of a drain has no record of it; its frames don't say that the drain is over, and it took the older record of a neighbour for news. Change: frames say up to which position their drains cover the log, and when it was read. A drain that they lack has ended. A table ignores the start of a drain that isn't active if it is older than the position that the table has reached. One method, Apply, for the log and for peers in place of ApplyLog and Merge. An answer of another era covers nothing, so its position isn't taken. Frames grow by up to 12 bytes.

--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -5,6 +5,11 @@
 // node reads the log and the others receive the records from their peers, so a node may receive the same record
 // several times.
 //
+// A complete read of the log contains active drains only, so a node that started after the end of a drain has no record
+// of it. Nodes therefore pass on all records together with the position up to which these cover the log: a drain that
+// they lack has ended. For the same reason a table ignores the start of a drain that is not active, if the start is
+// older than the position that the table has reached.
+//
 // The store may be restored from an older backup, which begins a new era (restore generation). A drain that the
 // backup lacks is kept until the operator has had time to write it again. A drain that the backup contains, although
 // it had ended, applies until its end is written again.
@@ -14,7 +19,8 @@
 // # Usage
 //
 //	table := drain.New(drain.Clock(clock.Boot))
-//	changes := table.ApplyLog(drain.Update{Records: records, End: end, Complete: true, ReadAt: readAt})
+//	changes := table.Apply(drain.Update{Records: records, End: end, Complete: true, ReadAt: readAt})
+//	other.Apply(table.Update())
 //	status := table.Status("centre-1")
 //	if status.Drained() { ... }
 package drain
@@ -40,10 +46,10 @@
 	Drained  bool
 }
 
-// Update is the result of one read of the operator's log.
+// Update is the result of one read of the operator's log, or what a peer passed on.
 type Update struct {
 	Records []Record
-	// End is the position up to which Records contains all changes.
+	// End is the position up to which Records contains all changes, storelog.Unknown if the peer has none.
 	End storelog.Position
 	// Complete is set when Records contains all active drains.
 	Complete bool
@@ -76,8 +82,10 @@
 	mu       sync.Mutex
 	records  map[string]Record
 	statuses map[string]*Status
-	// era is the latest era in which the log was read, eraStartedAt the time of the first read in that era.
-	era          int64
+	// end is the position up to which the table covers the log, and readAt when the log was read. eraStartedAt is the
+	// time of the first read in the era of end.
+	end          storelog.Position
+	readAt       time.Duration
 	eraStartedAt time.Duration
 }
 
@@ -91,7 +99,7 @@
 
 // New returns a table without drains.
 func New(options ...Option) *Table {
-	table := &Table{now: clock.Boot, records: map[string]Record{}, statuses: map[string]*Status{}, era: -1}
+	table := &Table{now: clock.Boot, records: map[string]Record{}, statuses: map[string]*Status{}, end: storelog.Unknown}
 	for _, option := range options {
 		option(table)
 	}
@@ -114,25 +122,54 @@
 	return status
 }
 
-// ApplyLog applies a read of the log by this node, and returns the records that started or ended a drain.
-func (table *Table) ApplyLog(update Update) []Record {
+// Apply applies an update, and returns the records that started or ended a drain.
+func (table *Table) Apply(update Update) []Record {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	if update.End.Era > table.era {
-		table.era, table.eraStartedAt = update.End.Era, update.ReadAt
+	if update.End.Known() && (!table.end.Known() || update.End.Era > table.end.Era) {
+		table.eraStartedAt = update.ReadAt
+	}
+	outdated := storelog.Compare(update.End, table.end) < 0
+	changes := []Record{}
+	for _, record := range update.Records {
+		if authoritative := update.Complete && !outdated; authoritative || !table.endedSinceLocked(&record) {
+			changes = append(changes, table.mergeLocked(record)...)
+		}
 	}
-	changes := table.mergeLocked(update.Records)
-	return append(changes, table.mergeLocked(table.absentLocked(&update))...)
+	if !update.End.Known() || outdated {
+		return changes
+	}
+	for _, record := range table.absentLocked(&update) {
+		changes = append(changes, table.mergeLocked(record)...)
+	}
+	table.end, table.readAt = update.End, max(table.readAt, update.ReadAt)
+	return changes
+}
+
+// endedSinceLocked reports whether a drain that is not active ended between the record of its start and the position
+// that the table has reached. A drain from an earlier era may be unknown only because the backup lacks it, so it counts
+// as ended once it was not written again within roster.ReregistrationTime.
+func (table *Table) endedSinceLocked(record *Record) bool {
+	if !record.Drained || table.records[record.DataCentre].Drained || storelog.Compare(record.Position, table.end) >= 0 {
+		return false
+	}
+	return record.Position.Era == table.end.Era || table.rewriteTimeOverLocked(table.readAt)
+}
+
+// rewriteTimeOverLocked reports whether a read at the given time shows all records that were written again in the
+// current era.
+func (table *Table) rewriteTimeOverLocked(readAt time.Duration) bool {
+	return readAt-table.eraStartedAt >= roster.ReregistrationTime
 }
 
 // absentLocked returns end records for the drains that are over because the update lacks them. A drain from the era of
 // the update is over when a complete update lacks it. A drain from an earlier era is over when it was not written again
 // within roster.ReregistrationTime.
 func (table *Table) absentLocked(update *Update) []Record {
-	rewriteTimeOver := update.ReadAt-table.eraStartedAt >= roster.ReregistrationTime
+	rewriteTimeOver := table.rewriteTimeOverLocked(update.ReadAt)
 	ended := []Record{}
 	for _, existing := range table.records {
-		listed := slices.ContainsFunc(update.Records, func(record Record) bool { return record.DataCentre == existing.DataCentre })
+		listed := slices.ContainsFunc(update.Records, func(record Record) bool { return record.DataCentre == existing.DataCentre && record.Drained })
 		older := storelog.Compare(existing.Position, update.End) < 0
 		if !existing.Drained || listed || !older {
 			continue
@@ -146,47 +183,37 @@
 	return ended
 }
 
-// Merge applies records from another node, and returns the records that started or ended a drain.
-func (table *Table) Merge(records []Record) []Record {
-	table.mu.Lock()
-	defer table.mu.Unlock()
-	return table.mergeLocked(records)
-}
-
-func (table *Table) mergeLocked(records []Record) []Record {
-	changes := []Record{}
-	for _, record := range records {
-		existing, known := table.records[record.DataCentre]
-		if known && storelog.Compare(record.Position, existing.Position) <= 0 {
-			continue
-		}
-		table.records[record.DataCentre] = record
-		if known && existing.Drained == record.Drained {
-			continue
-		}
-		status := table.statusLocked(record.DataCentre)
-		status.drained.Store(record.Drained)
-		if !record.Drained {
-			status.endedAt.Store(int64(table.now()))
-		}
-		changes = append(changes, record)
+// mergeLocked applies a record if it is the newest of its data centre, and returns it if it started or ended a drain.
+func (table *Table) mergeLocked(record Record) []Record {
+	existing, known := table.records[record.DataCentre]
+	if known && storelog.Compare(record.Position, existing.Position) <= 0 {
+		return nil
 	}
-	return changes
+	table.records[record.DataCentre] = record
+	if known && existing.Drained == record.Drained {
+		return nil
+	}
+	status := table.statusLocked(record.DataCentre)
+	status.drained.Store(record.Drained)
+	if !record.Drained {
+		status.endedAt.Store(int64(table.now()))
+	}
+	return []Record{record}
 }
 
-// Records returns the last record of each data centre, ordered by data centre, for other nodes.
-func (table *Table) Records() []Record {
+// Update returns all that the table knows, for other nodes.
+func (table *Table) Update() Update {
 	table.mu.Lock()
 	defer table.mu.Unlock()
-	return slices.SortedFunc(maps.Values(table.records), func(one, other Record) int {
+	records := slices.SortedFunc(maps.Values(table.records), func(one, other Record) int {
 		return strings.Compare(one.DataCentre, other.DataCentre)
 	})
+	return Update{Records: records, End: table.end, ReadAt: table.readAt, Complete: table.end.Known()}
 }
-
 // Drained returns the names of the drained data centres, sorted.
 func (table *Table) Drained() []string {
 	drained := []string{}
-	for _, record := range table.Records() {
+	for _, record := range table.Update().Records {
 		if record.Drained {
 			drained = append(drained, record.DataCentre)
 		}
--- a/internal/fleet/follower/follower.go
+++ b/internal/fleet/follower/follower.go
@@ -290,15 +290,20 @@
 	if err != nil {
 		return position, err
 	}
+	eraErr := checkSameEra(position, version.Next)
 	update := drain.Update{Records: version.Drains, End: version.Next, Complete: version.Complete, ReadAt: version.CurrentAt}
-	if changes := follower.Drains.ApplyLog(update); len(changes) > 0 {
+	if eraErr != nil {
+		// The records before the position may differ from those that were read, so the update covers nothing.
+		update.End = storelog.Unknown
+	}
+	if changes := follower.Drains.Apply(update); len(changes) > 0 {
 		follower.DrainsChanged(changes)
 	}
 	if len(version.Body) > 0 {
 		follower.OfferConfiguration(version.Body, "store")
 	}
 	follower.markConfirmed(version.CurrentAt)
-	return version.Next, checkSameEra(position, version.Next)
+	return version.Next, eraErr
 }
 
 // OfferConfiguration decodes a configuration version and applies it if it is newer than the one in force.
--- a/internal/policy/dispatch/drain_test.go
+++ b/internal/policy/dispatch/drain_test.go
@@ -30,7 +30,7 @@
 }
 
 func setNorthDrained(table *drain.Table, offset int64, drained bool) {
-	table.Merge([]drain.Record{{DataCentre: "north", Position: storelog.Position{Offset: offset}, Drained: drained}})
+	table.Apply(drain.Update{Records: []drain.Record{{DataCentre: "north", Position: storelog.Position{Offset: offset}, Drained: drained}}, End: storelog.Unknown})
 }
 
 // Guards against calls to a drained local data centre, and against waiting for its servers.
--- a/internal/run/gateway/compose.go
+++ b/internal/run/gateway/compose.go
@@ -73,13 +73,13 @@
 // may lack.
 func (peers *peers) backboneFrame(state *linkState) *frame.Frame {
 	node, link := peers.node, state.link
-	totals := peers.totalsLocked()
+	totals, drains := peers.totalsLocked(), peers.node.drains.Update()
 	message := &frame.Frame{
 		HighestTerm: node.elector.Highest(), ConfigurationVersion: node.configuration.Load().Configuration.Version,
 		ConfigurationAgeMs: proto.Uint32(cappedMilliseconds(node.follower.ConfigurationAge())),
 		Fit:                peers.synced(), StoreAway: node.storeCalls.Unavailable(), News: state.pendingAnnouncements, SilentHeads: state.pendingStalls,
 		Listing: peers.listingFor(state), Suspects: peers.nextSuspects(state), Notices: peers.nextNotices(state),
-		Drains: drainsToWire(node.drains.Records()),
+		Drains: drainsToWire(drains.Records), DrainLog: drainLogToWire(&drains, node.now()),
 	}
 	state.pendingAnnouncements, state.pendingStalls = nil, nil
 	message.Lost = pathsToWire(peers.lostPathsFor(link))
@@ -168,12 +168,12 @@
 
 // encodeLeafFrame encodes the part of a frame that all leaves with the given catalogue version share.
 func (peers *peers) encodeLeafFrame(from uint64, now time.Duration) *encodedLeafFrame {
-	node, totals := peers.node, peers.totalsLocked()
+	node, totals, drains := peers.node, peers.totalsLocked(), peers.node.drains.Update()
 	delta := peers.catalogue.Since(from)
 	message := &frame.Frame{
 		HighestTerm: node.elector.Highest(), ConfigurationVersion: node.configuration.Load().Configuration.Version,
 		Nodes: uint32(totals.fleetNodes), Fit: peers.synced(), StoreAway: node.storeCalls.Unavailable(),
-		Drains: drainsToWire(node.drains.Records()),
+		Drains: drainsToWire(drains.Records),
 	}
 	if !delta.Empty() {
 		message.Catalogue = catalogueToWire(delta)
@@ -188,12 +188,12 @@
 	}
 	body := peers.encodeFrame(message)
 	demands, demandRevision := peers.demandsForLeaves(&totals.demands)
-	// The ages of the server list and the configuration, and the demand, change all the time. The content
-	// hash doesn't cover them, so that they don't force a frame.
+	// The ages of the server list, the configuration and the drains, and the demand, change all the time. The
+	// content hash doesn't cover them, so that they don't force a frame.
 	retryTotals, retryCoverage := peers.retryTotalsToWire(true)
 	volatile := &frame.Frame{
 		Listing: listingPosition(node.servers.Load().End, node.follower.ListAge()), ConfigurationAgeMs: proto.Uint32(cappedMilliseconds(node.follower.ConfigurationAge())),
-		Demands: demands, RetryTotals: retryTotals, RetryCoverage: retryCoverage,
+		Demands: demands, RetryTotals: retryTotals, RetryCoverage: retryCoverage, DrainLog: drainLogToWire(&drains, now),
 	}
 	peers.addMostNodes(volatile)
 	return &encodedLeafFrame{fromVersion: from, toVersion: delta.Version, encodedAt: now, contentHash: xxhash.Sum64(body) ^ demandRevision, body: append(body, peers.encodeFrame(volatile)...)}
--- a/internal/run/gateway/drains.go
+++ b/internal/run/gateway/drains.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"time"
+
 	"hazelslip/internal/fleet/drain"
 	"hazelslip/internal/fleet/overlay"
 	"hazelslip/internal/state/storelog"
@@ -21,12 +23,12 @@
 	node.peers.broadcastVersion()
 }
 
-// handleDrains merges the data centre drains that another node knows.
-func (peers *peers) handleDrains(link *overlay.Link, received []*frame.DataCentreDrain) {
-	if len(received) == 0 {
+// handleDrains applies the data centre drains that another node knows.
+func (peers *peers) handleDrains(link *overlay.Link, received *frame.Frame) {
+	if len(received.Drains) == 0 && received.DrainLog == nil {
 		return
 	}
-	if changes := peers.node.drains.Merge(drainsFromWire(received)); len(changes) > 0 {
+	if changes := peers.node.drains.Apply(drainsFromWire(received, peers.node.now())); len(changes) > 0 {
 		peers.node.drainsChanged(changes, link.Remote.Address)
 	}
 }
@@ -41,12 +43,24 @@
 	return encoded
 }
 
-func drainsFromWire(encoded []*frame.DataCentreDrain) []drain.Record {
-	records := make([]drain.Record, 0, len(encoded))
-	for _, record := range encoded {
-		records = append(records, drain.Record{
+// drainLogToWire encodes how far an update covers the operator's log, nil if it covers nothing.
+func drainLogToWire(update *drain.Update, now time.Duration) *frame.DrainLog {
+	if !update.Complete {
+		return nil
+	}
+	return &frame.DrainLog{Era: update.End.Era, Offset: update.End.Offset, AgeMs: cappedMilliseconds(now - update.ReadAt)}
+}
+
+func drainsFromWire(received *frame.Frame, now time.Duration) drain.Update {
+	update := drain.Update{End: storelog.Unknown}
+	for _, record := range received.Drains {
+		update.Records = append(update.Records, drain.Record{
 			DataCentre: record.DataCentre, Position: storelog.Position{Era: record.Era, Offset: record.Offset}, Drained: record.Drained,
 		})
 	}
-	return records
+	if log := received.DrainLog; log != nil {
+		update.End, update.Complete = storelog.Position{Era: log.Era, Offset: log.Offset}, true
+		update.ReadAt = now - time.Duration(log.AgeMs)*time.Millisecond
+	}
+	return update
 }
--- a/internal/run/gateway/receive.go
+++ b/internal/run/gateway/receive.go
@@ -16,7 +16,7 @@
 
 // handleFrame applies a frame received over a link.
 func (peers *peers) handleFrame(link *overlay.Link, received *frame.Frame) {
-	peers.handleDrains(link, received.Drains)
+	peers.handleDrains(link, received)
 	peers.node.elector.Observe(received.HighestTerm)
 	peers.handleLeader(received.Holder)
 	peers.fetchIfNewer(link, received.ConfigurationVersion)
