--- a/internal/fleet/drain/drain.go
+++ b/internal/fleet/drain/drain.go
@@ -210,6 +210,7 @@
 	})
 	return Update{Records: records, End: table.end, ReadAt: table.readAt, Complete: table.end.Known()}
 }
+
 // Drained returns the names of the drained data centres, sorted.
 func (table *Table) Drained() []string {
 	drained := []string{}
