fix(quarantine): a lift outlasts the failures before it

A request whose suspicion was lifted could be refused again for minutes. A list remembered a lift for 30 s, but failures count for ten minutes. A node that was cut off for longer than 30 s reports the failures from before the lift, and the other nodes quarantine the request again. Change: a lift is kept for as long as failures count. What was known of earlier answers is dropped when it is older than the time for which an answer counts, as it was with the entry, so the threshold of a part is as before. Measured: TestLiftOutlastsTheFailuresBeforeIt fails on: quarantined after nine minutes. The tests of quarantines of whole nodes pass. The list is bounded as before (2,048 entries, those without failures go first).

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -53,9 +53,6 @@
 	// defaultFailureTTL is how long a failure counts. Callers retry such a request after seconds or
 	// minutes. Afterwards a fault that was fixed in the meantime no longer blocks requests.
 	defaultFailureTTL = 10 * time.Minute
-	// liftTTL is how long the list remembers that suspicion was lifted. Older failures that arrive late
-	// must not raise the suspicion again.
-	liftTTL = 30 * time.Second
 	// sameLiftTolerance is the maximum difference between the times that nodes record for the same
 	// lift.
 	sameLiftTolerance = time.Second
@@ -401,7 +398,8 @@
 	return found
 }
 
-// Sweep removes expired failures, and entries without failures whose lift is older than liftTTL.
+// Sweep removes expired failures, and entries without failures. A lift is kept for as long as failures count, because a
+// node that was cut off may still report failures from before it.
 func (list *List) Sweep() {
 	if list.entryCount.Load() == 0 {
 		return
@@ -412,8 +410,12 @@
 	defer list.updateCountsLocked()
 	for fingerprint, entry := range list.entries {
 		entry.Failures = slices.DeleteFunc(entry.Failures, func(failure Failure) bool { return now-failure.At > list.failureTTL })
-		if len(entry.Failures) == 0 && now-entry.LiftedAt > liftTTL {
+		switch {
+		case len(entry.Failures) > 0:
+		case entry.LiftedAt == 0 || now-entry.LiftedAt > list.failureTTL:
 			delete(list.entries, fingerprint)
+		case now-entry.LiftedAt > successTTL:
+			entry.Answered = false
 		}
 	}
 }
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -154,6 +154,35 @@
 	})
 }
 
+// Guards against a request that is quarantined again after suspicion was lifted, because a node that was cut off
+// meanwhile still reports the failures from before.
+func TestLiftOutlastsTheFailuresBeforeIt(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	now := time.Hour
+	clock := quarantine.Clock(func() time.Duration { return now })
+	list, cutOff := quarantine.New(clock), quarantine.New(clock)
+	for _, run := range []string{"i-1", "i-2", "i-3"} {
+		list.RecordFailure(quarantine.Subject{Fingerprint: poison}, run)
+		cutOff.RecordFailure(quarantine.Subject{Fingerprint: poison}, run)
+	}
+	list.Merge(quarantine.Suspect{Subject: quarantine.Subject{Fingerprint: poison}, Answered: true})
+	now += time.Second
+	expect.Expect(list.Lift(poison)).To(gomega.BeTrue())
+	now += 9 * time.Minute
+	list.Sweep()
+	suspect, known := cutOff.Suspect(poison)
+	expect.Expect(known).To(gomega.BeTrue())
+	list.Merge(suspect)
+	_, quarantined := list.Quarantined(poison)
+	expect.Expect(quarantined).To(gomega.BeFalse())
+	suspect, _ = list.Suspect(poison)
+	expect.Expect(suspect.Answered).To(gomega.BeFalse(), "an answer before the lift says nothing about later failures")
+	now += 2 * time.Minute
+	list.Sweep()
+	_, known = list.Suspect(poison)
+	expect.Expect(known).To(gomega.BeFalse(), "a lift is dropped when the failures before it no longer count")
+}
+
 // Guards against nodes whose lists differ after all announcements were exchanged in any order, late
 // and repeatedly.
 func TestListsConverge(t *testing.T) {
