fix(forward): a response without end ends with the request's time

Cause: a response that fits neither the buffer nor the memory budget is relayed as it arrives. The timer of the call stops then, and each read got at least 3 s anew, so that a server that goes on sending was never late. Change: the server has what is left of the request's time, and 0.2 s more, for the whole rest of the response. Time in which the node waits for the caller doesn't count. A response of unknown length also ends 64 MiB after the request's time, for servers that send as fast as their callers read. The outcome is TimeUp. Why it works: the time that the node waits for the server is bounded, and so is what it relays without waiting.

--- a/internal/serve/forward/response.go
+++ b/internal/serve/forward/response.go
@@ -3,15 +3,21 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// maxRelayPause is how long a server may send nothing of a response that is relayed unbuffered, once the caller's
-// time is over: a late response is still delivered.
-const maxRelayPause = 3 * time.Second
+const (
+	// relayGrace is how much longer than the request's time a server may take for a response that is relayed
+	// unbuffered. The caller has the most of such a response by then.
+	relayGrace = 200 * time.Millisecond
+	// maxLateBytes bounds what is relayed of a response of unknown length after the request's time. A caller may read
+	// slowly, so that a large response is late through no fault of its server, but one without end must end.
+	maxLateBytes = 64 << 20
+)
 
 // readResponse buffers a response. A response that is longer than maxResponseBytes or does not fit into the memory
 // budget is relayed unbuffered, because the call has run and can no longer be refused.
@@ -95,12 +101,13 @@
 }
 
 // relayUnbuffered relays a response as it arrives, starting with the part already read, for which reserved bytes
-// are counted. It ends the request. If the server disconnects early, relayUnbuffered closes the caller's
-// connection, so that the truncated response does not look complete.
+// are counted. It ends the request. If the server disconnects early or does not end the response in time,
+// relayUnbuffered closes the caller's connection, so that the truncated response does not look complete.
 func (exchange *exchange) relayUnbuffered(attempt *attempt, read []byte, reserved int64) {
-	// The server's time limit was for the whole response to be read. From here on, the caller's reading speed
-	// determines the duration.
+	// The timeout does not tell the server's time from the time that the caller takes to read.
 	attempt.timeout.Stop()
+	exchange.deadline = exchange.computeDeadline(0)
+	serverTime := exchange.timeLeft() + relayGrace
 	exchange.setFallback(nil)
 	exchange.releaseBody()
 	exchange.copyHeaders(attempt.Header)
@@ -112,9 +119,12 @@
 	err := exchange.write(read)
 	exchange.reservation.Shrink(reserved)
 	if err == nil {
-		err = exchange.relayRest(attempt)
+		err = exchange.relayRest(attempt, serverTime)
 	}
 	if errors.Is(err, errTruncated) {
+		if errors.IsAny(err, os.ErrDeadlineExceeded, errNotEnding) {
+			exchange.outcome = TimeUp
+		}
 		exchange.recordRun()
 		exchange.recordResult(attempt, true)
 		exchange.recordServerFailure(attempt, err)
@@ -130,16 +140,24 @@
 	exchange.log(attempt.Status)
 }
 
-// errTruncated means that the server disconnected in the middle of a relayed response.
-var errTruncated = errors.New("response truncated")
+var (
+	// errTruncated means that the server did not complete a relayed response.
+	errTruncated = errors.New("response truncated")
+	// errNotEnding means that a response went on after the request's time.
+	errNotEnding = errors.New("the response did not end in time")
+)
 
-// relayRest relays the rest of a response.
-func (exchange *exchange) relayRest(attempt *attempt) error {
+// relayRest relays the rest of a response, for which the server has the given time. The time that the caller takes to
+// read does not count. The error is marked as errTruncated if the server does not complete the response.
+func (exchange *exchange) relayRest(attempt *attempt, serverTime time.Duration) error {
 	buffer, _ := exchange.forwarder.buffers.Get().(*[copyBufferSize]byte)
 	defer exchange.forwarder.buffers.Put(buffer)
-	for {
-		attempt.SetDeadline(time.Now().Add(max(exchange.timeLeft(), maxRelayPause)))
+	lateBytes := 0
+	for serverTime > 0 && lateBytes <= maxLateBytes {
+		began := exchange.forwarder.Now()
+		attempt.SetDeadline(time.Now().Add(serverTime))
 		n, err := exchange.readReply(attempt, buffer[:])
+		serverTime -= exchange.forwarder.Now() - began
 		if err := exchange.write(buffer[:n]); err != nil {
 			return err
 		}
@@ -148,6 +166,9 @@
 			return nil
 		case err != nil:
 			return errors.Mark(errors.Wrapf(err, "read the response of server %s", attempt.target.ID), errTruncated)
+		case attempt.Length < 0 && exchange.timeLeft() < 0:
+			lateBytes += n
 		}
 	}
+	return errors.Mark(errors.Wrapf(errNotEnding, "relay the response of server %s", attempt.target.ID), errTruncated)
 }
