fix(forward): a response that is cut off is reset for HTTP/1.0 callers

A caller that speaks HTTP/1.0 takes a response that was cut off for a complete one. Cause: a partly delivered response is cut off by closing the connection. HTTP/1.1 callers miss the length or the last chunk. For HTTP/1.0 there are no chunks: the end of the connection is the end of a response without a length. Change: the connection of such a caller is reset in place of closed. Measured: TestTruncatedResponseIsNotCompleteForHTTP10 (a relayed response, a stream) fails without it.

--- a/internal/run/gateway/caller_conn.go
+++ b/internal/run/gateway/caller_conn.go
@@ -81,6 +81,14 @@
 	return nil
 }
 
+// SetLinger sets whether Close resets the connection, which a time of 0 seconds asks for, as for a net.TCPConn.
+func (conn *callerConn) SetLinger(seconds int) error {
+	if tcp, ok := conn.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return tcp.SetLinger(seconds)
+	}
+	return nil
+}
+
 // unknownSize is the result of unsentBytes when the kernel doesn't report the size.
 const unknownSize = -1
 
--- a/internal/run/gateway/caller_conn_test.go
+++ b/internal/run/gateway/caller_conn_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"os"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -62,3 +63,20 @@
 	expect.Expect(err).NotTo(gomega.HaveOccurred())
 	expect.Eventually(conn.unsentBytes).WithTimeout(5 * time.Second).Should(gomega.BeNumerically("<", queued))
 }
+
+// Guards against a connection that ends cleanly although it was to be reset.
+func TestCallerConnectionCanBeReset(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	defer listener.Close()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	defer caller.Close()
+	accepted, err := newCallerListener(listener).Accept()
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	expect.Expect(accepted.(*callerConn).SetLinger(0)).To(gomega.Succeed())
+	expect.Expect(accepted.Close()).To(gomega.Succeed())
+	_, err = io.ReadAll(caller)
+	expect.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
+}
--- a/internal/serve/forward/endless_test.go
+++ b/internal/serve/forward/endless_test.go
@@ -1,9 +1,11 @@
 package forward_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,3 +113,29 @@
 		})
 	}
 }
+
+// Guards against a response that was cut off and looks complete to an HTTP/1.0 caller, for whom the end of the connection
+// ends a response without a length.
+func TestTruncatedResponseIsNotCompleteForHTTP10(t *testing.T) {
+	for path, part := range map[string]string{"/ping/1": strings.Repeat("x", megabyte), "/draft/1": "id: 0\ndata: x\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			rig := newRig(t, 16<<10, func(writer http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(writer, part)
+				_ = http.NewResponseController(writer).Flush()
+				time.Sleep(time.Second)
+				panic(http.ErrAbortHandler)
+			})
+			connection, err := rig.network.Dialer("callers")(t.Context(), "tcp", nodeAddress)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = fmt.Fprintf(connection, "POST %s HTTP/1.0\r\nHost: h.example\r\nId: one\r\nKey: key-0\r\nContent-Length: 2\r\n\r\n{}", path)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			response, err := io.ReadAll(connection)
+			expect.Expect(string(response)).To(gomega.HavePrefix("HTTP/1.0 200"))
+			expect.Expect(err).To(gomega.HaveOccurred(), path)
+			_ = connection.Close()
+			expect.Expect(rig.shutdown()).To(gomega.BeZero())
+		})
+	}
+}
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -79,9 +79,8 @@
 		exchange.log(0)
 		panic(http.ErrAbortHandler)
 	case exchange.responseStarted:
-		// A partly delivered response can only be cut off, so that it does not look complete.
 		exchange.log(http.StatusBadGateway)
-		panic(http.ErrAbortHandler)
+		exchange.cutOff()
 	case exchange.fallback != nil:
 		exchange.deliver(exchange.fallback)
 	case !exchange.mayHaveRun:
@@ -96,3 +95,17 @@
 		exchange.fail(http.StatusBadGateway)
 	}
 }
+
+// cutOff ends a partly delivered response so that it does not look complete. A response to an HTTP/1.0 caller may have
+// neither a length nor chunks and end with its connection, so that connection is reset.
+func (exchange *exchange) cutOff() {
+	if !exchange.inbound.ProtoAtLeast(1, 1) {
+		if connection, _, err := http.NewResponseController(exchange.writer).Hijack(); err == nil {
+			if resettable, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
+				_ = resettable.SetLinger(0)
+			}
+			_ = connection.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
