fix(quarantine): an earlier answer doesn't excuse later crashes

Cause: a node that had answered a request ignored all failures under it for 30 s and told nobody. Change: such failures count and are told, with the fact that the request had been answered. It is refused 2 s after the failure that reached the threshold unless it is answered in that time, which lifts the suspicion everywhere. Why it works: a sound request is answered by servers that didn't crash, a harmful one isn't.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -69,10 +69,12 @@
 	// partSuccessTTL is how long an answered part is known as harmless. Requests with shared parts are answered more
 	// often than that, and a part that turns harmful is found out soon after.
 	partSuccessTTL = 2 * time.Second
-	// successTTL is how long an answered request is known as harmless. successSlots is the number of
-	// slots for such requests, at sixteen bytes each. A request's slot is given by the last bits of its
-	// fingerprint. Without these records harmless requests would be quarantined when all callers of a
-	// fleet send the same body and several groups lose their head server at once.
+	// answeredGrace is how long a request that had been answered may be answered again after the failure that would
+	// quarantine it. Without it harmless requests would be quarantined when all callers of a fleet send the same body
+	// and several groups lose their head server at once.
+	answeredGrace = 2 * time.Second
+	// successTTL is how long a request is known as answered. successSlots is the number of slots for such requests, at
+	// sixteen bytes each. A request's slot is given by the last bits of its fingerprint.
 	successTTL   = 30 * time.Second
 	successSlots = 4096
 )
@@ -93,7 +95,7 @@
 // Suspect is what a node knows about one request, or about one part of prompts.
 type Suspect struct {
 	Subject
-	// Answered is set for a part if a request with it had been answered within successTTL before a failure.
+	// Answered is set if the request, or a request with the part, had been answered within successTTL before a failure.
 	Answered bool
 	// Failures holds the failures that count, oldest first.
 	Failures []Failure
@@ -115,6 +117,9 @@
 type suspectEntry struct {
 	Suspect
 	version uint64
+	// thresholdAt is the time of the failure that reached the threshold, 0 if there are fewer failures. Later failures
+	// may push that failure out of the list.
+	thresholdAt time.Duration
 }
 
 func (entry *suspectEntry) lastFailureAt() time.Duration {
@@ -182,14 +187,11 @@
 }
 
 // RecordFailure records that a server run failed under a subject. It returns the number of failures that count, and
-// whether this one is new. The failure is ignored if the request was answered on this node within successTTL, or a
-// request with the part within partSuccessTTL.
+// whether this one is new. The failure is ignored if a request with the part was answered on this node within
+// partSuccessTTL.
 func (list *List) RecordFailure(subject Subject, run string) (failures int, changed bool) {
-	now, ttl := list.now(), successTTL
-	if subject.Part {
-		ttl = partSuccessTTL
-	}
-	if list.succeededWithin(subject.Fingerprint, now, ttl) {
+	now := list.now()
+	if subject.Part && list.succeededWithin(subject.Fingerprint, now, partSuccessTTL) {
 		return 0, false
 	}
 	changed = list.Merge(Suspect{Subject: subject, Failures: []Failure{{Run: run, At: now}}})
@@ -277,11 +279,22 @@
 	if _, quarantined := list.quarantined[fingerprint]; !quarantined {
 		return Verdict{}, false
 	}
-	entry := list.entries[fingerprint]
-	remaining := entry.lastFailureAt() + list.failureTTL - list.now()
+	entry, now := list.entries[fingerprint], list.now()
+	if list.inGrace(entry, now) {
+		return Verdict{}, false
+	}
+	remaining := entry.lastFailureAt() + list.failureTTL - now
 	return Verdict{Failures: slices.Clone(entry.Failures), Remaining: remaining}, remaining > 0
 }
 
+// inGrace reports whether a quarantined request may still be answered, see answeredGrace.
+func (list *List) inGrace(entry *suspectEntry, now time.Duration) bool {
+	if entry.Part || !entry.Answered || slices.ContainsFunc(entry.Failures, byOperator) {
+		return false
+	}
+	return now < entry.thresholdAt+answeredGrace
+}
+
 // Merge adds what another node knows about a request and reports whether that changed the list.
 func (list *List) Merge(suspect Suspect) bool {
 	list.mu.Lock()
@@ -292,7 +305,7 @@
 		entry = &suspectEntry{Suspect: Suspect{Subject: suspect.Subject}}
 	}
 	entry.Part = entry.Part || suspect.Part
-	entry.Answered = entry.Answered || suspect.Answered || (suspect.Part && list.succeededWithin(suspect.Fingerprint, list.now(), successTTL))
+	entry.Answered = entry.Answered || suspect.Answered || list.succeededWithin(suspect.Fingerprint, list.now(), successTTL)
 	changed := suspect.LiftedAt > entry.LiftedAt+sameLiftTolerance || (suspect.LiftedAt > 0 && entry.LiftedAt == 0)
 	entry.LiftedAt = max(entry.LiftedAt, suspect.LiftedAt)
 	for _, failure := range suspect.Failures {
@@ -351,9 +364,14 @@
 func (list *List) updateCountsLocked() {
 	candidates := []*suspectEntry{}
 	for _, entry := range list.entries {
-		if len(entry.Failures) >= list.failureThreshold {
-			candidates = append(candidates, entry)
+		if len(entry.Failures) < list.failureThreshold {
+			entry.thresholdAt = 0
+			continue
+		}
+		if at := entry.Failures[list.failureThreshold-1].At; entry.thresholdAt == 0 || at < entry.thresholdAt {
+			entry.thresholdAt = at
 		}
+		candidates = append(candidates, entry)
 	}
 	list.quarantined = list.unexplained(candidates)
 	list.entryCount.Store(int32(len(list.entries)))
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -250,3 +250,39 @@
 	_, err = quarantine.ParseFingerprint("xyz")
 	expect.Expect(err).To(gomega.MatchError(quarantine.ErrInvalidFingerprint))
 }
+
+// Guards against a request that is never quarantined because it was answered shortly before, and against one that is
+// quarantined at once although it is still being answered.
+func TestAnsweredRequestIsQuarantinedUnlessAnsweredAgain(t *testing.T) {
+	for _, answeredAgain := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			expect := gomega.NewWithT(t)
+			here, there := newList(), newList()
+			here.RecordSuccess(poison)
+			time.Sleep(time.Second)
+			// More failures than a list keeps, so that the one that reached the threshold is dropped.
+			for number := range 19 {
+				here.RecordFailure(quarantine.Subject{Fingerprint: poison}, fmt.Sprint("i-", number))
+				time.Sleep(50 * time.Millisecond)
+			}
+			suspect, _ := here.Suspect(poison)
+			there.Merge(suspect)
+			for _, list := range []*quarantine.List{here, there} {
+				_, quarantined := list.Quarantined(poison)
+				expect.Expect(quarantined).To(gomega.BeFalse())
+				expect.Expect(list.State()[0].Refused).To(gomega.BeFalse())
+			}
+			if answeredAgain {
+				expect.Expect(there.RecordSuccess(poison)).To(gomega.BeTrue())
+				suspect, _ = there.Suspect(poison)
+				here.Merge(suspect)
+			}
+			time.Sleep(1200 * time.Millisecond)
+			_, quarantined := here.Quarantined(poison)
+			expect.Expect(quarantined).To(gomega.Equal(!answeredAgain))
+			time.Sleep(800 * time.Millisecond)
+			_, quarantined = there.Quarantined(poison)
+			expect.Expect(quarantined).To(gomega.Equal(!answeredAgain))
+		})
+	}
+}
--- a/internal/policy/quarantine/state.go
+++ b/internal/policy/quarantine/state.go
@@ -90,7 +90,7 @@
 		}
 		_, quarantined := list.quarantined[entry.Fingerprint]
 		state := State{
-			Fingerprint: entry.Fingerprint.String(), Part: entry.Part, Refused: quarantined,
+			Fingerprint: entry.Fingerprint.String(), Part: entry.Part, Refused: quarantined && !list.inGrace(entry, list.now()),
 			LastEndMilliseconds: (list.now() - entry.lastFailureAt()).Milliseconds(),
 		}
 		for _, failure := range entry.Failures {
