fix(gateway): crashes of a whole service count once its servers restart

Cause: calls that break at two servers make the path to the service suspected, and failures are kept aside. Servers that have just crashed accept no connections, so the probes find the path lost, and what was kept aside was dropped. Change: failures on a lost path are kept for 30 s and count, with the time at which they happened, when their server is listed with a later born. Nothing else makes them count. Why it works: a crashed server restarts, and a lost path restarts none. Tests of quarantines, cuts and lost paths of whole nodes pass.

--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -190,11 +190,20 @@
 // whether this one is new. The failure is ignored if a request with the part was answered on this node within
 // partSuccessTTL.
 func (list *List) RecordFailure(subject Subject, run string) (failures int, changed bool) {
-	now := list.now()
-	if subject.Part && list.succeededWithin(subject.Fingerprint, now, partSuccessTTL) {
+	return list.RecordPastFailure(subject, run, list.now())
+}
+
+// RecordPastFailure records a failure that was not known to be one when it happened, like RecordFailure. The failure is
+// ignored, too, if the request, or one with the part, was answered on this node since.
+func (list *List) RecordPastFailure(subject Subject, run string, at time.Duration) (failures int, changed bool) {
+	ttl := list.now() - at
+	if subject.Part {
+		ttl += partSuccessTTL
+	}
+	if list.succeededWithin(subject.Fingerprint, list.now(), ttl) {
 		return 0, false
 	}
-	changed = list.Merge(Suspect{Subject: subject, Failures: []Failure{{Run: run, At: now}}})
+	changed = list.Merge(Suspect{Subject: subject, Failures: []Failure{{Run: run, At: at}}})
 	list.mu.Lock()
 	defer list.mu.Unlock()
 	if entry, known := list.entries[subject.Fingerprint]; known {
--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -84,12 +84,28 @@
 		}
 	}
 	node.board.Update(pools)
+	if node.detours.hasUncertainFailures() {
+		node.detours.recordRestarts(node.serverStarts(rows))
+	}
 	// A leaf may receive the servers before the configuration.
 	if len(pools) > 0 && node.configuration.Load().HasVersion() {
 		node.stateKnownOnce.Do(func() { close(node.stateKnown) })
 	}
 }
 
+// serverStarts returns when each known server started: those of the server list and those that accept calls. A leaf has
+// no server list.
+func (node *Node) serverStarts(rows []catalogue.IndexedRow) map[string]int64 {
+	starts := map[string]int64{}
+	for id, server := range node.servers.Load().Servers {
+		starts[id] = server.Born
+	}
+	for index := range rows {
+		starts[rows[index].Row.Server] = rows[index].Row.Born
+	}
+	return starts
+}
+
 // servingRows returns the servers that accept calls: as received from the upstream node, or derived from the
 // server list and the group announcements and then sent to the leaves.
 func (node *Node) servingRows() []catalogue.IndexedRow {
--- a/internal/run/gateway/detours.go
+++ b/internal/run/gateway/detours.go
@@ -52,8 +52,8 @@
 	queryRequests chan struct{}
 
 	mu sync.Mutex
-	// uncertainFailures holds server failures on suspected paths, by path, which may be failures of the path.
-	// They are recorded once the path is found healthy, and discarded if it is lost.
+	// uncertainFailures holds server failures on suspected and lost paths, by path, which may be failures of the path.
+	// They are recorded once the path is found healthy without having been lost, or once their server has restarted.
 	uncertainFailures map[*pathhealth.Path][]uncertainFailure
 	// suppressedReports counts the reports about servers that were not sent because the path to the server
 	// was suspected or lost.
--- a/internal/run/gateway/paths.go
+++ b/internal/run/gateway/paths.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"hazelslip/internal/fleet/leadership"
 	"hazelslip/internal/fleet/overlay"
@@ -11,8 +12,12 @@
 	"hazelslip/internal/wire/frame"
 )
 
-// maxUncertainFailures bounds the uncertain server failures kept per path.
-const maxUncertainFailures = 256
+const (
+	// maxUncertainFailures bounds the uncertain server failures kept per path.
+	maxUncertainFailures = 256
+	// uncertainFailureTTL is how long an uncertain server failure is kept. A server that crashed is back within seconds.
+	uncertainFailureTTL = 30 * time.Second
+)
 
 // uncertainFailure is a server failure during a request that may have been a failure of the path to the
 // server. If the server has only been silent, a healthy path makes it a stall, and no failure.
@@ -20,6 +25,9 @@
 	subject quarantine.Subject
 	target  *dispatch.Target
 	stalled bool
+	at      time.Duration
+	// pathLost is set if the path was lost then or later. Only a restart of the server shows a failure of the server.
+	pathLost bool
 }
 
 // listedServers returns the servers of a path that the server list shows, whether they get calls or not. A leaf has no
@@ -50,8 +58,8 @@
 func (detours *detours) pathChanged(path *pathhealth.Path, result *pathhealth.Result) {
 	node, destination := detours.node, path.Destination
 	detours.mu.Lock()
-	failures, suppressed := detours.uncertainFailures[path], detours.suppressedReports
-	delete(detours.uncertainFailures, path)
+	failures, suppressed := detours.decideFailuresLocked(path, result), detours.suppressedReports
+	kept := len(detours.uncertainFailures[path])
 	detours.suppressedReports = 0
 	detours.mu.Unlock()
 	switch result.After {
@@ -59,36 +67,93 @@
 		node.pathsLost.Add(1)
 		node.logger.Warn("gateway: the path to the servers of a service is lost.", "Service", destination.Service, "DataCentre", destination.DataCentre,
 			"Tried", result.Tried, "Reached", result.Reached, "DoubtedMilliseconds", result.UnhealthyFor.Milliseconds(),
-			"CallsSuspected", node.board.SuspectCalls(path), "EndsNotBelieved", len(failures), "ReportsWithheld", suppressed)
+			"CallsSuspected", node.board.SuspectCalls(path), "EndsNotBelieved", kept, "ReportsWithheld", suppressed)
 	case pathhealth.Healthy:
-		for _, failure := range failures {
-			target := failure.target
-			if failure.stalled && !target.MemberLost() {
-				node.quarantine.RecordStall(failure.subject, target.Group, target.Key())
-				continue
-			}
-			if _, isNew := node.quarantine.RecordFailure(failure.subject, target.Key()); isNew {
-				node.suspectChanged(failure.subject.Fingerprint)
-			}
-		}
 		if result.Before == pathhealth.Lost {
 			node.logger.Info("gateway: the path to the servers of a service is restored.", "Service", destination.Service, "DataCentre", destination.DataCentre,
 				"LostMilliseconds", result.UnhealthyFor.Milliseconds(), "ReportsWithheld", suppressed)
 		}
+		for index := range failures {
+			failure := &failures[index]
+			if failure.stalled && !failure.target.MemberLost() {
+				node.quarantine.RecordStall(failure.subject, failure.target.Group, failure.target.Key())
+				continue
+			}
+			node.recordUncertainFailure(failure)
+		}
+	}
+}
+
+// decideFailuresLocked returns the uncertain failures of a path that its change shows to be failures of the servers,
+// and keeps the others: if the path was lost, only a restart of the server shows that.
+func (detours *detours) decideFailuresLocked(path *pathhealth.Path, result *pathhealth.Result) []uncertainFailure {
+	decided, kept := []uncertainFailure{}, []uncertainFailure{}
+	for _, failure := range detours.uncertainFailures[path] {
+		if result.After == pathhealth.Healthy && !failure.pathLost {
+			decided = append(decided, failure)
+			continue
+		}
+		failure.pathLost = true
+		kept = append(kept, failure)
+	}
+	if detours.uncertainFailures[path] = kept; len(kept) == 0 {
+		delete(detours.uncertainFailures, path)
 	}
+	return decided
 }
 
-// deferFailure keeps a possible server failure, or a stall, during a request until the state of the path to the server
-// is known.
+// recordUncertainFailure records a failure that has turned out to be one of the server.
+func (node *Node) recordUncertainFailure(failure *uncertainFailure) {
+	if _, isNew := node.quarantine.RecordPastFailure(failure.subject, failure.target.Key(), failure.at); isNew {
+		node.suspectChanged(failure.subject.Fingerprint)
+	}
+}
+
+// deferFailure keeps a possible server failure, or a stall, during a request until it is known whether the server or the
+// path to it failed.
 func (detours *detours) deferFailure(target *dispatch.Target, subject quarantine.Subject, stalled bool) {
 	path := target.Path()
 	detours.mu.Lock()
 	defer detours.mu.Unlock()
-	if path.Status() == pathhealth.Suspected && len(detours.uncertainFailures[path]) < maxUncertainFailures {
-		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], uncertainFailure{subject: subject, target: target, stalled: stalled})
+	if path.Status() != pathhealth.Healthy && len(detours.uncertainFailures[path]) < maxUncertainFailures {
+		failure := uncertainFailure{subject: subject, target: target, stalled: stalled, at: detours.node.now(), pathLost: path.Status() == pathhealth.Lost}
+		detours.uncertainFailures[path] = append(detours.uncertainFailures[path], failure)
 	}
 }
 
+// recordRestarts records the uncertain failures whose servers have restarted since, and discards old ones. A path that
+// was lost may have ended the calls at all of its servers, but restarts none of them.
+func (detours *detours) recordRestarts(born map[string]int64) {
+	restarted, now := []uncertainFailure{}, detours.node.now()
+	detours.mu.Lock()
+	for path, failures := range detours.uncertainFailures {
+		kept := failures[:0]
+		for _, failure := range failures {
+			current, listed := born[failure.target.ID]
+			switch {
+			case listed && current > failure.target.Born:
+				restarted = append(restarted, failure)
+			case now-failure.at < uncertainFailureTTL:
+				kept = append(kept, failure)
+			}
+		}
+		if detours.uncertainFailures[path] = kept; len(kept) == 0 {
+			delete(detours.uncertainFailures, path)
+		}
+	}
+	detours.mu.Unlock()
+	for index := range restarted {
+		detours.node.recordUncertainFailure(&restarted[index])
+	}
+}
+
+// hasUncertainFailures reports whether there are failures that recordRestarts may decide.
+func (detours *detours) hasUncertainFailures() bool {
+	detours.mu.Lock()
+	defer detours.mu.Unlock()
+	return len(detours.uncertainFailures) > 0
+}
+
 // suppressReport reports whether observations of a server are unreliable because the path to it is suspected
 // or lost, and counts the reports suppressed for that reason.
 func (detours *detours) suppressReport(target *dispatch.Target) bool {
--- a/internal/run/gateway/stalls_test.go
+++ b/internal/run/gateway/stalls_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,3 +112,51 @@
 		})
 	}
 }
+
+// Guards against a request that crashes whole services unnoticed because their crashes end like a lost path, and against
+// requests that are accused when a path was lost. Only servers that crash restart.
+func TestFailuresOnLostPathCountOnceTheirServersRestart(t *testing.T) {
+	for _, restarted := range []bool{false, true} {
+		expect := gomega.NewWithT(t)
+		jumping := newJumpingClock()
+		node, request := nodeWithGroups(t, 3, Clock(jumping.now)), quarantine.Fingerprint(7)
+		jumping.advance(time.Second)
+		path := node.detours.paths.Get(pathhealth.Destination{})
+		probeUntil := func(status pathhealth.Status) {
+			for path.Status() != status {
+				jumping.advance(time.Second)
+				probe := node.board.DuePathProbes()[0]
+				reached := probe.Servers
+				if status == pathhealth.Lost {
+					reached = nil
+				}
+				if result := probe.Complete(reached); result.Changed() {
+					node.detours.pathChanged(path, &result)
+				}
+			}
+		}
+		born := map[string]int64{}
+		path.RecordSilence(300 * time.Millisecond)
+		for range 3 {
+			target, _ := node.board.Pick("drafts/m", dispatch.Criteria{Exclude: slices.Collect(maps.Keys(born))})
+			born[target.ID] = target.Born
+			node.detours.deferFailure(target, quarantine.Subject{Fingerprint: request}, false)
+		}
+		probeUntil(pathhealth.Lost)
+		node.detours.recordRestarts(born)
+		expect.Expect(node.failuresOf(request)).To(gomega.BeZero())
+		probeUntil(pathhealth.Healthy)
+		path.RecordSilence(300 * time.Millisecond)
+		probeUntil(pathhealth.Healthy)
+		expect.Expect(node.failuresOf(request)).To(gomega.BeZero(), "a later doubt says nothing about the time when the path was lost")
+		expected := 0
+		if restarted {
+			born["i-0"], born["i-1"], born["i-2"], expected = 1, 1, 1, 3
+		} else {
+			jumping.advance(uncertainFailureTTL)
+		}
+		node.detours.recordRestarts(born)
+		expect.Expect(node.failuresOf(request)).To(gomega.Equal(expected))
+		expect.Expect(node.detours.hasUncertainFailures()).To(gomega.BeFalse())
+	}
+}
