--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -69,8 +69,8 @@
 	// partSuccessTTL is how long an answered part is known as harmless. Requests with shared parts are answered more
 	// often than that, and a part that turns harmful is found out soon after.
 	partSuccessTTL = 2 * time.Second
-	// answeredGrace is how long a request that had been answered may be answered again after the failure that would
-	// quarantine it. Without it harmless requests would be quarantined when all callers of a fleet send the same body
+	// answeredGrace delays the quarantine of a request that was answered before its failures, so that another answer can
+	// lift the suspicion first. Without the delay harmless requests would be quarantined when all callers of a fleet send the same body
 	// and several groups lose their head server at once.
 	answeredGrace = 2 * time.Second
 	// successTTL is how long a request is known as answered. successSlots is the number of slots for such requests, at
--- a/internal/serve/forward/response.go
+++ b/internal/serve/forward/response.go
@@ -12,7 +12,7 @@
 
 const (
 	// relayGrace is how much longer than the request's time a server may take for a response that is relayed
-	// unbuffered. The caller has the most of such a response by then.
+	// unbuffered, because the caller has already received the beginning of it.
 	relayGrace = 200 * time.Millisecond
 	// maxLateBytes bounds what is relayed of a response of unknown length after the request's time. A caller may read
 	// slowly, so that a large response is late through no fault of its server, but one without end must end.
