--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 BIN := bin
 
-.PHONY: setup build test lint format generate bench trial random soak fuzz modelcheck ci
+.PHONY: setup build test crowd lint format generate bench trial random soak fuzz modelcheck ci
 
 setup: ## Download the modules and build the project's tools.
 	go mod download
@@ -15,12 +15,18 @@
 # bubble reads a timer that has expired while others fire, on two processors at once (Go 1.26.8). So these tests
 # run with the detector on one processor, and without it on all.
 VIRTUAL = $(sort $(shell go list -test -f '{{$$p := .ForTest}}{{range .Deps}}{{if eq . "testing/synctest"}}{{$$p}} {{end}}{{end}}' ./...))
+# Tests of misbehaving clients measure the memory of processes, so they run alone and without the detector.
+CROWD = hazelslip/internal/run/crowd
 RUN_TESTS = HAZELSLIP_SEED=$(SEED) go test -count=1 $(if $(SKIP),-skip '$(SKIP)')
 
 test: ## Run every test with fixed seeds and the race detector; those in virtual time without it, too.
-	$(RUN_TESTS) -race $(filter-out $(VIRTUAL),$(shell go list ./...))
+	$(RUN_TESTS) -race $(filter-out $(VIRTUAL) $(CROWD),$(shell go list ./...))
 	$(RUN_TESTS) -race -cpu 1 -timeout 20m $(VIRTUAL)
 	$(RUN_TESTS) $(VIRTUAL)
+	$(RUN_TESTS) -timeout 20m $(CROWD)
+
+crowd: ## Processes under clients that break the limits of HTTP or of the operator; run nothing else beside it.
+	$(RUN_TESTS) -timeout 20m -v $(CROWD)
 
 lint: ## Check format and style.
 	$(BIN)/golangci-lint run ./...
