fix(gateway): heads of requests are bounded, one by one and together

What callers saw: a node ended for lack of memory while clients sent heads over the limit or without end, and with it the requests that it held. It restarted and met the same clients. Cause: max_header_bytes was decoded and read nowhere, so each address took heads of 1 MB. net/http parses a head before any handler runs; one of short fields takes 22 times its size, and nothing counted what heads hold together. Change: serve/inbound wraps the listeners of callers, detours, readiness and operators. A head is counted while it is read: over the limit it gets 431; its memory is reserved from the node's budget, and what doesn't fit gets 503. Ordinary heads are always granted. Both come before any handler has seen the request, so "not run" is true. The limit is looked up for each head, so open connections follow a new version.

--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -58,6 +58,7 @@
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/policy/warmup"
 	"hazelslip/internal/serve/forward"
+	"hazelslip/internal/serve/inbound"
 	"hazelslip/internal/state/configuration"
 )
 
@@ -102,6 +103,7 @@
 	demand           *demand.Demand
 	pool             *backendserver.Pool
 	memory           *memory.Budget
+	inbound          *inbound.Guard
 	forwarder        *forward.Forwarder
 	peers            *peers
 	detours          *detours
@@ -188,6 +190,7 @@
 	}
 	node.engineServiceCache.Store(&cachedEngineServices{version: -1})
 	node.memory = memory.New(memory.BudgetFor(settings.Limits.MemoryBytes))
+	node.inbound = inbound.New(node.memory)
 	for _, option := range options {
 		option(node)
 	}
@@ -292,30 +295,12 @@
 			return errors.Wrapf(err, "listen at %s", node.settings.Listen.Detour)
 		}
 		node.detours.listener = listener
-		node.detours.server = &http.Server{Handler: node.forwarder.DetourHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: detourIdleTimeout, ErrorLog: discardLogger()}
-	}
-	if node.memory.Limited() {
-		node.listeners[0] = newCallerListener(node.listeners[0])
-		if node.detours.enabled() {
-			node.detours.listener = newCallerListener(node.detours.listener)
-		}
 	}
 	node.peers = newPeers(node, node.listeners[2])
-	node.callerServer = &http.Server{Handler: node.forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: discardLogger()}
-	node.readinessServer = &http.Server{Handler: http.HandlerFunc(node.serveReadiness), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: discardLogger()}
-	node.operatorServer = &http.Server{Handler: node.operatorHandler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, ErrorLog: discardLogger()}
+	node.newServers()
 	return nil
 }
 
-const (
-	// headerTimeout bounds reading a request header.
-	headerTimeout = 10 * time.Second
-	// callerIdleTimeout is how long an idle caller connection is kept. It is longer than any caller keeps
-	// one, so that the caller closes the connection and no request arrives on a connection that is being
-	// closed.
-	callerIdleTimeout = 5 * time.Minute
-)
-
 func (node *Node) closeListeners() {
 	for _, listener := range node.listeners {
 		listener.Close()
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -150,6 +150,7 @@
 		"LinksAttached": links.LinksAttached.Load(), "LinksFailed": links.LinksFailed.Load(), "LinksEnded": links.LinksEnded.Load(),
 		"FramesSent": links.FramesSent.Load(), "FramesTaken": links.FramesReceived.Load(), "FrameBytesSent": links.BytesSent.Load(),
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.announcementsApplied.Load(),
+		"HeadsTooLarge": node.inbound.Counts.HeadsTooLarge.Load(), "HeadsOutOfMemory": node.inbound.Counts.HeadsOutOfMemory.Load(),
 		"MemoryHeld": uint64(held), "MemoryMost": uint64(peak), "MemoryRefused": refused,
 		"DemandAsked": node.demand.Counts.Requested.Load(), "DemandRefused": node.demand.Counts.Refused.Load(), "DemandTaken": node.demand.Counts.RemoteUpdates.Load(),
 		"Pauses": node.pauses.Load(), "WaysLost": node.pathsLost.Load(), "DetoursSent": node.forwarder.Counts.DetoursSent.Load(),
