fix(node): heads at the project's own interface are bounded together

What operators saw: a node of the project's own interface held 797 MB while 32 clients sent heads of 1 MB to the operator's address. Cause: that address took heads of 1 MB. The callers' address had a limit of 64 KB for each head, but none for all of them. Change: both listeners are wrapped by serve/inbound. Such a node has no setting for its memory, so large heads get a budget of their own.

--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -42,10 +42,12 @@
 	"hazelslip/internal/peer/service"
 	"hazelslip/internal/peer/weightstore"
 	"hazelslip/internal/policy/admission"
+	"hazelslip/internal/policy/memory"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/policy/route"
 	"hazelslip/internal/run/settings"
 	"hazelslip/internal/serve/draft"
+	"hazelslip/internal/serve/inbound"
 	"hazelslip/internal/serve/journal"
 	"hazelslip/internal/state/booking"
 	"hazelslip/internal/state/class"
@@ -322,9 +324,10 @@
 		TrackRequest: node.requests.begin, MaxBodyBytes: node.settings.Limits.MaxBodyBytes,
 		Services: node.callerServices,
 	}
+	node.boundHeads()
 	node.callerServer = &http.Server{
 		Handler: handler.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second,
-		IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 64 << 10, ErrorLog: slog.NewLogLogger(node.logger.Handler(), slog.LevelDebug),
+		IdleTimeout: 2 * time.Minute, ConnState: inbound.TrackState, ErrorLog: slog.NewLogLogger(node.logger.Handler(), slog.LevelDebug),
 	}
 	node.operatorServer = &http.Server{
 		Handler: (&operator.Handler{
@@ -332,7 +335,18 @@
 			Classes: node.classes, Submit: node.newSubmitter().Submit, Explain: node.explain,
 			Booking: node.bookingInfo, Metrics: node.metrics,
 		}).Handler(),
-		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute,
+		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, ConnState: inbound.TrackState,
+	}
+}
+
+// headMemoryBytes is the budget for large heads of callers and operators, who together get half of it.
+const headMemoryBytes = 8 << 20
+
+// boundHeads bounds the heads that callers and operators send.
+func (node *Node) boundHeads() {
+	guard := inbound.New(memory.New(headMemoryBytes))
+	for _, number := range []int{callerListener, operatorListener} {
+		node.listeners[number] = guard.Listen(node.listeners[number], func() inbound.Limits { return inbound.Limits{} })
 	}
 }
 
