--- a/internal/run/crowd/crowd_test.go
+++ b/internal/run/crowd/crowd_test.go
@@ -153,25 +153,30 @@
 	t.Helper()
 	for number := range misbehaviours {
 		misbehaviour := &misbehaviours[number]
-		t.Run(misbehaviour.name, func(t *testing.T) {
-			expect := gomega.NewWithT(t)
-			system := start(t)
-			idle, used := system.node.peakMemory(), &usage{}
-			stop := used.watch(system)
-			misbehaviour.runCrowd(address)
-			err := system.answered("afterwards")
-			memory := system.node.peakMemory()
-			stop()
-			t.Logf("memory %d KB (%d KB before the crowd), %d KB in buffers of sockets, %d descriptors", memory>>10, idle>>10, used.queued>>10, used.descriptors)
-			expect.Expect(system.node.alive()).To(gomega.BeTrue(), "the process has ended")
-			expect.Expect(err).NotTo(gomega.HaveOccurred())
-			expect.Expect(system.readiness()).To(gomega.Equal(http.StatusOK))
-			expect.Expect(memory+used.queued).To(gomega.BeNumerically("<=", memoryMB<<20), "memory")
-			expect.Expect(used.descriptors).To(gomega.BeNumerically("<=", maxDescriptors), "descriptors")
-		})
+		t.Run(misbehaviour.name, func(t *testing.T) { checkCrowd(t, start, address, misbehaviour) })
 	}
 }
 
+// checkCrowd lets a crowd misbehave in one way, and checks the node's life, memory and descriptors, and that it serves an
+// ordinary request afterwards.
+func checkCrowd(t *testing.T, start func(t *testing.T) *system, address string, misbehaviour *misbehaviour) {
+	t.Helper()
+	expect := gomega.NewWithT(t)
+	system := start(t)
+	idle, used := system.node.peakMemory(), &usage{}
+	stop := used.watch(system)
+	misbehaviour.runCrowd(address)
+	err := system.answered("afterwards")
+	memory := system.node.peakMemory()
+	stop()
+	t.Logf("memory %d KB (%d KB before the crowd), %d KB in buffers of sockets, %d descriptors", memory>>10, idle>>10, used.queued>>10, used.descriptors)
+	expect.Expect(system.node.alive()).To(gomega.BeTrue(), "the process has ended")
+	expect.Expect(err).NotTo(gomega.HaveOccurred())
+	expect.Expect(system.readiness()).To(gomega.Equal(http.StatusOK))
+	expect.Expect(memory+used.queued).To(gomega.BeNumerically("<=", memoryMB<<20), "memory")
+	expect.Expect(used.descriptors).To(gomega.BeNumerically("<=", maxDescriptors), "descriptors")
+}
+
 // A crowd at the callers' address must not exhaust the node's memory.
 func TestHeadsAtCallerAddressStayWithinMemory(t *testing.T) {
 	checkCrowds(t, startGateway, nodeAddress(callerPort))
--- a/internal/run/crowd/system_test.go
+++ b/internal/run/crowd/system_test.go
@@ -44,6 +44,9 @@
 	standinIP     = "127.0.0.1"
 )
 
+// controlAddress is that of the stand-in of the platform.
+var controlAddress = net.JoinHostPort(standinIP, strconv.Itoa(basePort+1))
+
 func nodeAddress(port int) string { return net.JoinHostPort(nodeIP, strconv.Itoa(port)) }
 
 func ownAddress(port int) string { return net.JoinHostPort(standinIP, strconv.Itoa(port)) }
@@ -220,7 +223,7 @@
 func startGateway(t *testing.T) *system {
 	t.Helper()
 	expect := gomega.NewWithT(t)
-	startProcess(t, "standin", "standin", "--platform", "--base-port", strconv.Itoa(basePort), "--domains", "1", "--servers", "2", "--ledgers", "2")
+	startProcess(t, "standin", "standin", "--platform", "--base-port", strconv.Itoa(basePort), "--domains", "1", "--servers", "2", "--ledgers", "2", "--control", controlAddress)
 	settings := gateway.Settings{
 		Name: "node-1", DataCentre: "dc-1", Region: "crowd", Store: net.JoinHostPort(standinIP, strconv.Itoa(basePort)), FirstStart: true,
 		Listen: gateway.Listen{Caller: nodeAddress(callerPort), Readiness: nodeAddress(readinessPort), Operator: nodeAddress(operatorPort)},
