fix(sibling): the first frame of a connection has 16 KB

What a client saw: connections to the other nodes' address that announce frames of 8 MB and send half of each were taken, and 32 of them made a node of 64 MB hold 165 MB. Cause: the memory for a frame is allocated once its length is read; the first frame of an unknown sender may have 8 MB like any other. Change: an accepted connection takes 16 KB until it has received a frame. The first frame only introduces its sender.

--- a/internal/peer/sibling/sibling.go
+++ b/internal/peer/sibling/sibling.go
@@ -39,6 +39,9 @@
 	// maxFrameBytes bounds the size of a frame. It leaves room for a configuration of several thousand routes or
 	// a list of several thousand servers.
 	maxFrameBytes = 8 << 20
+	// maxFirstFrameBytes bounds the first frame on an accepted connection. Such a frame only introduces its sender. The
+	// memory for a frame is allocated as soon as its length has been read.
+	maxFirstFrameBytes = 16 << 10
 	// readBufferSize fits a frame of typical size.
 	readBufferSize = 2 << 10
 )
@@ -56,6 +59,8 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	buffer []byte
+	// awaitingFirst is set on an accepted connection until it has received a frame.
+	awaitingFirst atomic.Bool
 }
 
 func newConn(conn net.Conn) *Conn {
@@ -91,10 +96,14 @@
 	if err := conn.conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return nil, errors.Mark(err, ErrConnectionEnded)
 	}
-	received := &frame.Frame{}
-	if err := (protodelim.UnmarshalOptions{MaxSize: maxFrameBytes}).UnmarshalFrom(conn.reader, received); err != nil {
+	received, limit := &frame.Frame{}, int64(maxFrameBytes)
+	if conn.awaitingFirst.Load() {
+		limit = maxFirstFrameBytes
+	}
+	if err := (protodelim.UnmarshalOptions{MaxSize: limit}).UnmarshalFrom(conn.reader, received); err != nil {
 		return nil, errors.Mark(errors.Wrap(err, "receive frame"), ErrConnectionEnded)
 	}
+	conn.awaitingFirst.Store(false)
 	return received, nil
 }
 
@@ -133,6 +142,7 @@
 			return
 		}
 		conn := newConn(accepted)
+		conn.awaitingFirst.Store(true)
 		if !server.register(conn) {
 			conn.Close()
 			return
--- a/internal/peer/sibling/sibling_test.go
+++ b/internal/peer/sibling/sibling_test.go
@@ -160,3 +160,34 @@
 		server.Stop()
 	})
 }
+
+// Guards against memory that is allocated for the length that an unknown client announces. Later frames may be long.
+func TestFirstFrameIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		network := newPipeNetwork()
+		server := sibling.NewServer(network, echo)
+		server.Start()
+		long, err := proto.Marshal(&frame.Frame{Configuration: make([]byte, 1<<20)})
+		expect.Expect(err).NotTo(gomega.HaveOccurred())
+		for _, introduced := range []bool{false, true} {
+			conn, err := sibling.Connect(network.dial, "peer", time.Second)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			if introduced {
+				expect.Expect(conn.Send(encodeFrame(1), time.Second)).To(gomega.Succeed())
+				_, err = conn.Receive(time.Second)
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			sent := conn.Send(long, time.Second)
+			if !introduced {
+				expect.Expect(sent).To(gomega.HaveOccurred())
+			} else {
+				expect.Expect(sent).To(gomega.Succeed())
+				_, err = conn.Receive(time.Second)
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			conn.Close()
+		}
+		server.Stop()
+	})
+}
