fix(accept): listeners for other nodes outlast a lack of descriptors

What operators would see: after one moment without a free descriptor a node takes no connection of another node any more, until it restarts. Cause: the accepting loops of peer/sibling and peer/node return on the first error of Accept. Change: both use common/accept, which pauses and goes on. Both bound their connections: sibling.MaxConns, not set yet, lets the oldest one without a frame give way; the project's own interface refuses connections beyond 1,024.

--- a/internal/fleet/overlay/overlay.go
+++ b/internal/fleet/overlay/overlay.go
@@ -66,6 +66,8 @@
 	FirstStart bool
 	// RelayCount is the number of relays in a data centre.
 	RelayCount int
+	// MaxConns is the maximum number of connections that other nodes open, 0 for none.
+	MaxConns int
 	// Register adds this node to the store's directory; ListNodes returns the nodes in the directory.
 	Register  func(ctx context.Context) error
 	ListNodes func(ctx context.Context) ([]tree.Member, error)
@@ -159,7 +161,9 @@
 		directory: map[string]*directoryEntry{}, links: map[*Link]struct{}{}, roots: map[string]string{},
 		unlinkedSince: map[string]time.Duration{}, connecting: map[string]bool{},
 	}
-	overlay.server = sibling.NewServer(listener, overlay.handleConn)
+	overlay.server = sibling.NewServer(listener, overlay.handleConn, sibling.MaxConns(dependencies.MaxConns), sibling.OnAcceptError(func(err error) {
+		overlay.Logger.Warn("overlay: accepting connections of other nodes fails.", "Error", err.Error())
+	}))
 	return overlay
 }
 
--- a/internal/peer/node/node.go
+++ b/internal/peer/node/node.go
@@ -27,6 +27,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"hazelslip/internal/common/accept"
 	"hazelslip/internal/common/lifecycle"
 	"hazelslip/internal/wire/exchange"
 )
@@ -38,6 +39,8 @@
 	// keep memory allocated.
 	streamTimeout = 40 * time.Second
 	writeTimeout  = 5 * time.Second
+	// maxSessions bounds the connections that peers open. A peer opens one.
+	maxSessions = 1024
 	// maxMissedReplies is the number of consecutive calls without a timely reply after which a connection is closed.
 	maxMissedReplies = 3
 )
@@ -55,6 +58,10 @@
 	Requests  atomic.Uint64
 	Failures  atomic.Uint64
 	BadFrames atomic.Uint64
+	// AcceptErrors counts the times at which accepting connections began to fail, SessionsRefused the connections beyond
+	// maxSessions.
+	AcceptErrors    atomic.Uint64
+	SessionsRefused atomic.Uint64
 }
 
 func muxConfig() *yamux.Config {
@@ -87,38 +94,34 @@
 
 // Start begins to accept connections.
 func (server *Server) Start() {
-	server.Go(server.accept)
+	server.Go(func() {
+		accept.Loop(server.listener, server.Sleep, func(error) { server.Counters.AcceptErrors.Add(1) }, server.add)
+	})
 }
 
-func (server *Server) accept() {
-	for {
-		conn, err := server.listener.Accept()
-		if err != nil {
-			return
-		}
-		session, err := yamux.Server(server.wrap(conn), muxConfig())
-		if err != nil {
-			conn.Close()
-			continue
-		}
-		if !server.register(session) {
-			session.Close()
-			return
-		}
-		server.Go(func() { server.serve(session) })
+// add serves a new connection. It reports false if the server is stopping.
+func (server *Server) add(conn net.Conn) bool {
+	session, err := yamux.Server(server.wrap(conn), muxConfig())
+	if err != nil {
+		conn.Close()
+		return true
 	}
-}
-
-func (server *Server) register(session *yamux.Session) bool {
 	server.mu.Lock()
 	defer server.mu.Unlock()
 	select {
 	case <-server.Stopping:
+		session.Close()
 		return false
 	default:
-		server.sessions[session] = struct{}{}
+	}
+	if len(server.sessions) >= maxSessions {
+		server.Counters.SessionsRefused.Add(1)
+		session.Close()
 		return true
 	}
+	server.sessions[session] = struct{}{}
+	server.Go(func() { server.serve(session) })
+	return true
 }
 
 func (server *Server) serve(session *yamux.Session) {
--- a/internal/peer/sibling/sibling.go
+++ b/internal/peer/sibling/sibling.go
@@ -21,6 +21,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"net"
 	"sync"
@@ -31,6 +32,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"hazelslip/internal/common/accept"
 	"hazelslip/internal/common/lifecycle"
 	"hazelslip/internal/wire/frame"
 )
@@ -117,53 +119,105 @@
 	*lifecycle.Component
 	listener net.Listener
 	serve    func(conn *Conn)
-	// Accepted counts the accepted connections.
-	Accepted atomic.Uint64
+	maxConns int
+	// onAcceptError is called for the first of several errors in a row.
+	onAcceptError func(err error)
+	// Accepted counts the accepted connections, Displaced those that were closed for newer ones or, as all others had
+	// received a frame, at once.
+	Accepted, Displaced atomic.Uint64
+
+	mu sync.Mutex
+	// conns holds the open connections (*Conn) in the order in which they were accepted, elements their places in it.
+	conns    list.List
+	elements map[*Conn]*list.Element
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// MaxConns sets the maximum number of connections, 0 for none. Beyond it, the oldest connection without a frame is closed.
+func MaxConns(maxConns int) Option {
+	return func(server *Server) { server.maxConns = maxConns }
+}
 
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+// OnAcceptError sets the function that is called when accepting connections begins to fail.
+func OnAcceptError(report func(err error)) Option {
+	return func(server *Server) { server.onAcceptError = report }
 }
 
 // NewServer returns a server that is not started. The serve function is called once for each connection, in a goroutine
 // of its own; when it returns, the connection is closed.
-func NewServer(listener net.Listener, serve func(conn *Conn)) *Server {
-	return &Server{Component: lifecycle.New("peers"), listener: listener, serve: serve, conns: map[*Conn]struct{}{}}
+func NewServer(listener net.Listener, serve func(conn *Conn), options ...Option) *Server {
+	server := &Server{Component: lifecycle.New("peers"), listener: listener, serve: serve, onAcceptError: func(error) {}, elements: map[*Conn]*list.Element{}}
+	for _, option := range options {
+		option(server)
+	}
+	return server
 }
 
 // Start begins to accept connections.
 func (server *Server) Start() {
-	server.Go(server.accept)
+	server.Go(func() { accept.Loop(server.listener, server.Sleep, server.onAcceptError, server.add) })
 }
 
-func (server *Server) accept() {
-	for {
-		accepted, err := server.listener.Accept()
-		if err != nil {
-			return
-		}
-		conn := newConn(accepted)
-		conn.awaitingFirst.Store(true)
-		if !server.register(conn) {
-			conn.Close()
-			return
-		}
-		server.Accepted.Add(1)
-		server.Go(func() {
-			defer server.closeConn(conn)
-			server.serve(conn)
-		})
+func (server *Server) stopping() bool {
+	select {
+	case <-server.Stopping:
+		return true
+	default:
+		return false
 	}
 }
 
+// add serves a new connection. It reports false if the server is stopping.
+func (server *Server) add(accepted net.Conn) bool {
+	conn := newConn(accepted)
+	conn.awaitingFirst.Store(true)
+	if !server.register(conn) {
+		conn.Close()
+		return !server.stopping()
+	}
+	server.Accepted.Add(1)
+	server.Go(func() {
+		defer server.closeConn(conn)
+		server.serve(conn)
+	})
+	return true
+}
+
+// register reports whether the connection may be served.
 func (server *Server) register(conn *Conn) bool {
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	select {
-	case <-server.Stopping:
+	if server.stopping() {
 		return false
-	default:
-		server.conns[conn] = struct{}{}
-		return true
+	}
+	if server.maxConns > 0 && server.conns.Len() >= server.maxConns {
+		server.Displaced.Add(1)
+		if !server.displaceLocked() {
+			return false
+		}
+	}
+	server.elements[conn] = server.conns.PushBack(conn)
+	return true
+}
+
+// displaceLocked closes the oldest connection that has received no frame, and reports whether there was one.
+func (server *Server) displaceLocked() bool {
+	for element := server.conns.Front(); element != nil; element = element.Next() {
+		if conn := element.Value.(*Conn); conn.awaitingFirst.Load() {
+			conn.Close()
+			server.removeLocked(conn)
+			return true
+		}
+	}
+	return false
+}
+
+func (server *Server) removeLocked(conn *Conn) {
+	if element := server.elements[conn]; element != nil {
+		server.conns.Remove(element)
+		delete(server.elements, conn)
 	}
 }
 
@@ -171,7 +225,7 @@
 	conn.Close()
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	delete(server.conns, conn)
+	server.removeLocked(conn)
 }
 
 // Stop closes the listener and all connections, and waits for the serve functions to return.
@@ -179,7 +233,7 @@
 	server.RequestStop()
 	_ = server.listener.Close()
 	server.mu.Lock()
-	for conn := range server.conns {
+	for conn := range server.elements {
 		conn.Close()
 	}
 	server.mu.Unlock()
--- a/internal/peer/sibling/sibling_test.go
+++ b/internal/peer/sibling/sibling_test.go
@@ -191,3 +191,43 @@
 		server.Stop()
 	})
 }
+
+// Guards against clients that hold connections without introducing themselves, so that no node can connect. The oldest of
+// them gives way; a connection that carries frames stays.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		network := newPipeNetwork()
+		server := sibling.NewServer(network, echo, sibling.MaxConns(3))
+		server.Start()
+		exchange := func(conn *sibling.Conn) error {
+			if err := conn.Send(encodeFrame(1), time.Second); err != nil {
+				return err
+			}
+			_, err := conn.Receive(time.Second)
+			return err
+		}
+		connect := func() *sibling.Conn {
+			conn, err := sibling.Connect(network.dial, "peer", time.Second)
+			expect.Expect(err).NotTo(gomega.HaveOccurred())
+			synctest.Wait()
+			return conn
+		}
+		established, silent := connect(), []*sibling.Conn{}
+		expect.Expect(exchange(established)).To(gomega.Succeed())
+		for range 10 {
+			silent = append(silent, connect())
+		}
+		second, third := connect(), connect()
+		expect.Expect(exchange(second)).To(gomega.Succeed())
+		expect.Expect(exchange(third)).To(gomega.Succeed())
+		expect.Expect(exchange(established)).To(gomega.Succeed())
+		// All connections carry frames now, so a new one is closed.
+		expect.Expect(exchange(connect())).NotTo(gomega.Succeed())
+		expect.Expect(exchange(established)).To(gomega.Succeed())
+		for _, conn := range append(silent, established, second, third) {
+			conn.Close()
+		}
+		server.Stop()
+	})
+}
