fix(inbound): connections without a request leave descriptors and memory

What callers saw: while 600 clients hold silent connections, or stop in a head, requests on new connections and readiness checks hang until the crowd leaves, though nothing has run out of memory. Cause: each address takes any number of connections and net/http keeps a silent one for five minutes. They take every descriptor, so the node opens none to servers, the store or other nodes. max_fds was read nowhere. Change: each address has a maximum number of connections, by max_fds, the system's limit and memory_mb. Beyond it the connection that has waited longest for a request gives way; one with a request in progress never does. A connection that gives way while its head is parsed is marked under the lock and dropped before the handler, so it has not run. A limit that refuses clients is logged when it begins and ends; counters and state by address. A node that stops ends unfinished heads after 1 s.

--- a/internal/run/gateway/background.go
+++ b/internal/run/gateway/background.go
@@ -394,6 +394,7 @@
 
 // sweep drops expired state, and closes idle connections to servers that no longer accept calls.
 func (node *Node) sweep() {
+	node.inbound.Sweep()
 	node.quarantine.Sweep()
 	if node.warmups.Sweep() {
 		node.requestTargetUpdate()
--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -190,7 +190,7 @@
 	}
 	node.engineServiceCache.Store(&cachedEngineServices{version: -1})
 	node.memory = memory.New(memory.BudgetFor(settings.Limits.MemoryBytes))
-	node.inbound = inbound.New(node.memory)
+	node.inbound = inbound.New(inbound.Budget(node.memory), inbound.OnEpisode(node.logEpisode))
 	for _, option := range options {
 		option(node)
 	}
@@ -315,7 +315,7 @@
 	node.GoNamed("targets", node.runTargetUpdates)
 	node.RepeatNamed("watch", node.scheduleWatch, node.watch)
 	node.RepeatNamed("tenure", node.scheduleLeadership, node.updateLeadership)
-	node.EveryNamed("sweep", time.Second, node.sweep)
+	node.EveryNamed("sweep", inbound.SweepInterval, node.sweep)
 	node.RepeatNamed("retries", node.leafAwareInterval(retryTotalInterval), node.peers.updateRetryTotals)
 	node.GoNamed("suspects", node.runSuspectSync)
 	node.groupController.Start()
--- a/internal/run/gateway/operator.go
+++ b/internal/run/gateway/operator.go
@@ -20,6 +20,7 @@
 	"hazelslip/internal/policy/ratelimit"
 	"hazelslip/internal/policy/retry"
 	"hazelslip/internal/serve/forward"
+	"hazelslip/internal/serve/inbound"
 	"hazelslip/internal/state/storelog"
 )
 
@@ -58,6 +59,8 @@
 	Notices []notice.State
 	// DrainedDataCentres are the data centres whose servers get no new calls.
 	DrainedDataCentres []string
+	// Clients are the connections of clients, by address.
+	Clients []inbound.State
 	// Memory is the memory buffered between callers and servers, by workspace.
 	Memory memory.State
 	// Demands is the demand of each pool.
@@ -79,7 +82,7 @@
 		Targets: node.board.State(), Former: node.groupController.State(),
 		Budgets: node.retries.States(), Nodes: node.peers.reachableNodes(), Overlay: node.peers.overlay.State(),
 		Suspects: node.quarantine.State(), Limits: node.limits.State(), Notices: node.notices.State(),
-		DrainedDataCentres: node.drains.Drained(), Demands: node.demand.State(), Memory: node.memory.State(),
+		DrainedDataCentres: node.drains.Drained(), Demands: node.demand.State(), Memory: node.memory.State(), Clients: node.inbound.State(),
 		Ways: node.detours.paths.State(), Detours: node.detours.table.State(),
 	}
 	if err := node.Ready(); err != nil {
@@ -102,6 +105,8 @@
 	Budgets map[string]retry.WindowState
 	// Serving is the number of servers and group heads that accept calls, by pool.
 	Serving map[string]int
+	// Clients counts the connections of clients and what was refused, by address.
+	Clients map[string]map[string]uint64
 	// Limits are the rate limits that servers state. Notices are their backoffs and drains.
 	Limits  []ratelimit.State
 	Notices []notice.State
@@ -113,7 +118,7 @@
 func (node *Node) Metrics() Metrics {
 	metrics := Metrics{
 		Outcomes: node.requestMetrics.outcomesByRoute(), Latencies: node.requestMetrics.latencies(), Counters: node.counters(),
-		Ages: map[string]int64{"ServerList": -1, "Configuration": -1}, Term: node.elector.Term(), Budgets: node.retries.States(), Serving: map[string]int{},
+		Ages: map[string]int64{"ServerList": -1, "Configuration": -1}, Term: node.elector.Term(), Budgets: node.retries.States(), Serving: map[string]int{}, Clients: node.inbound.Counters(),
 		Limits: node.limits.State(), Notices: node.notices.State(), DrainedDataCentres: node.drains.Drained(),
 	}
 	metrics.Ages["RetryCounts"] = node.retries.CompleteAge()
@@ -150,7 +155,6 @@
 		"LinksAttached": links.LinksAttached.Load(), "LinksFailed": links.LinksFailed.Load(), "LinksEnded": links.LinksEnded.Load(),
 		"FramesSent": links.FramesSent.Load(), "FramesTaken": links.FramesReceived.Load(), "FrameBytesSent": links.BytesSent.Load(),
 		"RoleChanges": links.RoleChanges.Load(), "GroupNews": node.announcementsApplied.Load(),
-		"HeadsTooLarge": node.inbound.Counts.HeadsTooLarge.Load(), "HeadsOutOfMemory": node.inbound.Counts.HeadsOutOfMemory.Load(),
 		"MemoryHeld": uint64(held), "MemoryMost": uint64(peak), "MemoryRefused": refused,
 		"DemandAsked": node.demand.Counts.Requested.Load(), "DemandRefused": node.demand.Counts.Refused.Load(), "DemandTaken": node.demand.Counts.RemoteUpdates.Load(),
 		"Pauses": node.pauses.Load(), "WaysLost": node.pathsLost.Load(), "DetoursSent": node.forwarder.Counts.DetoursSent.Load(),
--- a/internal/run/gateway/peers.go
+++ b/internal/run/gateway/peers.go
@@ -188,6 +188,7 @@
 	peers.overlay = overlay.New(listener, overlay.Dependencies{
 		Self:        tree.Member{Address: settings.Listen.advertised(), DataCentre: settings.DataCentre, Capacity: settings.Limits.Millicores},
 		Incarnation: node.Incarnation, Seeds: settings.Seeds, FirstStart: settings.FirstStart, RelayCount: node.relayCount,
+		MaxConns: settings.Limits.connLimits().Peers,
 		Register: peers.register, ListNodes: peers.directoryMembers,
 		Compose: peers.composeFrame, HandleFrame: peers.handleFrame, LinkEnded: peers.linkEnded, RoleChanged: peers.roleChanged,
 		Configuration: peers.encodedConfiguration, ReadyForLeaves: peers.synced, Detours: func() []*frame.Detour { return peers.node.detours.advertisements() },
--- a/internal/run/gateway/settings.go
+++ b/internal/run/gateway/settings.go
@@ -49,6 +49,8 @@
 // Limits bounds the resources of the process.
 type Limits struct {
 	MemoryBytes int64
+	// MaxDescriptors bounds the open descriptors of the process, 0 if only the system bounds them.
+	MaxDescriptors int
 	// Millicores is the CPU share of the process in thousandths of a core, 0 if unknown.
 	Millicores uint32
 }
--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"io"
-	"log"
 	"net/http"
 	"time"
 
@@ -14,6 +12,8 @@
 	// unreadyDelay is how long the node keeps accepting connections after it reports that it is not ready.
 	// The load balancer checks once a second and acts on the second failure.
 	unreadyDelay = 2500 * time.Millisecond
+	// stoppingHeadTimeout is how long a head may take that is being read when the node accepts no connections any more.
+	stoppingHeadTimeout = time.Second
 	// shutdownMargin is the part of the grace period reserved for the process to exit.
 	shutdownMargin = 400 * time.Millisecond
 )
@@ -32,6 +32,8 @@
 	remaining := grace - (node.now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
 	defer cancel()
+	unfinishedHeads := time.AfterFunc(stoppingHeadTimeout, node.inbound.CloseWaiting)
+	defer unfinishedHeads.Stop()
 	shutdowns := conc.WaitGroup{}
 	for _, server := range []*http.Server{node.callerServer, node.detours.server} {
 		if server == nil {
@@ -76,8 +78,3 @@
 		node.platform.Close()
 	}
 }
-
-// discardLogger drops net/http's messages about connections that callers break.
-func discardLogger() *log.Logger {
-	return log.New(io.Discard, "", 0)
-}
--- a/internal/run/node/node.go
+++ b/internal/run/node/node.go
@@ -109,6 +109,7 @@
 	listReader      *listReader
 
 	transport      *http.Transport
+	inbound        *inbound.Guard
 	callerServer   *http.Server
 	operatorServer *http.Server
 	listeners      []net.Listener
@@ -314,6 +315,7 @@
 }
 
 func (node *Node) buildServing() {
+	node.inbound = inbound.New(inbound.Budget(memory.New(headMemoryBytes)))
 	node.router = route.New(append([]route.Option{route.Random(node.random.intN)}, node.policies.Route...)...)
 	node.callerServices = node.newCallerServices()
 	node.admissionGate = admission.New(node.policies.Admission...)
@@ -324,32 +326,39 @@
 		TrackRequest: node.requests.begin, MaxBodyBytes: node.settings.Limits.MaxBodyBytes,
 		Services: node.callerServices,
 	}
-	node.boundHeads()
-	node.callerServer = &http.Server{
-		Handler: handler.Handler(), ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second,
-		IdleTimeout: 2 * time.Minute, ConnState: inbound.TrackState, ErrorLog: slog.NewLogLogger(node.logger.Handler(), slog.LevelDebug),
-	}
-	node.operatorServer = &http.Server{
-		Handler: (&operator.Handler{
-			Ready: node.Ready, State: func() any { return node.State() }, Groups: node.groupInfos,
-			Classes: node.classes, Submit: node.newSubmitter().Submit, Explain: node.explain,
-			Booking: node.bookingInfo, Metrics: node.metrics,
-		}).Handler(),
-		ReadHeaderTimeout: 5 * time.Second, ReadTimeout: 30 * time.Second, IdleTimeout: time.Minute, ConnState: inbound.TrackState,
+	operatorHandler := &operator.Handler{
+		Ready: node.Ready, State: func() any { return node.State() }, Groups: node.groupInfos,
+		Classes: node.classes, Submit: node.newSubmitter().Submit, Explain: node.explain,
+		Booking: node.bookingInfo, Metrics: node.metrics,
 	}
+	maxCallers := min(maxCallerConns, inbound.Sockets(0)/2)
+	node.callerServer = node.newServer(callerListener, "Callers", maxCallers, handler.Handler())
+	node.operatorServer = node.newServer(operatorListener, "Operator", maxOperatorConns, operatorHandler.Handler())
 }
 
-// headMemoryBytes is the budget for large heads of callers and operators, who together get half of it.
-const headMemoryBytes = 8 << 20
-
-// boundHeads bounds the heads that callers and operators send.
-func (node *Node) boundHeads() {
-	guard := inbound.New(memory.New(headMemoryBytes))
-	for _, number := range []int{callerListener, operatorListener} {
-		node.listeners[number] = guard.Listen(node.listeners[number], func() inbound.Limits { return inbound.Limits{} })
-	}
+// newServer creates a server whose clients are bounded, and replaces its listener.
+func (node *Node) newServer(listener int, name string, maxConns int, handler http.Handler) *http.Server {
+	address := node.inbound.NewAddress(name, inbound.MaxConns(maxConns), inbound.CurrentLimits(func() inbound.Limits {
+		return inbound.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	}))
+	node.listeners[listener] = address.Listen(node.listeners[listener])
+	server := address.Server(handler)
+	server.ReadTimeout, server.ErrorLog = requestTimeout, slog.NewLogLogger(node.logger.Handler(), slog.LevelDebug)
+	return server
 }
 
+const (
+	// headMemoryBytes is the budget for large heads of callers and operators, who together get half of it.
+	headMemoryBytes = 8 << 20
+	// headerTimeout and requestTimeout bound reading a head and a whole request, idleTimeout the time between requests.
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	// maxCallerConns and maxOperatorConns bound the connections at each address.
+	maxCallerConns   = 2048
+	maxOperatorConns = 64
+)
+
 func (node *Node) newSubmitter() *class.Submitter {
 	return &class.Submitter{Table: node.classes, Follower: node.streams[configStream]}
 }
@@ -391,6 +400,7 @@
 	node.watcher.Start()
 	node.startView()
 	node.groupController.Start()
+	node.EveryNamed("clients", inbound.SweepInterval, node.inbound.Sweep)
 	node.EveryNamed("checkpoint", checkpointInterval, node.checkpoint)
 	node.GoNamed("operator", func() { node.serveHTTP(node.operatorServer, node.listeners[operatorListener]) })
 	node.GoNamed("caller", func() { node.serveHTTP(node.callerServer, node.listeners[callerListener]) })
--- a/internal/serve/inbound/conn.go
+++ b/internal/serve/inbound/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"container/list"
 	"fmt"
 	"net"
 	"net/http"
@@ -44,63 +45,142 @@
 	errOutOfMemory  = errors.New("the head of the request does not fit into the memory budget")
 )
 
-// Conn is the connection of an HTTP client. Its goroutine at the server is the only one that reads a head and calls
-// TrackState.
+// Conn is the connection of a client.
 type Conn struct {
 	net.Conn
-	guard  *Guard
-	limits func() Limits
+	address *Address
+
 	// serving is set while a request is handled. What is read then belongs to its body.
 	serving atomic.Bool
-	// headBytes and headCost describe what was read of the head.
+	// headSince is the sweep at which the first byte of a head was read, 0 if none was.
+	headSince atomic.Int64
+
+	// The address's lock guards element, waitingSince and refusal. The element is the connection's place in the list of
+	// the address, nil once the connection is closed. refusal is the reason for which no further request is accepted.
+	element      *list.Element
+	waitingSince int64
+	refusal      error
+
+	// headBytes, headCost and reservation belong to the goroutine that serves the connection. They describe what was
+	// read of the head.
 	headBytes, headCost int
 	reservation         memory.Reservation
 }
 
-// awaitHead prepares for the next request.
-func (conn *Conn) awaitHead() {
+// beginRequest notes that a head has been read. Only then is the connection safe from being closed.
+func (conn *Conn) beginRequest() {
+	conn.address.mu.Lock()
+	defer conn.address.mu.Unlock()
+	if conn.refusal == nil {
+		conn.serving.Store(true)
+	}
+}
+
+// inProgress reports whether the connection was safe when its request began.
+func (conn *Conn) inProgress() bool {
+	return conn.serving.Load()
+}
+
+// endRequest prepares for the next request.
+func (conn *Conn) endRequest() {
 	conn.reservation.Release()
 	conn.headBytes, conn.headCost = 0, 0
+	conn.headSince.Store(0)
+	conn.address.mu.Lock()
+	defer conn.address.mu.Unlock()
+	if conn.element != nil {
+		conn.waitingSince = conn.address.guard.sweeps.Load()
+		conn.address.conns.MoveToBack(conn.element)
+	}
 	conn.serving.Store(false)
 }
 
+// Close closes the connection.
+func (conn *Conn) Close() error {
+	conn.address.mu.Lock()
+	defer conn.address.mu.Unlock()
+	return conn.closeLocked()
+}
+
+func (conn *Conn) closeLocked() error {
+	err := conn.Conn.Close()
+	if conn.element != nil {
+		conn.address.conns.Remove(conn.element)
+		conn.element = nil
+	}
+	return err
+}
+
 // Read reads from the client. It refuses a head that is over a limit and returns an error upon which net/http closes the
 // connection without a response of its own.
 func (conn *Conn) Read(buffer []byte) (int, error) {
 	n, err := conn.Conn.Read(buffer)
-	if n == 0 || conn.serving.Load() {
+	if conn.serving.Load() {
+		return n, err
+	}
+	reason := conn.countHead(buffer[:n])
+	if reason == nil && err != nil {
+		reason = conn.lateness()
+	}
+	if reason == nil {
 		return n, err
 	}
-	if reason := conn.countHead(buffer[:n]); reason != nil {
-		conn.refuse(reason, buffer)
-		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: conn.RemoteAddr(), Err: reason}
+	conn.refuse(reason, buffer)
+	return 0, &net.OpError{Op: "read", Net: "tcp", Addr: conn.RemoteAddr(), Err: reason}
+}
+
+// lateness returns errHeadTooSlow if the connection was woken up for that.
+func (conn *Conn) lateness() error {
+	conn.address.mu.Lock()
+	defer conn.address.mu.Unlock()
+	if errors.Is(conn.refusal, errHeadTooSlow) {
+		return conn.refusal
 	}
-	return n, err
+	return nil
 }
 
 // countHead counts a part of a head, and returns the reason if the head must be refused.
 func (conn *Conn) countHead(part []byte) error {
-	limits := conn.limits()
+	if len(part) == 0 {
+		return nil
+	}
+	address := conn.address
+	if conn.headBytes == 0 {
+		conn.headSince.Store(address.guard.sweeps.Load())
+	}
 	conn.headBytes += len(part)
-	if conn.headBytes > limits.maxHeaderBytes()+readAheadBytes {
-		conn.guard.Counts.HeadsTooLarge.Add(1)
-		return errHeadTooLarge
+	limits := address.limits().OrDefaults()
+	if conn.headBytes > limits.MaxHeaderBytes+readAheadBytes {
+		address.Counts.HeadsTooLarge.Add(1)
+		return conn.reject(LimitHeaderBytes, errHeadTooLarge)
 	}
 	conn.headCost += headByteCost*len(part) + headLineCost*bytes.Count(part, []byte{'\n'})
 	if !conn.reservation.Grow(int64(conn.headCost-ordinaryHeadCost) - conn.reservation.Bytes()) {
 		conn.reservation.RecordRefusal()
-		conn.guard.Counts.HeadsOutOfMemory.Add(1)
-		return errOutOfMemory
+		address.Counts.HeadsOutOfMemory.Add(1)
+		return conn.reject(LimitHeadMemory, errOutOfMemory)
 	}
 	return nil
 }
 
+// reject records that a limit refuses the request, and returns the reason.
+func (conn *Conn) reject(limit Limit, reason error) error {
+	conn.address.mu.Lock()
+	defer conn.address.mu.Unlock()
+	conn.refusal = reason
+	conn.address.recordLocked(limit, conn)
+	return reason
+}
+
 // refuse responds that the request has not run, and reads on for a moment so that the client gets the response.
 func (conn *Conn) refuse(reason error, buffer []byte) {
 	conn.reservation.Release()
 	status, header := http.StatusServiceUnavailable, fmt.Sprintf("Retry-After: %.3f\r\n", memoryRetryDelay.Seconds())
-	if errors.Is(reason, errHeadTooLarge) {
+	switch {
+	case errors.Is(reason, errHeadTooLarge):
 		status, header = http.StatusRequestHeaderFieldsTooLarge, ""
+	case errors.Is(reason, errHeadTooSlow):
+		status, header = http.StatusRequestTimeout, ""
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 	_, err := fmt.Fprintf(conn.Conn, "HTTP/1.1 %d %s\r\n%sContent-Length: 0\r\nConnection: close\r\n\r\n", status, http.StatusText(status), header)
--- a/internal/serve/inbound/inbound_test.go
+++ b/internal/serve/inbound/inbound_test.go
@@ -20,29 +20,34 @@
 // site is a server behind a guard. Its handler responds with the length of the body.
 type site struct {
 	guard   *inbound.Guard
+	bounds  *inbound.Address
 	address string
 	limits  atomic.Pointer[inbound.Limits]
 	handled atomic.Int64
 	// release lets the handlers finish, nil for at once.
 	release chan struct{}
+	// episodes are those reported by Sweep.
+	episodes []inbound.Episode
 }
 
-func newSite(t *testing.T, budget *memory.Budget, limits inbound.Limits) *site {
+func newSite(t *testing.T, budget *memory.Budget, limits inbound.Limits, options ...inbound.AddressOption) *site {
 	t.Helper()
-	started := &site{guard: inbound.New(budget)}
+	started := &site{}
+	started.guard = inbound.New(inbound.Budget(budget), inbound.OnEpisode(func(episode inbound.Episode) { started.episodes = append(started.episodes, episode) }))
 	started.limits.Store(&limits)
+	started.bounds = started.guard.NewAddress("Callers", append(options, inbound.CurrentLimits(func() inbound.Limits { return *started.limits.Load() }))...)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	started.address = listener.Addr().String()
-	server := &http.Server{ConnState: inbound.TrackState, Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+	server := started.bounds.Server(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		started.handled.Add(1)
 		body, _ := io.ReadAll(request.Body)
 		if started.release != nil {
 			<-started.release
 		}
 		_, _ = fmt.Fprint(writer, len(body))
-	})}
-	guarded := started.guard.Listen(listener, func() inbound.Limits { return *started.limits.Load() })
+	}))
+	guarded := started.bounds.Listen(listener)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -133,7 +138,7 @@
 	_, err := client.reader.ReadByte()
 	expect.Expect(err).To(gomega.MatchError(io.EOF))
 	expect.Expect(site.handled.Load()).To(gomega.Equal(int64(1)))
-	expect.Expect(site.guard.Counts.HeadsTooLarge.Load()).To(gomega.Equal(uint64(1)))
+	expect.Expect(site.bounds.Counts.HeadsTooLarge.Load()).To(gomega.Equal(uint64(1)))
 }
 
 // Large heads together must not take more than the budget allows. The refused ones have not run, ordinary requests are
@@ -148,9 +153,9 @@
 		client := site.dial(t)
 		_, _ = io.WriteString(client, head(16<<10, 0))
 		expect.Eventually(func() uint64 {
-			return uint64(site.handled.Load()) + site.guard.Counts.HeadsOutOfMemory.Load()
+			return uint64(site.handled.Load()) + site.bounds.Counts.HeadsOutOfMemory.Load()
 		}).Should(gomega.Equal(uint64(len(clients) + refused + 1)))
-		if int(site.guard.Counts.HeadsOutOfMemory.Load()) == refused {
+		if int(site.bounds.Counts.HeadsOutOfMemory.Load()) == refused {
 			clients = append(clients, client)
 			continue
 		}
@@ -188,3 +193,152 @@
 		expect.Expect(status).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
 	}
 }
+
+// sweep calls Sweep as often as it is called in a span of time.
+func (site *site) sweep(span time.Duration) {
+	for range span / inbound.SweepInterval {
+		site.guard.Sweep()
+	}
+}
+
+// waiting returns the number of connections without a request in progress.
+func (site *site) waiting() int {
+	state := site.guard.State()[0]
+	return state.Conns - state.InProgress
+}
+
+const ordinaryRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// Beyond the maximum, the connection that has waited longest for a request must give way, whether it has sent nothing, a
+// part of a head or earlier requests. A connection with a request in progress must not.
+func TestLongestWaitingConnectionGivesWay(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{}, inbound.MaxConns(4))
+	site.release = make(chan struct{}, 1)
+	busy := site.dial(t)
+	_, _ = io.WriteString(busy, ordinaryRequest)
+	expect.Eventually(site.handled.Load).Should(gomega.Equal(int64(1)))
+	silent, half, reused := site.dial(t), site.dial(t), site.dial(t)
+	_, _ = io.WriteString(half, "GET / HT")
+	expect.Eventually(site.waiting).Should(gomega.Equal(3))
+	served := func(client *client, text string) {
+		t.Helper()
+		site.release <- struct{}{}
+		status, _, _ := client.ask(text)
+		expect.Expect(status).To(gomega.Equal(200))
+	}
+	// The busy request is answered first and its connection is used again, so that it is no longer the oldest.
+	served(busy, "")
+	_, _ = io.WriteString(busy, ordinaryRequest)
+	expect.Eventually(site.handled.Load).Should(gomega.Equal(int64(2)))
+	for _, displaced := range []*client{silent, half} {
+		newer := site.dial(t)
+		_, err := displaced.reader.ReadByte()
+		expect.Expect(err).To(gomega.HaveOccurred())
+		expect.Eventually(site.waiting).Should(gomega.Equal(3))
+		_ = newer
+	}
+	expect.Expect(site.bounds.Counts.ConnsDisplaced.Load()).To(gomega.Equal(uint64(2)))
+	served(busy, "")
+	served(reused, ordinaryRequest)
+}
+
+// If each connection has a request in progress, a new one must be closed, and the requests go on.
+func TestConnectionsInProgressAreNotDisplaced(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{}, inbound.MaxConns(3))
+	site.release = make(chan struct{})
+	clients := []*client{}
+	for range 3 {
+		client := site.dial(t)
+		_, _ = io.WriteString(client, ordinaryRequest)
+		clients = append(clients, client)
+		expect.Eventually(site.handled.Load).Should(gomega.Equal(int64(len(clients))))
+	}
+	for range 5 {
+		_, err := site.dial(t).reader.ReadByte()
+		expect.Expect(err).To(gomega.HaveOccurred())
+	}
+	expect.Expect(site.bounds.Counts.ConnsRefused.Load()).To(gomega.Equal(uint64(5)))
+	close(site.release)
+	for _, client := range clients {
+		status, _, _ := client.ask("")
+		expect.Expect(status).To(gomega.Equal(200))
+	}
+	status, _, _ := clients[0].ask(ordinaryRequest)
+	expect.Expect(status).To(gomega.Equal(200))
+}
+
+// A head that takes too long must be refused with 408. The time counts from its first byte, and a lowered limit applies to
+// open connections.
+func TestSlowHeadsAreRefused(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{HeaderTimeout: 30 * time.Second, IdleTimeout: time.Hour})
+	slow, silent := site.dial(t), site.dial(t)
+	status, _, _ := slow.ask(ordinaryRequest)
+	expect.Expect(status).To(gomega.Equal(200))
+	site.sweep(10 * time.Second)
+	_, _ = io.WriteString(slow, "GET / HTTP/1.1\r\n")
+	expect.Eventually(func() int { return site.guard.State()[0].ReadingHeads }).Should(gomega.Equal(1))
+	site.sweep(10 * time.Second)
+	expect.Expect(site.bounds.Counts.HeadsTooSlow.Load()).To(gomega.BeZero())
+	site.limits.Store(&inbound.Limits{HeaderTimeout: 3 * time.Second, IdleTimeout: time.Hour})
+	site.sweep(time.Second)
+	status, _, _ = slow.ask("")
+	expect.Expect(status).To(gomega.Equal(http.StatusRequestTimeout))
+	expect.Expect(site.handled.Load()).To(gomega.Equal(int64(1)))
+	status, _, _ = silent.ask(ordinaryRequest)
+	expect.Expect(status).To(gomega.Equal(200))
+}
+
+// A connection must be closed after the idle time, and not within four fifths of it.
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{IdleTimeout: 15 * time.Second})
+	client := site.dial(t)
+	for range 3 {
+		status, _, _ := client.ask(ordinaryRequest)
+		expect.Expect(status).To(gomega.Equal(200))
+		expect.Eventually(site.waiting).Should(gomega.Equal(1))
+		site.sweep(12 * time.Second)
+	}
+	site.sweep(5 * time.Second)
+	_, err := client.reader.ReadByte()
+	expect.Expect(err).To(gomega.MatchError(io.EOF))
+	expect.Expect(site.bounds.Counts.IdleClosed.Load()).To(gomega.Equal(uint64(1)))
+}
+
+// A limit that refuses clients must be reported once when that begins and once when it has ended.
+func TestEpisodesAreReportedOnce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{MaxHeaderBytes: 1 << 10})
+	site.sweep(time.Minute)
+	expect.Expect(site.episodes).To(gomega.BeEmpty())
+	for range 3 {
+		status, _, _ := site.dial(t).ask(head(16<<10, 0))
+		expect.Expect(status).To(gomega.Equal(http.StatusRequestHeaderFieldsTooLarge))
+		site.sweep(2 * time.Second)
+	}
+	site.sweep(time.Minute)
+	expect.Expect(site.episodes).To(gomega.Equal([]inbound.Episode{
+		{Address: "Callers", Limit: inbound.LimitHeaderBytes, Refused: 1, Hosts: 1},
+		{Address: "Callers", Limit: inbound.LimitHeaderBytes, Ended: true, Refused: 3, Hosts: 1},
+	}))
+}
+
+// A server that shuts down must end the connections of which a part of a head was read, and let requests in progress end.
+func TestCloseWaitingSparesRequestsInProgress(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{})
+	site.release = make(chan struct{})
+	busy, half := site.dial(t), site.dial(t)
+	_, _ = io.WriteString(busy, ordinaryRequest)
+	_, _ = io.WriteString(half, "GET / HT")
+	expect.Eventually(func() int { return site.guard.State()[0].ReadingHeads + int(site.handled.Load()) }).Should(gomega.Equal(2))
+	site.guard.CloseWaiting()
+	_, err := half.reader.ReadByte()
+	expect.Expect(err).To(gomega.HaveOccurred())
+	close(site.release)
+	status, _, _ := busy.ask("")
+	expect.Expect(status).To(gomega.Equal(200))
+}
