fix(gateway): header_timeout_ms and idle_timeout_ms are in force

What operators saw: a client took 10 s for a head and stayed idle for 5 min, whatever the configuration said. Cause: both limits were decoded and read nowhere.

--- a/internal/run/gateway/servers.go
+++ b/internal/run/gateway/servers.go
@@ -71,7 +71,8 @@
 
 // callerLimits are the operator's limits in force.
 func (node *Node) callerLimits() inbound.Limits {
-	return inbound.Limits{MaxHeaderBytes: node.configuration.Load().Configuration.Limits.MaxHeaderBytes}
+	limits := &node.configuration.Load().Configuration.Limits
+	return inbound.Limits{MaxHeaderBytes: limits.MaxHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
 }
 
 // detourLimits are the limits for other nodes, which forward what callers may send. They keep idle connections for a time
--- a/internal/run/gateway/servers_test.go
+++ b/internal/run/gateway/servers_test.go
@@ -2,12 +2,33 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
 	"hazelslip/internal/serve/inbound"
+	"hazelslip/internal/state/configuration"
 )
 
+// The operator's limits must be in force for callers and for detours, and change with a new version. Before any, no client
+// within the operator's limits may meet one.
+func TestOperatorLimitsAreInForce(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	node := idleNode(t)
+	expect.Expect(node.callerLimits().OrDefaults()).To(gomega.Equal(inbound.Limits{}.OrDefaults()))
+	for version, limits := range []inbound.Limits{
+		{MaxHeaderBytes: 16 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		{MaxHeaderBytes: 8 << 10, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second},
+	} {
+		inForce := configuration.Limits{MaxHeaderBytes: limits.MaxHeaderBytes, HeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout}
+		expect.Expect(node.configuration.StoreIfNewer(&configuration.Configuration{Version: int64(version + 1), Limits: inForce})).To(gomega.BeTrue())
+		expect.Expect(node.callerLimits()).To(gomega.Equal(limits))
+		detours := node.detourLimits()
+		expect.Expect(detours.MaxHeaderBytes).To(gomega.BeNumerically(">", limits.MaxHeaderBytes+4<<10))
+		expect.Expect(detours.IdleTimeout).To(gomega.Equal(detourIdleTimeout))
+	}
+}
+
 // The connections of clients must leave a server's connection for each request in progress, and fit into the machine.
 func TestConnectionLimitsFitTheMachine(t *testing.T) {
 	expect := gomega.NewWithT(t)
