fix(inbound): a request with a length beside a chunked body is refused

What a client could do: send a request with a Content-Length and a chunked body, and behind the last chunk a second request within that length. A proxy that goes by the length takes it for a body; the node ran it as a request of its own. Cause: net/http goes by the chunks, drops the length before a handler sees it, and keeps the connection, which RFC 9112 asks to close. Change: the head is scanned while it is read; such a request gets 400 and its connection ends. A part of a head may have been read with the body before it; then the connection of a chunked request ends with its response. A first line that matches the request shows that the head was seen whole: a field can't look like it, as its name holds no space. TestRequestsWithLengthAndChunksAreRefused splits the request at each byte; TestChunkedRequestsKeepTheirConnection shows that ordinary chunked requests keep theirs; both with the race detector.

--- a/internal/serve/inbound/address.go
+++ b/internal/serve/inbound/address.go
@@ -19,6 +19,8 @@
 	// HeadsTooLarge, HeadsOutOfMemory and HeadsTooSlow count the heads that were refused, and IdleClosed the connections
 	// that were idle for too long.
 	HeadsTooLarge, HeadsOutOfMemory, HeadsTooSlow, IdleClosed atomic.Uint64
+	// RequestsAmbiguous counts the requests that were refused for a length beside a chunked body.
+	RequestsAmbiguous atomic.Uint64
 	// ConnsDisplaced counts the connections that gave way to newer ones, ConnsRefused the new ones for which none could.
 	ConnsDisplaced, ConnsRefused atomic.Uint64
 }
@@ -86,12 +88,27 @@
 	}
 }
 
-// checkRequest aborts requests whose connection was closed while their head was read.
+// checkRequest aborts requests whose connection was closed while their head was read, and refuses those that hide
+// another one.
 func checkRequest(handler http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
-		if conn, ok := request.Context().Value(connKey{}).(*Conn); ok && !conn.inProgress() {
+		conn, ok := request.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			handler.ServeHTTP(writer, request)
+			return
+		}
+		if !conn.inProgress() {
 			panic(http.ErrAbortHandler)
 		}
+		switch conn.framing.ambiguity(request) {
+		case certain:
+			conn.address.Counts.RequestsAmbiguous.Add(1)
+			writer.Header().Set("Connection", "close")
+			writer.WriteHeader(http.StatusBadRequest)
+			return
+		case possible:
+			writer.Header().Set("Connection", "close")
+		}
 		handler.ServeHTTP(writer, request)
 	})
 }
--- a/internal/serve/inbound/conn.go
+++ b/internal/serve/inbound/conn.go
@@ -64,6 +64,7 @@
 	// headBytes, headCost and reservation belong to the goroutine that serves the connection. They describe what was
 	// read of the head.
 	headBytes, headCost int
+	framing             framing
 	reservation         memory.Reservation
 }
 
@@ -84,7 +85,7 @@
 // endRequest prepares for the next request.
 func (conn *Conn) endRequest() {
 	conn.reservation.Release()
-	conn.headBytes, conn.headCost = 0, 0
+	conn.headBytes, conn.headCost, conn.framing = 0, 0, framing{}
 	conn.headSince.Store(0)
 	conn.address.mu.Lock()
 	defer conn.address.mu.Unlock()
@@ -149,6 +150,7 @@
 		conn.headSince.Store(address.guard.sweeps.Load())
 	}
 	conn.headBytes += len(part)
+	conn.framing.scan(part)
 	limits := address.limits().OrDefaults()
 	if conn.headBytes > limits.MaxHeaderBytes+readAheadBytes {
 		address.Counts.HeadsTooLarge.Add(1)
--- a/internal/serve/inbound/inbound.go
+++ b/internal/serve/inbound/inbound.go
@@ -13,6 +13,7 @@
 // | sends a head over the limit | 431 |
 // | sends a head that doesn't fit into memory | 503 with Retry-After |
 // | takes too long for a head | 408 |
+// | sends a length beside a chunked body | 400 |
 // | is idle for too long, or gives way to another one | its connection closed |
 //
 // After each the connection is closed. No handler has seen the request, so it has not run and never will.
@@ -136,7 +137,7 @@
 		counts := &address.Counts
 		counters[address.Name] = map[string]uint64{
 			"HeadsTooLarge": counts.HeadsTooLarge.Load(), "HeadsOutOfMemory": counts.HeadsOutOfMemory.Load(), "HeadsTooSlow": counts.HeadsTooSlow.Load(),
-			"IdleClosed": counts.IdleClosed.Load(), "ConnectionsDisplaced": counts.ConnsDisplaced.Load(), "ConnectionsRefused": counts.ConnsRefused.Load(),
+			"RequestsAmbiguous": counts.RequestsAmbiguous.Load(), "IdleClosed": counts.IdleClosed.Load(), "ConnectionsDisplaced": counts.ConnsDisplaced.Load(), "ConnectionsRefused": counts.ConnsRefused.Load(),
 		}
 	}
 	return counters
--- a/internal/serve/inbound/inbound_test.go
+++ b/internal/serve/inbound/inbound_test.go
@@ -342,3 +342,47 @@
 	status, _, _ := busy.ask("")
 	expect.Expect(status).To(gomega.Equal(200))
 }
+
+// A request with a length beside a chunked body must not let the request after it through, wherever the reads of the
+// connection are split, and whether the request came alone or was sent behind another one.
+func TestRequestsWithLengthAndChunksAreRefused(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	ambiguous := "POST / HTTP/1.1\r\nHost: a\r\ncontent-LENGTH: 45\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + ordinaryRequest
+	for split := range len(ambiguous) {
+		site := newSite(t, memory.New(0), inbound.Limits{})
+		client := site.dial(t)
+		_, _ = io.WriteString(client, ambiguous[:split])
+		if split%8 == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		status, _, _ := client.ask(ambiguous[split:])
+		expect.Expect(status).To(gomega.Equal(http.StatusBadRequest))
+		status, _, _ = client.ask("")
+		expect.Expect(status).To(gomega.BeZero())
+		expect.Expect(site.handled.Load()).To(gomega.BeZero())
+	}
+	site := newSite(t, memory.New(0), inbound.Limits{})
+	client := site.dial(t)
+	first := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy"
+	status, _, _ := client.ask(first + ambiguous)
+	expect.Expect(status).To(gomega.Equal(200))
+	_, _, _ = client.ask("")
+	status, _, _ = client.ask("")
+	expect.Expect(status).To(gomega.BeZero())
+	expect.Expect(site.handled.Load()).To(gomega.BeNumerically("<=", 2))
+}
+
+// Requests with chunked bodies must keep their connection, as must those of callers that send a length.
+func TestChunkedRequestsKeepTheirConnection(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(0), inbound.Limits{})
+	client := site.dial(t)
+	for range 5 {
+		status, _, answer := client.ask("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nxy\r\n0\r\n\r\n")
+		expect.Expect(status).To(gomega.Equal(200))
+		expect.Expect(answer).To(gomega.Equal("2"))
+		status, _, answer = client.ask("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nxyz")
+		expect.Expect(status).To(gomega.Equal(200))
+		expect.Expect(answer).To(gomega.Equal("3"))
+	}
+}
