fix(inbound): what the kernel holds for a client is bounded both ways

What operators saw: 32 clients that send requests and read no response make the kernel hold 128 MB for a node with the project's own interface. Cause: its sockets had the kernel's own buffers, which grow to megabytes. Those of the gateway bounded what is sent, not what is received.

--- a/internal/run/gateway/caller_conn.go
+++ b/internal/run/gateway/caller_conn.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"hazelslip/internal/serve/inbound"
 )
 
 const (
@@ -16,13 +18,10 @@
 	// now and then. The kernel reports freed space to the writer only once a part of the send buffer is free:
 	// with a timeout of 15 s, a caller that read 2 KB/s was disconnected.
 	callerWriteTimeout = time.Minute
-	// callerSendBuffer bounds the kernel's send buffer for a caller that doesn't read its response. Left to
-	// itself the kernel grows the buffer to megabytes, which count towards the process's memory limit.
-	callerSendBuffer = 128 << 10
 )
 
-// newCallerListener wraps a listener so that each accepted connection has a bounded send buffer and a timeout
-// for stalled writes.
+// newCallerListener wraps a listener so that each accepted connection has bounded buffers and a timeout for stalled
+// writes.
 func newCallerListener(listener net.Listener) net.Listener {
 	return &callerListener{Listener: listener}
 }
@@ -37,10 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := accepted.(*net.TCPConn); ok {
-		// If the kernel rejects the size, its own limit applies.
-		_ = tcp.SetWriteBuffer(callerSendBuffer)
-	}
+	inbound.BoundBuffers(accepted)
 	return &callerConn{Conn: accepted}, nil
 }
 
--- a/internal/serve/inbound/address.go
+++ b/internal/serve/inbound/address.go
@@ -146,6 +146,7 @@
 		if err != nil {
 			return nil, err
 		}
+		BoundBuffers(accepted)
 		if conn := listener.address.admit(accepted); conn != nil {
 			return conn, nil
 		}
