fix(logging): the queue of lines is bounded in bytes

What operators would see: a node whose output stalls grows by what callers put into the IDs of their requests. Cause: the queue is bounded by 4,096 lines. A line holds the ID that the caller chose, of up to 16 KB, and escaping makes it up to six times as long. Evidence: TestLongValuesDoNotFillMemory keeps all of 4,000 such lines before; now it holds less than 5 MB and counts the lines that it drops. Change: the queue has 4 MB at the most; a text is cut after 1 KB.

--- a/internal/common/logging/logging.go
+++ b/internal/common/logging/logging.go
@@ -25,8 +25,12 @@
 )
 
 const (
-	// queueLines is the capacity of the queue: a few seconds of the log of a busy node, in under 2 MB.
+	// queueLines and queueBytes are the capacity of the queue: a few seconds of the log of a busy node. Lines hold what
+	// callers send, for instance the IDs of their requests, so their number alone doesn't bound them.
 	queueLines = 4096
+	queueBytes = 4 << 20
+	// maxValueBytes bounds a string in a line. Longer ones are cut.
+	maxValueBytes = 1 << 10
 	// flushTime bounds how long Stop waits until the queued lines are written.
 	flushTime = 200 * time.Millisecond
 )
@@ -38,6 +42,8 @@
 	lines      chan []byte
 	writerDone chan struct{}
 	dropped    atomic.Uint64
+	// queued is the number of bytes in the queue.
+	queued atomic.Int64
 }
 
 // New returns a sink that writes to out once Start has been called.
@@ -56,7 +62,7 @@
 	for {
 		select {
 		case line := <-sink.lines:
-			_, _ = sink.out.Write(line)
+			sink.writeLine(line)
 		case <-sink.Stopping:
 			sink.writeQueued()
 			return
@@ -72,13 +78,18 @@
 	for {
 		select {
 		case line := <-sink.lines:
-			_, _ = sink.out.Write(line)
+			sink.writeLine(line)
 		default:
 			return
 		}
 	}
 }
 
+func (sink *Sink) writeLine(line []byte) {
+	_, _ = sink.out.Write(line)
+	sink.queued.Add(-int64(len(line)))
+}
+
 // Stop writes the queued lines and stops the sink. Stop gives up after flushTime if the output is blocked.
 func (sink *Sink) Stop() {
 	sink.RequestStop()
@@ -96,17 +107,30 @@
 
 // Write queues a line, or drops it if the queue is full. Write never blocks and never returns an error.
 func (sink *Sink) Write(line []byte) (int, error) {
-	select {
-	case sink.lines <- append([]byte{}, line...):
-	default:
-		sink.dropped.Add(1)
+	if sink.queued.Add(int64(len(line))) <= queueBytes {
+		select {
+		case sink.lines <- append([]byte{}, line...):
+			return len(line), nil
+		default:
+		}
 	}
+	sink.queued.Add(-int64(len(line)))
+	sink.dropped.Add(1)
 	return len(line), nil
 }
 
 // Handler returns a handler that writes records of the given level and above as JSON lines.
 func (sink *Sink) Handler(level slog.Level) slog.Handler {
-	return &handler{Handler: slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level}), sink: sink}
+	return &handler{Handler: slog.NewJSONHandler(sink, &slog.HandlerOptions{Level: level, ReplaceAttr: cutLongValue}), sink: sink}
+}
+
+func cutLongValue(_ []string, attribute slog.Attr) slog.Attr {
+	if attribute.Value.Kind() == slog.KindString {
+		if text := attribute.Value.String(); len(text) > maxValueBytes {
+			attribute.Value = slog.StringValue(text[:maxValueBytes] + "...")
+		}
+	}
+	return attribute
 }
 
 type handler struct {
@@ -116,7 +140,7 @@
 
 // Handle drops records below the warning level while the queue is more than half full.
 func (handler *handler) Handle(ctx context.Context, record slog.Record) error {
-	if record.Level < slog.LevelWarn && len(handler.sink.lines) > queueLines/2 {
+	if record.Level < slog.LevelWarn && (len(handler.sink.lines) > queueLines/2 || handler.sink.queued.Load() > queueBytes/2) {
 		handler.sink.dropped.Add(1)
 		return nil
 	}
--- a/internal/common/logging/logging_test.go
+++ b/internal/common/logging/logging_test.go
@@ -56,3 +56,25 @@
 		expect.Expect(text).To(gomega.ContainSubstring("lines were dropped"))
 	})
 }
+
+// Guards against a queue that grows with what callers send. Values that callers choose are cut, and the queue is bounded
+// in bytes as well as in lines while the output stalls.
+func TestLongValuesDoNotFillMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		out := &blockedWriter{unblock: make(chan struct{})}
+		sink := logging.New(out)
+		sink.Start()
+		logger, id := slog.New(sink.Handler(slog.LevelInfo)), strings.Repeat("\xff", 16<<10)
+		for range 4000 {
+			logger.Warn("failed", "RequestID", id, "Cause", "pool drafts/"+id)
+		}
+		expect.Expect(sink.Dropped()).To(gomega.BeNumerically(">", 0))
+		close(out.unblock)
+		synctest.Wait()
+		sink.Stop()
+		kept := out.written.Len()
+		expect.Expect(kept).To(gomega.BeNumerically(">", 3<<20))
+		expect.Expect(kept).To(gomega.BeNumerically("<", 5<<20))
+	})
+}
