feat(soak): crowds of clients that break limits, beside all other faults

Cause: misbehaving clients were tested alone only. Change: during the faults, crowds of up to 40 clients hold silent connections, half heads, heads and chunks without end, at the addresses of callers, readiness and operators of random nodes, up to 4 s each, by a random stream of their own, so the plans of all seeds stay as they were. The checks of ordinary callers stay; each node's memory is read and must stay within its limit.

--- a/internal/run/soak/fleet.go
+++ b/internal/run/soak/fleet.go
@@ -161,7 +161,7 @@
 		Listen: gateway.Listen{
 			Caller: fleet.nodeAddress(node, callerPort), Readiness: fleet.nodeAddress(node, readinessPort), Operator: fleet.nodeAddress(node, operatorPort),
 		},
-		Bounds: standin.DefaultBounds(), Limits: gateway.Limits{MemoryBytes: 512 << 20},
+		Bounds: standin.DefaultBounds(), Limits: gateway.Limits{MemoryBytes: nodeMemoryBytes},
 	}
 	seeds := []string{}
 	for seed := range min(3, fleet.options.Nodes) {
--- a/internal/run/soak/process.go
+++ b/internal/run/soak/process.go
@@ -105,6 +105,13 @@
 	}
 }
 
+// pid returns the ID of the program's process. The process may have ended.
+func (process *process) pid() int {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	return process.running.Process.Pid
+}
+
 // signal sends a signal to the running program, and reports false if the program has ended.
 func (process *process) signal(signal syscall.Signal) bool {
 	process.mu.Lock()
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -1,7 +1,8 @@
 // Package soak runs the real program as processes on loopback and injects faults from
 // outside: signals to nodes; proxies between nodes, store and servers that delay, reset or
 // block traffic in one direction or both; and servers that exit. Faults come in sequence and
-// overlap. Callers keep using open connections until a node closes them.
+// overlap. Callers keep using open connections until a node closes them. Beside them, crowds of
+// clients break the limits of HTTP and of the operator.
 //
 // During and after the run, the package checks the system's guarantees against what callers
 // received and what servers ran:
@@ -205,6 +206,7 @@
 	watchers := conc.WaitGroup{}
 	for node := range runner.options.Nodes {
 		watchers.Go(func() { runner.watchVersions(watchCtx, node) })
+		watchers.Go(func() { runner.watchMemory(watchCtx, node) })
 	}
 	runner.callers.start(plan.Seed)
 	noticeCtx, stopNotices := context.WithCancel(ctx)
@@ -217,6 +219,7 @@
 		random := rand.New(rand.NewPCG(plan.Seed, stream))
 		announcers.Go(func() { runner.announceRandomly(noticeCtx, announcement, runner.checkedServer(plan.Seed), random) })
 	}
+	announcers.Go(func() { runner.runCrowds(noticeCtx, rand.New(rand.NewPCG(plan.Seed, crowdStream))) })
 	injections := conc.WaitGroup{}
 	meter, start := startPauseMeter(), time.Now()
 	_, _ = fmt.Fprintf(runner.options.Out, "the load starts at %s\n", start.UTC().Format(time.RFC3339Nano))
