test(inbound): a fuzz target over bytes on a connection, and what a request costs

Cause: corners of HTTP that no table names; and what the bounds cost was not measured. Change: FuzzConnection sends any bytes in two parts: the connection ends once its client has left and all memory is given back. BenchmarkRequest compares a server with and without the bounds; make bench has it.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 	bash .ci/run
 
 bench: ## Benchmarks; compare the figures of one run only.
-	go test -run '^$$' -bench . -benchtime 2s ./internal/policy/route ./internal/run/node
+	go test -run '^$$' -bench . -benchtime 2s ./internal/policy/route ./internal/run/node ./internal/serve/inbound
 	go test -run '^$$' -bench . -benchtime 1x ./internal/policy/repair
 
 trial: build ## Targets under surges and faults beside simpler rules; some 15 minutes.
@@ -63,7 +63,7 @@
 	$(BIN)/hazelslip soak --seed $(SOAK_SEED) --seeds $(SEEDS) --length 30s
 
 FUZZTIME ?= 30s
-FUZZ := ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
+FUZZ := ./internal/serve/inbound:FuzzConnection ./internal/peer/caller:FuzzParseChat ./internal/peer/engine:FuzzParsePiece ./internal/peer/node:FuzzReceive \
 	./internal/state/stream:FuzzFolds ./internal/state/booking:FuzzTicketIssuer ./internal/run/settings:FuzzParse \
 	./platform:FuzzDecodeRecords ./platform:FuzzDecodeEntries ./platform:FuzzParseSettings ./platform:FuzzDecodeLimit ./platform:FuzzDecodeSaid
 fuzz: ## Fuzz everything that decodes bytes from outside.
