fix(caller): names of classes and workspaces have 256 characters

What operators would see: a node with the project's own interface grows by 128 MB while a caller names workspaces of 64 KB. Change: longer names get 400, as keys of bookings do.

--- a/internal/peer/caller/caller.go
+++ b/internal/peer/caller/caller.go
@@ -45,6 +45,8 @@
 	defaultMaxTokens = 128
 	maxTokensLimit   = 8192
 	defaultWorkspace = "default"
+	// maxNameBytes bounds the names of classes and workspaces in requests. The journal keeps them for many requests.
+	maxNameBytes = 256
 )
 
 // Handler holds the dependencies of the caller API.
@@ -152,6 +154,9 @@
 		if len(request.Header.Values(name)) > 1 {
 			return "", nil, badRequest("the header %s stands more than once", name)
 		}
+		if len(request.Header.Get(name)) > maxNameBytes {
+			return "", nil, badRequest("the header %s has more than %d characters", name, maxNameBytes)
+		}
 	}
 	snapshot := handler.Classes()
 	name := request.Header.Get(HeaderClass)
