feat(gateway): the line of a start names the maximum numbers of connections

Cause: the limits on connections follow from settings and from the system's limit on descriptors, so operators can't read them off a file. Change: the line has those of callers, detours and other nodes.

--- a/internal/run/gateway/gateway.go
+++ b/internal/run/gateway/gateway.go
@@ -329,7 +329,9 @@
 			node.GoNamed("http", func() { node.serve(server, listener) })
 		}
 	}
-	node.logger.Info("gateway: the node started.", "Name", node.settings.Name, "DataCentre", node.settings.DataCentre, "Incarnation", node.Incarnation)
+	limits := node.settings.Limits.connLimits()
+	node.logger.Info("gateway: the node started.", "Name", node.settings.Name, "DataCentre", node.settings.DataCentre, "Incarnation", node.Incarnation,
+		"MaxCallerConnections", limits.Callers, "MaxDetourConnections", limits.Detours, "MaxPeerConnections", limits.Peers)
 }
 
 func (node *Node) serve(server *http.Server, listener net.Listener) {
