test(scripts): the whole output is read before it is searched

Change: the four checks of that kind read the output into a variable first and search that: as strict as before.

--- a/scripts/platform-path.sh
+++ b/scripts/platform-path.sh
@@ -75,8 +75,11 @@
 [ -z "$(suspect)" ] || fail "the suspicion was not lifted"
 
 say "metrics and state tell of them"
-curl -fsS "$operator/debug/vars" | grep -q '"Answered"' || fail "the metrics know no answered request"
-curl -fsS "$operator/state" | grep -Eq '"Group": ?"g' || fail "the state has no groups"
+# The answer is read whole before it is searched: grep -q leaves at the first match, and curl then fails to write the rest.
+vars=$(curl -fsS "$operator/debug/vars")
+grep -q '"Answered"' <<<"$vars" || fail "the metrics know no answered request"
+state=$(curl -fsS "$operator/state")
+grep -Eq '"Group": ?"g' <<<"$state" || fail "the state has no groups"
 
 say "the demo stops when it is told to"
 kill -TERM "$demo"
--- a/scripts/whole-path.sh
+++ b/scripts/whole-path.sh
@@ -64,7 +64,9 @@
   curl -fsS -X POST "$caller/services/scheduling/slots" -H 'Idempotency-Key: visit-1' -d 'Tuesday' >>"$work/booked"
 done
 test "$(sort -u "$work/booked" | wc -l)" = 1 || fail "a booking had different answers"
-$program booking show scheduling visit-1 | grep -q '"Outcome": "Run"' || fail "the key is not known"
+# Output is read whole before it is searched: grep -q leaves at the first match, and its writer then fails.
+booked=$($program booking show scheduling visit-1)
+grep -q '"Outcome": "Run"' <<<"$booked" || fail "the key is not known"
 
 say "a node is told to stop while a draft runs through it; nothing is cut off"
 long='{"messages":[{"role":"user","content":"A long report."}],"stream":true,"max_tokens":600}'
@@ -75,6 +77,7 @@
 wait "$curl_pid" || fail "the draft was cut off"
 test "$(grep -c '"content"' "$work/long")" = 600 || fail "the draft lost tokens"
 wait "${pids[1]}" || fail "the node did not stop cleanly"
-curl -fsS "$caller_b/v1/models" | grep -q drafting || fail "the others do not serve"
+models=$(curl -fsS "$caller_b/v1/models")
+grep -q drafting <<<"$models" || fail "the others do not serve"
 
 say "passed"
