--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -30,8 +30,8 @@
 	// little and keep the peak low.
 	gcPercent = 50
 	// memoryLimitFraction is the fraction of the node's memory limit that is set as
-	// the soft memory limit of the Go runtime. The rest is for the program itself, of
-	// some 12 MB, and for what the kernel holds for connections.
+	// the soft memory limit of the Go runtime. The rest is for the pages of the
+	// program itself and for what the kernel holds for connections.
 	memoryLimitFraction = 0.6
 )
 
--- a/internal/peer/sibling/sibling.go
+++ b/internal/peer/sibling/sibling.go
@@ -122,8 +122,8 @@
 	maxConns int
 	// onAcceptError is called for the first of several errors in a row.
 	onAcceptError func(err error)
-	// Accepted counts the accepted connections, Displaced those that were closed for newer ones or, as all others had
-	// received a frame, at once.
+	// Accepted counts the accepted connections. Displaced counts the connections that were closed because there were too
+	// many: the oldest one without a frame or, if there is none, the new one.
 	Accepted, Displaced atomic.Uint64
 
 	mu sync.Mutex
