test: guards of inbound that no test held

Cause: a last reading, and trials in a scratch copy with one guard out at a time. The product stays as it is.

--- a/internal/serve/inbound/inbound_test.go
+++ b/internal/serve/inbound/inbound_test.go
@@ -387,3 +387,13 @@
 		expect.Expect(answer).To(gomega.Equal("3"))
 	}
 }
+
+// Ordinary heads must be accepted when nothing is left of the budget, and large ones must not.
+func TestOrdinaryHeadsNeedNoBudget(t *testing.T) {
+	expect := gomega.NewWithT(t)
+	site := newSite(t, memory.New(1), inbound.Limits{})
+	status, _, _ := site.dial(t).ask("GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X-Field: 9c41d07be2a35f689c41d07be2a35f68\r\n", 20) + "\r\n")
+	expect.Expect(status).To(gomega.Equal(200))
+	status, _, _ = site.dial(t).ask(head(16<<10, 0))
+	expect.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+}
