--- a/internal/run/soak/crowd.go
+++ b/internal/run/soak/crowd.go
@@ -38,7 +38,7 @@
 	{"POST /ping/1 HTTP/1.1\r\nHost: " + standin.Host + "\r\n", "a:\r\n"},
 	{"POST /ping/1 HTTP/1.1\r\nHost: " + standin.Host + "\r\nA: ", "xxxx"},
 	{"", "\r\n"},
-	{"POST /ping/1 HTTP/1.1\r\nHost: " + standin.Host + "\r\nX-Hazelslip-Attempt-Id: crowd\r\nApi-Key: " + standin.APIKey + "\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+	{standin.ChunkedHead("crowd"), "1\r\nx\r\n"},
 }
 
 // runCrowds lets crowds of clients misbehave at random nodes until the context ends.
