--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(trouble bool, record *record) (verdict, error){
 	"foreign-epoch":   playForeignEpoch,
 	"unreadable-key":  playUnreadableKey,
+	"missing-born":    playMissingBorn,
 	"foreign-refusal": playForeignRefusal,
 	"foreign-success": playForeignSuccess,
 }
