test(review): two cases that start at once choose different ports

Cause: each case took the first 200 free ports from 20,000 on, so that two that started at the same moment chose the same ones, and one ended with exit code 2. Change: the search begins at a random place.

--- a/review/harness2/fleet.go
+++ b/review/harness2/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -55,10 +56,11 @@
 	nodes    []*nodeProcess
 }
 
-// freeBase returns the first of portSpan free ports in a row.
+// freeBase returns the first of portSpan free ports in a row. It begins anywhere, so that two cases that start at the same
+// moment do not choose the same ports.
 func freeBase() (int, error) {
-	for base := firstBase; base < lastBase; base += portSpan {
-		if portsFree(base) {
+	for _, number := range rand.Perm((lastBase - firstBase) / portSpan) {
+		if base := firstBase + number*portSpan; portsFree(base) {
 			return base, nil
 		}
 	}
