test(review): case 8, a planned stop ends accepted streams without an answer

Cause: at the end of its grace time a node closes the connections of requests that have no answer yet. While the members of a group are silent one after the other, no server has begun them.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -35,6 +35,7 @@
 	"missing-born":    playMissingBorn,
 	"foreign-refusal": playForeignRefusal,
 	"foreign-success": playForeignSuccess,
+	"rolling-silence": playRollingSilence,
 }
 
 func main() {
