test(review): case 8 counts only requests that were passed on, and records runs

Cause: the judge took a closed connection for a lost request without a look at whether a server had got it, and record.txt did not list what was passed on and what ran. Change: a request counts only if it arrived at a server; arrivals and runs are recorded.

--- a/review/harness2/rollingsilence.go
+++ b/review/harness2/rollingsilence.go
@@ -170,10 +170,20 @@
 	return result
 }
 
-// judgeLost counts the requests that were read and whose connection ended without an answer. A request that a server began
-// is not counted, nor one that the caller's deadline or the route's timeout had reached.
+// judgeLost counts the requests that the node passed on to a server and whose connection ended without an answer. A request
+// that a server began is not counted, nor one that the caller's deadline or the route's timeout had reached.
 func judgeLost(fleet *fleet, record *record, results []streamResult, stoppedAt time.Time) verdict {
-	runs := fleet.platform.Recorder.Runs()
+	runs, passedOn := fleet.platform.Recorder.Runs(), map[string]string{}
+	engines, _ := standin.ServerIDs(fleet.shape)
+	for _, id := range engines {
+		for _, arrival := range fleet.platform.Recorder.Arrivals(id) {
+			record.write("%s was passed on to %s", arrival.RequestID, id)
+			passedOn[arrival.RequestID] = id
+		}
+	}
+	for _, run := range fleet.platform.Recorder.RunLog() {
+		record.write("%s ran at %s", run.ID, run.Server)
+	}
 	lost, whole := 0, 0
 	for index := range results {
 		result := &results[index]
@@ -181,10 +191,10 @@
 		switch {
 		case result.whole:
 			whole++
-		case result.status == 0 && runs[result.id] == 0 && took < min(callerDeadline, routeTimeout) && result.endAt.Before(stoppedAt.Add(graceTime+time.Second)):
+		case result.status == 0 && passedOn[result.id] != "" && runs[result.id] == 0 && took < min(callerDeadline, routeTimeout) && result.endAt.Before(stoppedAt.Add(graceTime+time.Second)):
 			lost++
-			record.print("LOST: stream %s was sent %.3f s after the SIGTERM, no server began it, and its connection ended %.3f s after the SIGTERM: %s",
-				result.id, result.sentAt.Sub(stoppedAt).Seconds(), result.endAt.Sub(stoppedAt).Seconds(), result.failure)
+			record.print("LOST: stream %s was sent %.3f s after the SIGTERM and passed on to %s, no server began it, and its connection ended %.3f s after the SIGTERM: %s",
+				result.id, result.sentAt.Sub(stoppedAt).Seconds(), passedOn[result.id], result.endAt.Sub(stoppedAt).Seconds(), result.failure)
 		}
 	}
 	return verdict{broken: lost > 0, reason: fmt.Sprintf("%d of %d requests ended without an answer around the SIGTERM, %d were answered whole", lost, len(results), whole)}
