fix(backendserver): a response that is reset during a long upload is incomplete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. Cause: the kernel reports a reset once. The write of the upload took the error, so that the read of the body returned io.EOF, which is the regular end of a response without framing. In plain calls the part was delivered with its length; a stream that was reset between two events ended as complete. Why this works: the error of a write that hides a reset replaces io.EOF on the connection. EPIPE does not hide one: the server had closed its side before, so that its response is complete (TestResponseClosedDuringUploadIsComplete). Where writing and reading overlap, a read that returns io.EOF on a connection without an open direction waits for the failed write to be recorded. Looked at: drafts of engines end with a last piece, responses of the store, reports and orders are JSON or carry lengths.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -32,6 +32,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/tcpreset"
 )
 
 // Errors of a call. Use errors.Is.
@@ -256,6 +258,9 @@
 		return errors.Mark(errors.Wrapf(err, "send to %s", call.Address), ErrNotSent)
 	}
 	connection.partlySent = true
+	if tcpreset.HidesReset(err) {
+		connection.hiddenReset = errors.Wrapf(err, "send to %s", call.Address)
+	}
 	return nil
 }
 
--- a/internal/peer/backendserver/conn.go
+++ b/internal/peer/backendserver/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"time"
 
@@ -23,6 +24,9 @@
 	idleDeadline time.Time
 	// partlySent is set if only a part of the last call was sent.
 	partlySent bool
+	// hiddenReset is the error of a write after which reads return io.EOF although the server has not closed the
+	// connection.
+	hiddenReset error
 }
 
 // newConn returns a connection whose reader bounds the heads of responses.
@@ -35,7 +39,7 @@
 // headLimiter reads from a connection, and fails when a head is too long.
 type headLimiter struct{ conn *conn }
 
-// Read reads from the connection.
+// Read reads from the connection. It returns io.EOF only if the server closed the connection.
 func (limiter headLimiter) Read(buffer []byte) (int, error) {
 	connection := limiter.conn
 	if connection.unreadHead <= 0 {
@@ -43,5 +47,8 @@
 	}
 	n, err := connection.Read(buffer)
 	connection.unreadHead -= n
+	if connection.hiddenReset != nil && errors.Is(err, io.EOF) {
+		err = connection.hiddenReset
+	}
 	return n, err
 }
--- a/internal/peer/service/service.go
+++ b/internal/peer/service/service.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/tcpreset"
 )
 
 // Errors of a call to a service. Use errors.Is.
@@ -57,7 +59,19 @@
 // Dial sets the function that opens connections.
 func Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(client *Client) {
-		client.httpClient.Transport.(*http.Transport).DialContext = dial
+		client.httpClient.Transport.(*http.Transport).DialContext = trackResets(dial)
+	}
+}
+
+// trackResets returns a dial function whose connections tell a reset from a close. net/http does not when it writes the
+// body of a call and reads the response at the same time.
+func trackResets(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return tcpreset.NewConn(conn), nil
 	}
 }
 
@@ -66,7 +80,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	// net/http retries a request by itself if a keep-alive connection breaks before the first byte of the
 	// response. That could execute a non-idempotent call twice, so each call uses a new connection.
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	transport := &http.Transport{DialContext: trackResets(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true}
 	client := &Client{httpClient: &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
