fix(backendserver): a status below 100 is no response

What callers saw: a server in trouble sent a response with status 000. Without such bytes the call waited for its deadline. The client of plain services passed the 000 on, which net/http can't write: the handler panicked. Cause: net/http parses each status of three characters that is a number, 000 and +20 too, and the pool skipped each one below 200, 101 included. Why this works: responsehead.Check refuses a head with such a status, and the connection is closed, since nobody knows where the response ends. The request counts as one that may have run. responsehead.Transport does the same for the clients that use net/http: services, engines, the log and lists of the own interface, the store, reports and orders.

--- a/internal/common/jsonhttp/jsonhttp.go
+++ b/internal/common/jsonhttp/jsonhttp.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/responsehead"
 )
 
 // Client fetches JSON from one service. Create a Client with New; the zero value is not usable.
@@ -31,7 +33,7 @@
 
 // New returns a client for the service at the base URL. A nil transport stands for http.DefaultTransport.
 func New(base string, transport http.RoundTripper) *Client {
-	return &Client{BaseURL: base, HTTP: &http.Client{Transport: transport}}
+	return &Client{BaseURL: base, HTTP: &http.Client{Transport: responsehead.NewTransport(transport)}}
 }
 
 // Get requests a path and decodes the JSON response into value.
--- /dev/null
+++ b/internal/common/responsehead/responsehead.go
@@ -0,0 +1,67 @@
+// Package responsehead rejects heads of responses that net/http accepts although they are not valid HTTP. Where the
+// response to a request with such a head ends is unknown, so its connection is closed.
+//
+// # Usage
+//
+//	client := &http.Client{Transport: responsehead.NewTransport(transport)}
+//	if err := responsehead.Check(response); err != nil { // read with http.ReadResponse
+package responsehead
+
+import (
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid means that a server sent a head that is not valid HTTP.
+var ErrInvalid = errors.New("invalid response head")
+
+// Check returns an error marked as ErrInvalid if the head of a response, which may be informational, is not valid. No
+// request asks for another protocol, so status 101 is not valid either.
+func Check(response *http.Response) error {
+	if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
+		return errors.Mark(errors.Newf("response with status %03d", response.StatusCode), ErrInvalid)
+	}
+	return nil
+}
+
+// Transport is a RoundTripper that fails if the head of a response is not valid.
+type Transport struct {
+	base http.RoundTripper
+}
+
+// NewTransport returns a Transport that sends requests through the base, nil for http.DefaultTransport.
+func NewTransport(base http.RoundTripper) *Transport {
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip sends a request and checks the head of its response.
+func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn net.Conn
+	ctx := httptrace.WithClientTrace(request.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }})
+	response, err := transport.base.RoundTrip(request.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	if err := Check(response); err != nil {
+		// Closing the body does not close the connection if the body is empty.
+		if conn != nil {
+			conn.Close()
+		}
+		response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of the base. http.Client calls it.
+func (transport *Transport) CloseIdleConnections() {
+	if base, ok := transport.base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -33,6 +33,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hazelslip/internal/common/responsehead"
 	"hazelslip/internal/common/tcpreset"
 )
 
@@ -273,6 +274,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := responsehead.Check(response); err != nil {
+			return nil, err
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/peer/engine/engine.go
+++ b/internal/peer/engine/engine.go
@@ -28,6 +28,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"hazelslip/internal/common/responsehead"
 )
 
 // Errors of a request to an engine. Use errors.Is.
@@ -118,6 +120,7 @@
 
 // Client sends requests to any number of engines. The zero value is not usable; call New.
 type Client struct {
+	transport  *http.Transport
 	httpClient *http.Client
 	// Counters count the control requests, which are reports and orders.
 	Counters Counters
@@ -129,7 +132,7 @@
 // Dial sets the function that opens connections.
 func Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(client *Client) {
-		client.httpClient.Transport.(*http.Transport).DialContext = dial
+		client.transport.DialContext = dial
 	}
 }
 
@@ -142,7 +145,7 @@
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
 	}
-	client := &Client{httpClient: &http.Client{Transport: transport}}
+	client := &Client{transport: transport, httpClient: &http.Client{Transport: responsehead.NewTransport(transport)}}
 	for _, option := range options {
 		option(client)
 	}
--- a/internal/peer/service/service.go
+++ b/internal/peer/service/service.go
@@ -20,6 +20,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"hazelslip/internal/common/responsehead"
 	"hazelslip/internal/common/tcpreset"
 )
 
@@ -50,6 +51,7 @@
 
 // Client calls services. The zero value is not usable; call New.
 type Client struct {
+	transport  *http.Transport
 	httpClient *http.Client
 }
 
@@ -59,7 +61,7 @@
 // Dial sets the function that opens connections.
 func Dial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
 	return func(client *Client) {
-		client.httpClient.Transport.(*http.Transport).DialContext = trackResets(dial)
+		client.transport.DialContext = trackResets(dial)
 	}
 }
 
@@ -81,8 +83,8 @@
 	// net/http retries a request by itself if a keep-alive connection breaks before the first byte of the
 	// response. That could execute a non-idempotent call twice, so each call uses a new connection.
 	transport := &http.Transport{DialContext: trackResets(dialer.DialContext), DisableKeepAlives: true, DisableCompression: true}
-	client := &Client{httpClient: &http.Client{
-		Transport: transport,
+	client := &Client{transport: transport, httpClient: &http.Client{
+		Transport: responsehead.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/peer/service/service_test.go
+++ b/internal/peer/service/service_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
 	"github.com/sourcegraph/conc"
 
@@ -16,6 +17,14 @@
 // uploadRounds is how often each case runs: which of the two directions of a connection sees a reset first is a race.
 const uploadRounds = 50
 
+// Guards against a response with an impossible status that is passed on, or kept as the result of a call.
+func TestResponseWithImpossibleStatusIsNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		_, err := respondEarly(t, "HTTP/1.1 "+status+" Unknown\r\nContent-Length: 0\r\n\r\n", func(connection *net.TCPConn) { _, _ = io.Copy(io.Discard, connection) })
+		gomega.NewWithT(t).Expect(errors.Is(err, service.ErrNoResponse)).To(gomega.BeTrue(), "status %s: %v", status, err)
+	}
+}
+
 // respondEarly calls a service that responds while a body is being written that fits into no socket buffer, and then ends
 // the connection. It returns the body of the response and the error of the call or of reading it.
 func respondEarly(t *testing.T, response string, end func(connection *net.TCPConn)) (string, error) {
