fix(backendserver): a head with an invalid field name is no response

What callers saw: a server in trouble sent a head in which the name of a field held a blank. The caller got a success without that field. Cause: net/http accepts a blank in the name of a field of a response, keeps the name as it is, and so finds no length in "Content-Length ". The pool and the clients that use net/http took such a head. Evidence: TestResponseWithInvalidFieldNameIsNoResponse fails before in its five cases with a blank in a name, each in a final and in an informational head. Control bytes, other separators, bytes above ASCII, and lines without a name or a colon were refused before; their cases are kept. Why this works: responsehead.Check asks httpguts for each name.

--- a/internal/common/responsehead/responsehead.go
+++ b/internal/common/responsehead/responsehead.go
@@ -13,6 +13,7 @@
 	"net/http/httptrace"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid means that a server sent a head that is not valid HTTP.
@@ -24,6 +25,12 @@
 	if response.StatusCode < http.StatusContinue || response.StatusCode == http.StatusSwitchingProtocols {
 		return errors.Mark(errors.Newf("response with status %03d", response.StatusCode), ErrInvalid)
 	}
+	for name := range response.Header {
+		// A length or an encoding whose name ends with a blank does not count for net/http.
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Mark(errors.Newf("response with field name %q", name), ErrInvalid)
+		}
+	}
 	return nil
 }
 
--- a/internal/peer/backendserver/malformed_test.go
+++ b/internal/peer/backendserver/malformed_test.go
@@ -64,6 +64,41 @@
 	}
 }
 
+// Guards against a head with an invalid field name. net/http accepts one with a blank and then doesn't find the length or
+// the chunks that it states, so that the body is another one than the server's.
+func TestResponseWithInvalidFieldNameIsNoResponse(t *testing.T) {
+	for name, head := range map[string]string{
+		"blank in a name":           "A field: x\r\nContent-Length: 5\r\n",
+		"blank before the colon":    "Field : x\r\nContent-Length: 5\r\n",
+		"blank as the name":         "Content-Length: 5\r\n : x\r\n",
+		"blank in the length":       "Content-Length : 5\r\n",
+		"blank in the framing":      "Transfer-Encoding : chunked\r\n",
+		"two lengths":               "Content-Length: 5\r\nContent-Length : 4\r\n",
+		"tab in a name":             "A\tfield: x\r\nContent-Length: 5\r\n",
+		"NUL in a name":             "A\x00field: x\r\nContent-Length: 5\r\n",
+		"carriage return in a name": "A\rfield: x\r\nContent-Length: 5\r\n",
+		"escape in a name":          "\x1bA: x\r\nContent-Length: 5\r\n",
+		"delete in a name":          "A\x7f: x\r\nContent-Length: 5\r\n",
+		"byte above ASCII":          "A\xff: x\r\nContent-Length: 5\r\n",
+		"separator in a name":       "A(b): x\r\nContent-Length: 5\r\n",
+		"no name":                   ": x\r\nContent-Length: 5\r\n",
+		"no colon":                  "Field\r\nContent-Length: 5\r\n",
+	} {
+		for kind, start := range map[string]string{"final": "", "informational": "HTTP/1.1 103 Early Hints\r\n" + head + "\r\n"} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					response := start + wholeResponse
+					if start == "" {
+						response = "HTTP/1.1 200 OK\r\n" + head + "\r\n5\r\nwhole\r\n0\r\n\r\n"
+					}
+					body, err := sendTo(response)
+					gomega.NewWithT(t).Expect(errors.Is(err, ErrNoResponse)).To(gomega.BeTrue(), "%q is the response, error %v", body, err)
+				})
+			})
+		}
+	}
+}
+
 // Guards against a check of statuses that rejects informational responses.
 func TestInformationalResponsesAreSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
