fix(backendserver): a head with a folded field is no response

What callers saw: a line of a head that begins with a blank, as if the name of its field did, was passed on as a part of the field before it. Cause: net/http reads such a line as the obsolete form of a field over several lines and joins it to the one before. Evidence: TestResponseWithFoldedFieldIsNoResponse fails before in nine of ten cases ("whole" is the response); a blank at the first line of fields was refused already. Why this works: the connection notes, while it reads a head, whether a line begins with a blank, in informational heads too and wherever the reads end; HTTP lets a gateway refuse such a response. Bodies are not scanned (TestBodyMayHaveLinesThatBeginWithBlanks). The clients that use net/http don't see the lines and join them with a blank, as HTTP allows.

--- a/internal/peer/backendserver/backendserver.go
+++ b/internal/peer/backendserver/backendserver.go
@@ -268,7 +268,7 @@
 func (pool *Pool) read(connection *conn, call *Call) (*Reply, error) {
 	request := &http.Request{Method: call.Method}
 	for stray := 0; ; {
-		connection.unreadHead = min(connection.unreadHead, maxHeadBytes)
+		connection.beginHead()
 		// Reply.Close closes the body; after an error the connection is closed.
 		response, err := http.ReadResponse(connection.reader, request) //nolint:bodyclose // see above
 		if err != nil {
@@ -277,6 +277,9 @@
 		if err := responsehead.Check(response); err != nil {
 			return nil, err
 		}
+		if connection.lines.folded {
+			return nil, errFoldedField
+		}
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/peer/backendserver/conn.go
+++ b/internal/peer/backendserver/conn.go
@@ -15,11 +15,15 @@
 // errHeadTooLong means that a server sent maxHeadBytes and no complete head.
 var errHeadTooLong = errors.Newf("no complete head within %d bytes", maxHeadBytes)
 
+// errFoldedField means that a line of a head begins with a blank. net/http takes it for a part of the field before it.
+var errFoldedField = errors.New("a line of the head begins with a blank")
+
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
 	// unreadHead is the number of bytes that may still be read before the head of a response is complete.
 	unreadHead int
+	lines      headLines
 	// idleDeadline is when the server may close the idle connection.
 	idleDeadline time.Time
 	// partlySent is set if only a part of the last call was sent.
@@ -36,7 +40,42 @@
 	return connection
 }
 
-// headLimiter reads from a connection, and fails when a head is too long.
+// beginHead prepares for the next head, a part of which may be in the buffer already.
+func (conn *conn) beginHead() {
+	conn.unreadHead = min(conn.unreadHead, maxHeadBytes)
+	conn.lines = headLines{}
+	// What is buffered can always be peeked.
+	buffered, _ := conn.reader.Peek(conn.reader.Buffered())
+	conn.lines.scan(buffered)
+}
+
+// headLines notes whether a line of a head begins with a blank.
+type headLines struct {
+	// started is set once the current line has a byte, ended after the empty line at the end of the head.
+	started, ended bool
+	// count is the number of complete lines.
+	count  int
+	folded bool
+}
+
+// scan takes a part of a head. What follows the head is ignored.
+func (lines *headLines) scan(part []byte) {
+	for _, char := range part {
+		switch {
+		case lines.ended:
+			return
+		case char == '\n':
+			lines.ended = !lines.started && lines.count > 0
+			lines.started = false
+			lines.count++
+		case char != '\r':
+			lines.folded = lines.folded || (!lines.started && (char == ' ' || char == '\t'))
+			lines.started = true
+		}
+	}
+}
+
+// headLimiter reads from a connection, scans the heads of responses, and fails when one is too long.
 type headLimiter struct{ conn *conn }
 
 // Read reads from the connection. It returns io.EOF only if the server closed the connection.
@@ -47,6 +86,7 @@
 	}
 	n, err := connection.Read(buffer)
 	connection.unreadHead -= n
+	connection.lines.scan(buffer[:n])
 	if connection.hiddenReset != nil && errors.Is(err, io.EOF) {
 		err = connection.hiddenReset
 	}
--- a/internal/peer/backendserver/malformed_test.go
+++ b/internal/peer/backendserver/malformed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,6 +100,44 @@
 	}
 }
 
+// Guards against a line that begins with a blank and is passed on as a part of the field before it.
+func TestResponseWithFoldedFieldIsNoResponse(t *testing.T) {
+	long := strings.Repeat("A: x\r\n", 2*readBufferSize/6)
+	for name, response := range map[string]string{
+		"space":                    "HTTP/1.1 200 OK\r\nA: x\r\n B: y\r\nContent-Length: 5\r\n\r\nwhole",
+		"tab":                      "HTTP/1.1 200 OK\r\nA: x\r\n\tB: y\r\nContent-Length: 5\r\n\r\nwhole",
+		"last line":                "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nA: x\r\n B: y\r\n\r\nwhole",
+		"bare line feeds":          "HTTP/1.1 200 OK\nContent-Length: 5\nA: x\n B: y\n\nwhole",
+		"blanks alone":             "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nA: x\r\n  \r\n\r\nwhole",
+		"first line":               "HTTP/1.1 200 OK\r\n A: x\r\nContent-Length: 5\r\n\r\nwhole",
+		"long head":                "HTTP/1.1 200 OK\r\n" + long + " B: y\r\nContent-Length: 5\r\n\r\nwhole",
+		"informational":            "HTTP/1.1 103 Early Hints\r\nA: x\r\n B: y\r\n\r\n" + wholeResponse,
+		"behind an informational":  "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nA: x\r\n B: y\r\nContent-Length: 5\r\n\r\nwhole",
+		"behind two informational": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 2) + "HTTP/1.1 200 OK\r\nA: x\r\n B: y\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				body, err := sendTo(response)
+				gomega.NewWithT(t).Expect(errors.Is(err, ErrNoResponse)).To(gomega.BeTrue(), "%q is the response, error %v", body, err)
+			})
+		})
+	}
+}
+
+// Guards against a check of lines that goes on in the body.
+func TestBodyMayHaveLinesThatBeginWithBlanks(t *testing.T) {
+	for name, start := range map[string]string{"final": "", "informational": "HTTP/1.1 103 Early Hints\r\nA: x\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				body, err := sendTo(start + "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n\r\n a\r\n b")
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+				expect.Expect(body).To(gomega.Equal("\r\n a\r\n b"))
+			})
+		})
+	}
+}
+
 // Guards against a check of statuses that rejects informational responses.
 func TestInformationalResponsesAreSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
