fix(forward): events without end stay within the memory budget

Here an event without end is given up at 1 MB, but forty such streams on a node together held 44 MB where the budget for buffered bytes was 4 MB. Cause: what is read of an incomplete event was counted whether it fitted into the memory budget or not. Evidence: TestEndlessEventsStayWithinTheMemoryBudget fails before with a peak of 44,568,520 of 4,194,304 bytes. Failure responses of streams without end hold before as well. Why this works: an incomplete event is read as before up to 16 KB, which no ordinary one reaches; beyond that it must fit, or the stream counts as broken and may resume elsewhere.

--- a/internal/peer/backendserver/endless_test.go
+++ b/internal/peer/backendserver/endless_test.go
@@ -43,6 +43,31 @@
 	}
 }
 
+// Guards against a chunked body whose framing has no end, which a node reads into memory.
+func TestChunkFramingWithoutEndIsClosed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, server := range map[string]struct{ start, repeated string }{
+		"size":      {head, "0000000000000000"},
+		"extension": {head + "1;", "xxxxxxxxxxxxxxxx"},
+		"trailer":   {head + "0\r\nA: ", "xxxxxxxxxxxxxxxx"},
+		"trailers":  {head + "0\r\n", "A: x\r\n"},
+		"no chunk":  {head, "xxxxxxxxxxxxxxxx"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				sender := endless.New(server.start, server.repeated)
+				reply, err := poolBefore(sender).Send(&Call{Method: http.MethodGet, Target: "/", Host: "h", Address: "a:1", TimeLeft: time.Second})
+				expect.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = io.ReadAll(reply)
+				expect.Expect(err).To(gomega.HaveOccurred())
+				reply.Close()
+				expect.Expect(sender.Wait()).To(gomega.BeNumerically("<=", maxHeadBytes))
+			})
+		})
+	}
+}
+
 // Guards against a head limit that counts the body, or the answers before on the same connection.
 func TestBodyIsNotBoundedByTheHeadLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -6,8 +6,8 @@
 // request as much as they can, each gets 1/(k+1), and the same amount stays free for small requests of all others.
 // Granted bytes are never revoked.
 //
-// Bytes of a stream that has begun are counted with ForceGrow whether they fit or not, since such a stream is never
-// aborted. They reduce what is left for requests that can still be refused.
+// Bytes of ordinary events of a stream that has begun are counted with ForceGrow whether they fit or not, since such a
+// stream is never aborted for lack of memory. They reduce what is left for requests that can still be refused.
 //
 // The package starts no goroutines and reads no clock.
 //
--- a/internal/serve/forward/endless_test.go
+++ b/internal/serve/forward/endless_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"hazelslip/internal/serve/forward"
 )
@@ -139,3 +140,31 @@
 		})
 	}
 }
+
+// Guards against events without end that exceed the memory budget together, although each of them is within its limit.
+func TestEndlessEventsStayWithinTheMemoryBudget(t *testing.T) {
+	const budget, streams = 4 * megabyte, 40
+	for name, status := range map[string]int{"stream": http.StatusOK, "failure": http.StatusInternalServerError} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				rig := newRig(t, budget, func(writer http.ResponseWriter, request *http.Request) {
+					_, _ = io.Copy(io.Discard, request.Body)
+					writer.WriteHeader(status)
+					sendEndless(writer, 16<<10, 10*time.Millisecond)
+				})
+				calls := conc.WaitGroup{}
+				for number := range streams {
+					calls.Go(func() {
+						result := rig.do(rig.request(number%workspaces, "/draft/1", bodyOfLength(100)))
+						expect.Expect(result.status).NotTo(gomega.Equal(http.StatusOK))
+					})
+				}
+				calls.Wait()
+				expect.Expect(rig.shutdown()).To(gomega.BeZero())
+				_, peak, _ := rig.memory.Totals()
+				expect.Expect(peak).To(gomega.BeNumerically("<=", budget))
+			})
+		})
+	}
+}
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -24,7 +24,8 @@
 	maxQueuedResumed = 6
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
-	// maxKeptBuffer is the largest buffer that is kept for the next events of a stream.
+	// maxKeptBuffer is the largest buffer that is kept for the next events of a stream. An incomplete event that exceeds it
+	// must fit into the memory budget.
 	maxKeptBuffer = 16 << 10
 )
 
@@ -308,14 +309,23 @@
 
 var eventSeparator = []byte("\n\n")
 
-// readPending reads what arrives next for an attempt.
+// readPending reads what arrives next for an attempt. Up to maxKeptBuffer are kept whether they fit into the memory budget
+// or not, since a stream with ordinary events is not aborted for lack of memory.
 func (exchange *exchange) readPending(attempt *attempt, buffer []byte) {
 	n, err := exchange.readReply(attempt, buffer)
 	attempt.pending, attempt.readErr = append(attempt.pending, buffer[:n]...), err
-	if grown := int64(cap(attempt.pending)) - attempt.reserved; grown > 0 {
+	grown := int64(cap(attempt.pending)) - attempt.reserved
+	switch {
+	case grown <= 0:
+		return
+	case attempt.reserved+grown <= maxKeptBuffer:
 		attempt.reservation.ForceGrow(grown)
-		attempt.reserved += grown
+	case !attempt.reservation.Grow(grown):
+		// Only a part of what was read is reserved, and none of it is kept.
+		attempt.readErr = errMemoryExhausted
+		return
 	}
+	attempt.reserved += grown
 }
 
 // readReply reads from an attempt's server and releases the exchange meanwhile.
