fix(responsehead): heads of all responses are bounded at 64 KB

What callers see: a server of the own interface, or a list or log, that sends a head without end was read up to 10 MB a call. Cause: the clients of services, engines, lists and the log used the default limit of net/http for heads. Evidence: TestHeadsWithoutEndAreClosed fails before in its six cases, with 10,485,760 bytes read where 131,072 are allowed. Why this works: responsehead.NewTransport, through which all clients of net/http send, sets the limit that the platform's clients had already; it is told in that one place now.

--- a/internal/common/jsonhttp/jsonhttp.go
+++ b/internal/common/jsonhttp/jsonhttp.go
@@ -31,7 +31,7 @@
 	MaxBytes int64
 }
 
-// New returns a client for the service at the base URL. A nil transport stands for http.DefaultTransport.
+// New returns a client for the service at the base URL. A nil transport stands for an http.Transport of its own.
 func New(base string, transport http.RoundTripper) *Client {
 	return &Client{BaseURL: base, HTTP: &http.Client{Transport: responsehead.NewTransport(transport)}}
 }
--- a/internal/common/responsehead/responsehead.go
+++ b/internal/common/responsehead/responsehead.go
@@ -19,6 +19,9 @@
 // ErrInvalid means that a server sent a head that is not valid HTTP.
 var ErrInvalid = errors.New("invalid response head")
 
+// MaxBytes bounds the head of a response. Parsed, short fields take more than twenty times their size.
+const MaxBytes = 64 << 10
+
 // Check returns an error marked as ErrInvalid if the head of a response, which may be informational, is not valid. No
 // request asks for another protocol, so status 101 is not valid either.
 func Check(response *http.Response) error {
@@ -34,15 +37,19 @@
 	return nil
 }
 
-// Transport is a RoundTripper that fails if the head of a response is not valid.
+// Transport is a RoundTripper that fails if the head of a response is not valid or exceeds MaxBytes.
 type Transport struct {
 	base http.RoundTripper
 }
 
-// NewTransport returns a Transport that sends requests through the base, nil for http.DefaultTransport.
+// NewTransport returns a Transport that sends requests through the base, nil for an http.Transport of its own. If the base
+// is an http.Transport, it must not be in use yet, since its limit for heads is set.
 func NewTransport(base http.RoundTripper) *Transport {
 	if base == nil {
-		base = http.DefaultTransport
+		base = &http.Transport{}
+	}
+	if transport, ok := base.(*http.Transport); ok {
+		transport.MaxResponseHeaderBytes = MaxBytes
 	}
 	return &Transport{base: base}
 }
--- a/internal/common/responsehead/responsehead_test.go
+++ b/internal/common/responsehead/responsehead_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,12 +15,14 @@
 	"github.com/sourcegraph/conc"
 
 	"hazelslip/internal/common/jsonhttp"
+	"hazelslip/internal/common/metering"
 	"hazelslip/internal/common/responsehead"
 	"hazelslip/internal/fleet/formation"
 	"hazelslip/internal/fleet/roster"
 	"hazelslip/internal/peer/engine"
 	"hazelslip/internal/peer/service"
 	"hazelslip/internal/state/storelog"
+	"hazelslip/internal/testlib/endless"
 	"hazelslip/platform"
 )
 
@@ -117,6 +120,35 @@
 	}
 }
 
+// Guards against a head without end that a client reads into memory, where it takes several times its size.
+func TestHeadsWithoutEndAreClosed(t *testing.T) {
+	for name, call := range map[string]func(ctx context.Context, dial metering.DialFunc) error{
+		"service": func(ctx context.Context, dial metering.DialFunc) error {
+			_, err := service.New(service.Dial(dial)).Call(ctx, "a:1", service.Call{Method: http.MethodGet, Path: "/"}) //nolint:bodyclose // the call fails
+			return err
+		},
+		"engine": func(ctx context.Context, dial metering.DialFunc) error {
+			_, err := engine.New(engine.Dial(dial)).Report(ctx, "a:1")
+			return err
+		},
+		"list or log": func(ctx context.Context, dial metering.DialFunc) error {
+			return jsonhttp.New("http://a:1", &http.Transport{DialContext: dial}).Get(ctx, "/", jsonhttp.Limits{Timeout: time.Minute, MaxBytes: 100}, &struct{}{})
+		},
+	} {
+		for kind, repeated := range map[string]string{"one field": "xxxxxxxxxxxxxxxx", "many fields": "x\r\nA: "} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					expect := gomega.NewWithT(t)
+					sender := endless.New("HTTP/1.1 200 OK\r\nA: ", repeated)
+					dial := func(context.Context, string, string) (net.Conn, error) { return sender.Conn, nil }
+					expect.Expect(call(t.Context(), dial)).To(gomega.HaveOccurred())
+					expect.Expect(sender.Wait()).To(gomega.BeNumerically("<=", 2*responsehead.MaxBytes))
+				})
+			})
+		}
+	}
+}
+
 // Guards against an invalid response without a body whose connection is used again.
 func TestConnectionOfInvalidResponseIsClosed(t *testing.T) {
 	for name, head := range map[string]string{"status": "HTTP/1.1 000 Unknown\r\n", "field": "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n"} {
--- a/internal/peer/weightstore/weightstore.go
+++ b/internal/peer/weightstore/weightstore.go
@@ -36,7 +36,7 @@
 	client *jsonhttp.Client
 }
 
-// New returns a client of the weight store at the base URL. A nil transport selects the default transport.
+// New returns a client of the weight store at the base URL. A nil transport stands for an http.Transport of its own.
 func New(base string, transport http.RoundTripper) *Client {
 	return &Client{client: jsonhttp.New(base, transport)}
 }
