test(forward): TestSilentRunIsRecordedAsStall shares its result without a race

Cause: the test reads a variable that another goroutine wrote earlier in virtual time, with nothing that orders the two. Change: the result is an atomic value. What is checked and when is as before.

--- a/internal/serve/forward/silence_test.go
+++ b/internal/serve/forward/silence_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -407,16 +408,16 @@
 func TestSilentRunIsRecordedAsStall(t *testing.T) {
 	for _, confirmedAt := range []time.Duration{300 * time.Millisecond, time.Second} {
 		withStreams(t, 1, []func(run *run){pauses(3, 2*time.Second, lastEvent)}, func(expect *gomega.WithT, rig *streamRig) {
-			confirmed := 0
+			confirmed := atomic.Int64{}
 			rig.watching.Go(func() {
 				time.Sleep(160*time.Millisecond + confirmedAt)
-				confirmed = len(rig.list.ConfirmGroupLoss(rig.groupOf(0)))
+				confirmed.Store(int64(len(rig.list.ConfirmGroupLoss(rig.groupOf(0)))))
 			})
 			rig.expectAnswer(expect, 1)
 			if confirmedAt < 400*time.Millisecond {
-				expect.Expect(confirmed).To(gomega.BeZero(), "the group is not suspected yet")
+				expect.Expect(confirmed.Load()).To(gomega.BeZero(), "the group is not suspected yet")
 			} else {
-				expect.Expect(confirmed).To(gomega.Equal(1))
+				expect.Expect(confirmed.Load()).To(gomega.Equal(int64(1)))
 			}
 		})
 	}
