fix(gateway): requests that are complete late in a stop are not passed on

What callers saw: in a planned stop a request whose upload ended late in the grace time was passed on, and cut at its end with no answer or within it (LOST). Its server may have run it, so that one that may not be repeated is lost. Cause: a stopping node closes its listeners and idle connections after 2.5 s, but a request whose head was read before that was passed on whenever it was complete, with all the time that its caller and its route gave, which the node did not have. Evidence: TestStopCutsNoStreamWhoseUploadEndsLate fails before for uploads that end 5.3, 6, 7 and 7.5 s after the signal of 8 s grace time ("unexpected EOF", the last one without a head), and holds for 2.4 and 3.5 s. Why this works: once the node accepts no connections, a request that is complete only then and may last longer than the node does is refused with 503, not run, and a short Retry-After, so that it comes again at another node. Requests whose time ends earlier are served as before (TestRequestsInAShutdownAreServed). A peer node that sent such a request tries another one. With a short grace time each request is accepted for a third of it.

--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"hazelslip/internal/serve/forward"
 )
 
 const (
@@ -14,6 +16,8 @@
 	unreadyDelay = 2500 * time.Millisecond
 	// stoppingHeadTimeout is how long a head may take that is being read when the node accepts no connections any more.
 	stoppingHeadTimeout = time.Second
+	// acceptDivisor limits the time in which each request is accepted to a fraction of a short grace period, as a divisor.
+	acceptDivisor = 3
 	// shutdownMargin is the part of the grace period reserved for the process to exit.
 	shutdownMargin = 400 * time.Millisecond
 )
@@ -28,6 +32,7 @@
 	node.peers.advanceHeartbeat(0)
 	node.peers.overlay.Leave()
 	grace := node.settings.Bounds.Grace - shutdownMargin
+	node.forwarder.BeginShutdown(forward.Shutdown{AcceptFor: min(unreadyDelay, grace/acceptDivisor), ServeFor: grace})
 	time.Sleep(min(unreadyDelay, grace))
 	remaining := grace - (node.now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
--- a/internal/serve/forward/detour.go
+++ b/internal/serve/forward/detour.go
@@ -242,7 +242,7 @@
 // outcome.
 func anotherPeerMayAccept(outcome Outcome) bool {
 	switch outcome {
-	case Behind, Busy, Unreached, NoServer, NoConfiguration, OutOfMemory:
+	case Behind, Busy, Unreached, NoServer, NoConfiguration, OutOfMemory, Stopping:
 		return true
 	}
 	return false
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -138,6 +138,8 @@
 	buffers sync.Pool
 	// inboundDetours counts the requests of peer nodes in progress.
 	inboundDetours atomic.Int64
+	// shutdown is nil unless the node is shutting down.
+	shutdown atomic.Pointer[shutdownTimes]
 }
 
 // New returns a Forwarder.
@@ -182,7 +184,7 @@
 	if forwarder.Stopping() {
 		writer.Header().Set("Connection", "close")
 	}
-	if !exchange.resolve() || !exchange.readBody() {
+	if !exchange.resolve() || !exchange.readBody() || exchange.refuseInShutdown() {
 		return
 	}
 	exchange.mu.Lock()
--- a/internal/serve/forward/rig_test.go
+++ b/internal/serve/forward/rig_test.go
@@ -53,11 +53,12 @@
 	// lines are the log lines.
 	lines []string
 
-	handler http.Handler
-	serving conc.WaitGroup
-	servers []*http.Server
-	pool    *backendserver.Pool
-	callers *http.Client
+	handler   http.Handler
+	forwarder *forward.Forwarder
+	serving   conc.WaitGroup
+	servers   []*http.Server
+	pool      *backendserver.Pool
+	callers   *http.Client
 }
 
 func newRig(t *testing.T, budget int64, handler http.HandlerFunc) *rig {
@@ -92,7 +93,7 @@
 		OnResponseHead: func(forward.ResponseHead) {}, OnServerFailure: func(*dispatch.Target, string) {}, OnRequestEnd: rig.recordSummary, NodeCount: func() int { return 1 },
 		RequestPermits: func() {}, Logger: slog.New(slog.NewTextHandler(rig, nil)),
 	})
-	rig.handler = forwarder
+	rig.handler, rig.forwarder = forwarder, forwarder
 	rig.serve(t, nodeAddress, forwarder)
 	rig.serve(t, serverAddress, handler)
 	rig.callers = &http.Client{Transport: &http.Transport{DialContext: rig.network.Dialer("callers"), DisableCompression: true}}
