fix(gateway): requests without an answer get one at the end of a stop

What callers saw: in a planned stop requests that a node had passed on, whose servers had not begun to answer, were cut at the end of the grace time with a closed connection and no answer (LOST). Cause: only the caller's and the route's time ended a request that waits for its server. At the end of the grace time the node closed its connections, whatever was in progress. Why this works: 200 ms before the node closes its connections, it cancels the calls of which no caller has a part, and they end as when their time is over: with a server's earlier failure, with 504, or with 503 if they have not run. Calls that are sent during a stop tell servers that time. A response that has begun goes on until the connections are closed (TestBegunResponsesGoOnAtTheEndOfAShutdown).

--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -18,6 +18,8 @@
 	stoppingHeadTimeout = time.Second
 	// acceptDivisor limits the time in which each request is accepted to a fraction of a short grace period, as a divisor.
 	acceptDivisor = 3
+	// answerMargin is the part of the grace period in which requests that are still in progress are answered.
+	answerMargin = 200 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for the process to exit.
 	shutdownMargin = 400 * time.Millisecond
 )
@@ -32,7 +34,7 @@
 	node.peers.advanceHeartbeat(0)
 	node.peers.overlay.Leave()
 	grace := node.settings.Bounds.Grace - shutdownMargin
-	node.forwarder.BeginShutdown(forward.Shutdown{AcceptFor: min(unreadyDelay, grace/acceptDivisor), ServeFor: grace})
+	node.forwarder.BeginShutdown(forward.Shutdown{AcceptFor: min(unreadyDelay, grace/acceptDivisor), ServeFor: grace - answerMargin})
 	time.Sleep(min(unreadyDelay, grace))
 	remaining := grace - (node.now() - began)
 	ctx, cancel := context.WithTimeout(context.Background(), max(remaining, 0))
--- a/internal/serve/forward/attempt.go
+++ b/internal/serve/forward/attempt.go
@@ -32,11 +32,12 @@
 	peer     *detour.Peer
 	call     *dispatch.Call
 	canceler *canceler
-	// detachCaller stops watching the caller's connection. timeout ends the call when its time is up. slow suspects a
-	// plain call that takes long, nil for none.
-	detachCaller func() bool
-	timeout      *time.Timer
-	slow         *time.Timer
+	// detachCaller stops watching the caller's connection, detachShutdown the end of the node. timeout ends the call when
+	// its time is up. slow suspects a plain call that takes long, nil for none.
+	detachCaller   func() bool
+	detachShutdown func() bool
+	timeout        *time.Timer
+	slow           *time.Timer
 	// runsBefore is the number of runs that the peer node was told of. The runs that it adds count besides those that
 	// ended on this node meanwhile.
 	runsBefore int
@@ -74,6 +75,7 @@
 		attempt.slow.Stop()
 	}
 	attempt.detachCaller()
+	attempt.detachShutdown()
 	attempt.canceler.disarm()
 	if attempt.Reply != nil {
 		attempt.Close()
@@ -188,6 +190,7 @@
 	attempt.call = target.Begin(exchange.request.PromptTokens, uint64(exchange.fingerprint), attempt.canceler.cancel, suspect, exchange.partKeys()...)
 	attempt.timeout = time.AfterFunc(timeout, attempt.expire)
 	attempt.detachCaller = context.AfterFunc(exchange.inbound.Context(), attempt.canceler.cancel)
+	attempt.detachShutdown = context.AfterFunc(exchange.forwarder.serving, func() { exchange.cancelUnanswered(attempt) })
 	return attempt
 }
 
--- a/internal/serve/forward/exchange.go
+++ b/internal/serve/forward/exchange.go
@@ -283,7 +283,7 @@
 const defaultTimeout = 60 * time.Second
 
 func (exchange *exchange) timeLeft() time.Duration {
-	return exchange.deadline - exchange.forwarder.Now()
+	return exchange.limitToShutdown(exchange.deadline - exchange.forwarder.Now())
 }
 
 // callerGone reports whether the caller has closed its connection.
--- a/internal/serve/forward/forward.go
+++ b/internal/serve/forward/forward.go
@@ -15,6 +15,7 @@
 package forward
 
 import (
+	"context"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -138,8 +139,11 @@
 	buffers sync.Pool
 	// inboundDetours counts the requests of peer nodes in progress.
 	inboundDetours atomic.Int64
-	// shutdown is nil unless the node is shutting down.
-	shutdown atomic.Pointer[shutdownTimes]
+	// shutdown is nil unless the node is shutting down. serving ends when the time for requests in progress is over, upon a
+	// call of endServing.
+	shutdown   atomic.Pointer[shutdownTimes]
+	serving    context.Context
+	endServing context.CancelFunc
 }
 
 // New returns a Forwarder.
@@ -150,7 +154,9 @@
 	if dependencies.OnUnconfirmedFailure == nil {
 		dependencies.OnUnconfirmedFailure = func(*dispatch.Target, quarantine.Subject, bool) {}
 	}
-	return &Forwarder{Dependencies: dependencies, buffers: sync.Pool{New: func() any { return new([copyBufferSize]byte) }}}
+	forwarder := &Forwarder{Dependencies: dependencies, buffers: sync.Pool{New: func() any { return new([copyBufferSize]byte) }}}
+	forwarder.serving, forwarder.endServing = context.WithCancel(context.Background()) //nolint:gosec // BeginShutdown calls it
+	return forwarder
 }
 
 const (
--- a/internal/serve/forward/outcome.go
+++ b/internal/serve/forward/outcome.go
@@ -38,7 +38,8 @@
 	BudgetSpent   Outcome = "BudgetSpent"
 	// Quarantined: servers failed while running the request, so that it is sent to no server any more.
 	Quarantined Outcome = "Quarantined"
-	// Stopping: the node is shutting down, and the request was complete too late to be served before that.
+	// Stopping: the node is shutting down, and the request was complete too late to be served before that, or had no answer
+	// by then.
 	Stopping Outcome = "Stopping"
 	// OutOfMemory: the body did not fit into the node's memory budget and was not read.
 	OutOfMemory Outcome = "OutOfMemory"
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -85,11 +85,14 @@
 		exchange.deliver(exchange.fallback)
 	case !exchange.mayHaveRun:
 		if exchange.outcome == "" {
-			exchange.outcome = TimeUp
+			exchange.outcome = exchange.timeUpOutcome()
+		}
+		if exchange.outcome == Stopping {
+			exchange.retryAfter = shutdownRetryDelay
 		}
 		exchange.refuse(exchange.outcome, cmp.Or(exchange.retryAfter, defaultRetryDelay), exchange.cause)
 	case exchange.timeLeft() <= minTimeLeft:
-		exchange.outcome = TimeUp
+		exchange.outcome = exchange.timeUpOutcome()
 		exchange.fail(http.StatusGatewayTimeout)
 	default:
 		exchange.fail(http.StatusBadGateway)
--- a/internal/serve/forward/shutdown_test.go
+++ b/internal/serve/forward/shutdown_test.go
@@ -65,3 +65,47 @@
 		})
 	}
 }
+
+// Guards against requests that the node cuts without an answer when it ends: their servers have not answered by then.
+func TestUnansweredRequestsGetAnAnswerAtTheEndOfAShutdown(t *testing.T) {
+	for _, begun := range []time.Duration{0, time.Second} {
+		for _, path := range []string{"/book/1", "/ping/1", "/draft/1"} {
+			synctest.Test(t, func(t *testing.T) {
+				expect := gomega.NewWithT(t)
+				rig := newRig(t, 0, func(_ http.ResponseWriter, request *http.Request) {
+					_, _ = io.Copy(io.Discard, request.Body)
+					<-request.Context().Done()
+				})
+				time.AfterFunc(begun, func() {
+					rig.forwarder.BeginShutdown(forward.Shutdown{AcceptFor: time.Second, ServeFor: 3 * time.Second})
+				})
+				time.Sleep(time.Millisecond)
+				result := rig.do(rig.request(0, path, bodyOfLength(10)))
+				expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+				expect.Expect(result.status).To(gomega.Equal(http.StatusGatewayTimeout))
+				expect.Expect(result.duration).To(gomega.BeNumerically("~", begun+3*time.Second, 50*time.Millisecond))
+				expect.Expect(rig.outcomeCount(forward.Stopping)).To(gomega.Equal(1))
+				expect.Expect(rig.shutdown()).To(gomega.BeZero())
+			})
+		}
+	}
+}
+
+// Guards against a response that has begun and is cut before the node has to end.
+func TestBegunResponsesGoOnAtTheEndOfAShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t)
+		rig := newRig(t, 0, func(writer http.ResponseWriter, request *http.Request) {
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(writer, "id: 0\ndata: x\n\n")
+			_ = http.NewResponseController(writer).Flush()
+			time.Sleep(3500 * time.Millisecond)
+			_, _ = io.WriteString(writer, "id: 1\ndata: x\n\n")
+		})
+		rig.forwarder.BeginShutdown(forward.Shutdown{AcceptFor: time.Second, ServeFor: 3 * time.Second})
+		result := rig.do(rig.request(0, "/draft/1", bodyOfLength(10)))
+		expect.Expect(result.err).NotTo(gomega.HaveOccurred())
+		expect.Expect(result.body).To(gomega.HaveSuffix("id: 1\ndata: x\n\n"))
+		expect.Expect(rig.shutdown()).To(gomega.BeZero())
+	})
+}
