--- a/internal/common/responsehead/responsehead.go
+++ b/internal/common/responsehead/responsehead.go
@@ -1,5 +1,5 @@
-// Package responsehead rejects heads of responses that net/http accepts although they are not valid HTTP. Where the
-// response to a request with such a head ends is unknown, so its connection is closed.
+// Package responsehead rejects heads of responses that net/http accepts although they are not valid HTTP. Where a response
+// with such a head ends is unknown, so its connection is closed.
 //
 // # Usage
 //
--- a/internal/serve/forward/bothnodes_test.go
+++ b/internal/serve/forward/bothnodes_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -57,3 +58,29 @@
 		expect.Expect(int(runs.Load())).To(gomega.Equal(attempts))
 	})
 }
+
+// Guards against a request that is refused because the peer node that it was sent to is shutting down, while another peer
+// would serve it.
+func TestPeerThatShutsDownIsPassedBy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect, pair := gomega.NewWithT(t), newNodePair(t, countBody(0))
+		respond := func(status int, state string) http.Handler {
+			return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				_, _ = io.Copy(io.Discard, request.Body)
+				writer.Header().Set("Hazelslip-Detour", state)
+				writer.WriteHeader(status)
+			})
+		}
+		pair.serve(t, "serving:1", respond(http.StatusOK, "Result=Server"))
+		for number := range 4 {
+			address := fmt.Sprintf("stopping-%d:1", number)
+			pair.serve(t, address, respond(http.StatusServiceUnavailable, "Result=NotRun&Outcome=Stopping"))
+			pair.peers.RecordReport(detour.Node{Address: address})
+		}
+		pair.peers.RecordReport(detour.Node{Address: "serving:1"})
+		request := pair.request(0, "/book/1", bodyOfLength(10))
+		request.URL.Host = firstAddress
+		expect.Expect(pair.do(request).status).To(gomega.Equal(http.StatusOK))
+		pair.close()
+	})
+}
--- a/internal/serve/forward/refuse.go
+++ b/internal/serve/forward/refuse.go
@@ -87,9 +87,6 @@
 		if exchange.outcome == "" {
 			exchange.outcome = exchange.timeUpOutcome()
 		}
-		if exchange.outcome == Stopping {
-			exchange.retryAfter = shutdownRetryDelay
-		}
 		exchange.refuse(exchange.outcome, cmp.Or(exchange.retryAfter, defaultRetryDelay), exchange.cause)
 	case exchange.timeLeft() <= minTimeLeft:
 		exchange.outcome = exchange.timeUpOutcome()
--- a/internal/serve/forward/rig_test.go
+++ b/internal/serve/forward/rig_test.go
@@ -214,8 +214,10 @@
 
 // callResult is the result of a call for the caller.
 type callResult struct {
-	status   int
-	header   http.Header
+	status int
+	header http.Header
+	// closes is set if the response announces that its connection closes.
+	closes   bool
 	body     string
 	duration time.Duration
 	err      error
@@ -229,7 +231,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return callResult{status: response.StatusCode, header: response.Header, body: string(body), duration: time.Since(startedAt), err: err}
+	return callResult{status: response.StatusCode, header: response.Header, closes: response.Close, body: string(body), duration: time.Since(startedAt), err: err}
 }
 
 // bodyOfLength returns a body of the given length.
--- a/internal/serve/forward/shutdown_test.go
+++ b/internal/serve/forward/shutdown_test.go
@@ -33,6 +33,7 @@
 			result := rig.do(rig.request(0, path, slowBody(1500*time.Millisecond)))
 			expect.Expect(result.status).To(gomega.Equal(http.StatusServiceUnavailable))
 			expect.Expect(result.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			expect.Expect(result.closes).To(gomega.BeTrue())
 			expect.Expect(result.duration).To(gomega.BeNumerically("~", 1500*time.Millisecond, 10*time.Millisecond))
 			expect.Expect(rig.outcomeCount(forward.Stopping)).To(gomega.Equal(1))
 			expect.Expect(runs).To(gomega.BeZero())
