--- a/internal/common/responsehead/responsehead.go
+++ b/internal/common/responsehead/responsehead.go
@@ -19,7 +19,7 @@
 // ErrInvalid means that a server sent a head that is not valid HTTP.
 var ErrInvalid = errors.New("invalid response head")
 
-// MaxBytes bounds the head of a response. Parsed, short fields take more than twenty times their size.
+// MaxBytes bounds the heads that a Transport accepts. Parsed, short fields take more than twenty times their size.
 const MaxBytes = 64 << 10
 
 // Check returns an error marked as ErrInvalid if the head of a response, which may be informational, is not valid. No
--- a/internal/run/gateway/stop.go
+++ b/internal/run/gateway/stop.go
@@ -16,9 +16,9 @@
 	unreadyDelay = 2500 * time.Millisecond
 	// stoppingHeadTimeout is how long a head may take that is being read when the node accepts no connections any more.
 	stoppingHeadTimeout = time.Second
-	// acceptDivisor limits the time in which each request is accepted to a fraction of a short grace period, as a divisor.
+	// acceptDivisor limits the time in which every request is accepted to a fraction of a short grace period, as a divisor.
 	acceptDivisor = 3
-	// answerMargin is the part of the grace period in which requests that are still in progress are answered.
+	// answerMargin is the time before the connections are closed in which requests without a response are answered.
 	answerMargin = 200 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for the process to exit.
 	shutdownMargin = 400 * time.Millisecond
--- a/internal/serve/forward/shutdown.go
+++ b/internal/serve/forward/shutdown.go
@@ -4,7 +4,8 @@
 
 // Shutdown tells how long a node that is shutting down serves requests, counted from the call of BeginShutdown.
 type Shutdown struct {
-	// AcceptFor is how long each request is accepted. One that is complete later must end by itself within ServeFor.
+	// AcceptFor is how long every request is accepted. One that is complete later is accepted only if its deadline is within
+	// ServeFor.
 	AcceptFor time.Duration
 	// ServeFor is how long requests are served. Those whose response has not begun are answered then; a response that has
 	// begun goes on until the node closes its connections.
--- a/internal/serve/forward/stream.go
+++ b/internal/serve/forward/stream.go
@@ -309,8 +309,8 @@
 
 var eventSeparator = []byte("\n\n")
 
-// readPending reads what arrives next for an attempt. Up to maxKeptBuffer are kept whether they fit into the memory budget
-// or not, since a stream with ordinary events is not aborted for lack of memory.
+// readPending reads what arrives next for an attempt. Up to maxKeptBuffer bytes are kept whether they fit into the memory
+// budget or not, since a stream with ordinary events is not aborted for lack of memory.
 func (exchange *exchange) readPending(attempt *attempt, buffer []byte) {
 	n, err := exchange.readReply(attempt, buffer)
 	attempt.pending, attempt.readErr = append(attempt.pending, buffer[:n]...), err
@@ -321,7 +321,7 @@
 	case attempt.reserved+grown <= maxKeptBuffer:
 		attempt.reservation.ForceGrow(grown)
 	case !attempt.reservation.Grow(grown):
-		// Only a part of what was read is reserved, and none of it is kept.
+		// What was read is not reserved whole. The caller forwards the complete events in it and drops the rest.
 		attempt.readErr = errMemoryExhausted
 		return
 	}
